--- a/crates/tidetrack-core/src/placement.rs
+++ b/crates/tidetrack-core/src/placement.rs
@@ -25,6 +25,13 @@
 /// Endpoints drawn besides the one on the ring.
 const DRAWN: usize = 4;
 
+/// Pools up to this size are compared as a whole.
+const SMALL_POOL: usize = 32;
+
+/// Part of the work of reading again that the second endpoint on the ring is charged with: it often
+/// keeps the prefix too.
+const NEXT_HOME_PART: f64 = 0.5;
+
 /// The ring's endpoint is kept up to this multiple of the drawn ones' mean load.
 const BOUND: f64 = 1.25;
 
@@ -98,6 +105,8 @@
     leaving: AtomicBool,
     /// Microseconds that a token of work took of late; 0 before the first answer.
     pace_us: AtomicU64,
+    /// When anything was last heard from the endpoint.
+    heard_at: AtomicU64,
 }
 
 impl EndpointLive {
@@ -135,6 +144,16 @@
         own + others * (-age / REPORT_HALF_MS).exp2()
     }
 
+    /// Takes note that something came from the endpoint.
+    pub fn heard(&self, now: Millis) {
+        self.heard_at.fetch_max(now.0, Ordering::Relaxed);
+    }
+
+    /// Tells whether anything came from the endpoint since an instant.
+    pub fn was_heard_since(&self, instant: Millis) -> bool {
+        self.heard_at.load(Ordering::Relaxed) > instant.0
+    }
+
     /// Takes note of how long an answer took.
     pub fn took(&self, work: u64, us: u64) {
         let newest = us as f64 / work.max(1) as f64;
@@ -228,6 +247,9 @@
     pub tried: &'a [EndpointId],
     /// The request's priority; above 0 it is urgent.
     pub priority: i64,
+    /// Work that an endpoint which does not keep the request's prefix has to do in addition; 0 keeps
+    /// to the ring by a bound on the load instead.
+    pub reread: u64,
 }
 
 impl PoolView {
@@ -268,11 +290,10 @@
     /// Finds the best endpoint, and the pace that is usual among those looked at.
     fn best(&self, now: Millis, ask: &Ask<'_>) -> Result<(&PoolEndpoint, f64)> {
         let home = self.home(now, ask);
-        let mut drawn: Vec<&PoolEndpoint> = Vec::with_capacity(DRAWN);
-        for i in 0..DRAWN as u64 {
-            let place = xxh3_64_with_seed(&ask.salt.to_le_bytes(), i);
-            let at = (place % self.endpoints.len().max(1) as u64) as usize;
-            drawn.extend(self.endpoints.get(at).filter(|e| usable(e, now, ask)));
+        let drawn = self.drawn(now, ask);
+        if let (true, Some(home)) = (ask.reread > 0, home) {
+            let usual = drawn.iter().map(|e| e.live.pace()).fold(home.live.pace(), f64::min);
+            return Ok((self.cheapest(now, ask, home, &drawn), usual));
         }
         let usual = drawn.iter().map(|e| e.live.pace()).fold(f64::INFINITY, f64::min);
         let least = self.least(now, &drawn);
@@ -286,6 +307,48 @@
         Ok((if stays { home } else { least }, usual.min(home.live.pace())))
     }
 
+    /// Gets the endpoints that are compared: all of a small pool, else a few drawn ones.
+    fn drawn(&self, now: Millis, ask: &Ask<'_>) -> Vec<&PoolEndpoint> {
+        if ask.reread > 0 && self.endpoints.len() <= SMALL_POOL {
+            return self.endpoints.iter().filter(|e| usable(e, now, ask)).collect();
+        }
+        let mut drawn = Vec::with_capacity(DRAWN);
+        for i in 0..DRAWN as u64 {
+            let place = xxh3_64_with_seed(&ask.salt.to_le_bytes(), i);
+            let at = (place % self.endpoints.len().max(1) as u64) as usize;
+            drawn.extend(self.endpoints.get(at).filter(|e| usable(e, now, ask)));
+        }
+        drawn
+    }
+
+    /// Finds where the request is done first, counting what has to be read again away from home.
+    fn cheapest<'a>(
+        &'a self,
+        now: Millis,
+        ask: &Ask<'_>,
+        home: &'a PoolEndpoint,
+        drawn: &[&'a PoolEndpoint],
+    ) -> &'a PoolEndpoint {
+        let next = self.next_home(now, ask, home);
+        let again = |part: f64| ask.reread as f64 * part;
+        let cost = |e: &PoolEndpoint, extra: f64| (e.live.load(now) + IDLE_WORK + extra) * e.live.pace();
+        let homes = [Some((home, 0.0)), next.map(|e| (e, again(NEXT_HOME_PART)))];
+        let others = drawn.iter().map(|e| (*e, again(1.0)));
+        let all = homes.into_iter().flatten().chain(others);
+        let best = all.min_by(|(a, x), (b, y)| cost(a, *x).total_cmp(&cost(b, *y)));
+        best.map_or(home, |(e, _)| e)
+    }
+
+    /// Finds the endpoint on the ring after the request's home: the same for every host, so that a
+    /// prefix that is too much for one endpoint is kept by two rather than by all.
+    fn next_home(&self, now: Millis, ask: &Ask<'_>, home: &PoolEndpoint) -> Option<&PoolEndpoint> {
+        let start = self.ring.partition_point(|(place, _)| *place < ask.place);
+        let steps = self.ring.len().min(MOST_STEPS);
+        let at =
+            |step: usize| &self.endpoints[self.ring[(start + step) % self.ring.len()].1 as usize];
+        (0..steps).map(at).find(|e| e.id != home.id && usable(e, now, ask))
+    }
+
     /// Finds the first usable endpoint from the request's place on the ring.
     fn home(&self, now: Millis, ask: &Ask<'_>) -> Option<&PoolEndpoint> {
         let start = self.ring.partition_point(|(place, _)| *place < ask.place);
@@ -346,7 +409,7 @@
     }
 
     fn ask(place: u64, salt: u64) -> Ask<'static> {
-        Ask { place, salt, need: Tokens(100), tried: &[], priority: 0 }
+        Ask { place, salt, need: Tokens(100), tried: &[], priority: 0, reread: 0 }
     }
 
     #[test]
--- a/crates/tidetrack-core/src/traffic/catalog.rs
+++ b/crates/tidetrack-core/src/traffic/catalog.rs
@@ -5,6 +5,10 @@
 use crate::ids::{ModelId, RouteId, ServiceId, WorkspaceId};
 use crate::units::{Millis, Tokens};
 
+/// Least weight of a model in an engine's work; the smallest models take about a tenth of the
+/// largest's time.
+const LEAST_WEIGHT: f64 = 0.1;
+
 /// What kind of work a route carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
@@ -92,6 +96,16 @@
 }
 
 impl Service {
+    /// Gets a model's weight in an engine's work: its price beside the dearest model's, for the time a
+    /// model takes is not declared.
+    pub fn weight_of(&self, model: &ModelId) -> f64 {
+        let dearest = self.models.iter().map(|m| m.price).fold(0.0, f64::max);
+        match self.models.iter().find(|m| m.name == *model) {
+            Some(m) if dearest > 0.0 => (m.price / dearest).max(LEAST_WEIGHT),
+            _ => 1.0,
+        }
+    }
+
     /// Gets the price of 1,000 tokens of a model; 0 if it is not listed.
     pub fn price_of(&self, model: &ModelId) -> f64 {
         self.models.iter().find(|m| m.name == *model).map_or(0.0, |m| m.price)
--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -236,8 +236,11 @@
             endpoints.filter(|r| r.service == seen.service && r.version == *version).count();
         let barred = trial.see_new(seen, of_version);
         if barred {
-            let (bad, all) = trial.judge.counts();
-            let text = format!("service={} version={version} bad={bad} of={all}", seen.service);
+            let counts = trial.judge.counts();
+            let text = format!(
+                "service={} version={version} failed={} bad={} of={}",
+                seen.service, counts.failed, counts.bad, counts.all
+            );
             actions.push(Action::Note(Event::VersionBarred, text));
         }
         barred
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -14,7 +14,7 @@
 use tidetrack_core::traffic::catalog::Catalog;
 use tidetrack_core::traffic::endpoints::EndpointRecord;
 use tidetrack_core::traffic::trial::{ProgressWrite, RolloutOrder};
-use tidetrack_core::units::Millis;
+use tidetrack_core::units::{Millis, Tokens};
 
 /// What a request's head says.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -31,6 +31,8 @@
     pub size: Option<GenerationSize>,
     /// What to place the request by: the longest part of its prompt that others share.
     pub shared_prefix: Option<String>,
+    /// Tokens of the prompt up to the end of that part.
+    pub shared_tokens: Option<Tokens>,
     /// The model the caller names.
     pub model: Option<String>,
     /// The last event the caller holds of a stream that broke.
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -34,12 +34,18 @@
 use crate::relay;
 use crate::shared::SharedRef;
 
-/// Work that a plain call counts as, in answer tokens.
+/// Work that a plain call counts as.
 const PLAIN_WORK: u64 = 400;
 
-/// Work that one request told by an endpoint counts as, in answer tokens: between a short call and
-/// a long one.
-const TOLD_WORK: u64 = 500;
+/// Work that one request counts as which an endpoint tells as running. An engine reads prompts one
+/// after another, but makes the tokens of all that run together, so what runs adds little.
+const RUNNING_WORK: u64 = 40;
+
+/// Work that one request counts as which an endpoint tells as waiting.
+const WAITING_WORK: u64 = 400;
+
+/// Part of the generated tokens that counts as work once the prompt has been read.
+const GENERATED_PART: f64 = 0.1;
 
 /// When to come back after a refusal for want of room, in milliseconds.
 const RETRY_FULL_MS: u64 = 300;
@@ -47,8 +53,13 @@
 /// When to come back to a host that is stopping; another host takes the request at once.
 const RETRY_LEAVING_MS: u64 = 50;
 
-/// Part of the objective that an attempt which can be repeated may take before another is made.
-const PATIENCE_PART: f64 = 0.8;
+/// Part of the objective after which an attempt at an endpoint that has fallen silent altogether is
+/// given up for another.
+const SILENT_PART: f64 = 0.8;
+
+/// Multiple of the objective after which an attempt is given up although its endpoint still serves
+/// other requests.
+const SLOW_TIMES: f64 = 2.0;
 
 /// Least patience with an attempt, for objectives shorter than an endpoint's usual time.
 const LEAST_PATIENCE: Duration = Duration::from_millis(150);
@@ -141,14 +152,27 @@
         self.facts.size.is_some()
     }
 
+    /// Gets the work that an endpoint without the request's shared prefix does in addition.
+    fn reread(&self, weight: f64) -> u64 {
+        let shared = self.facts.shared_tokens.unwrap_or(Tokens(0));
+        ((work_of(shared, Tokens(0)) as f64 * weight) as u64).max(1)
+    }
+
     fn objective(&self) -> Duration {
         Duration::from_millis(self.admitted.route.objective.0)
     }
 
-    /// Gets the work the request counts as at an endpoint.
-    fn work(&self) -> u64 {
+    /// Gets the work the request counts as at an endpoint; `weight` is the model's.
+    fn work(&self, weight: f64) -> u64 {
+        let of_size = self.facts.size.as_ref();
+        let full = of_size.map_or(PLAIN_WORK, |s| work_of(s.prompt, Tokens(0)));
+        ((full as f64 * weight) as u64).max(1)
+    }
+
+    /// Gets the work that is left once the prompt has been read.
+    fn work_left(&self, weight: f64) -> u64 {
         let of_size = self.facts.size.as_ref();
-        of_size.map_or(PLAIN_WORK, |s| work_of(s.prompt, Tokens(s.generated() as u64)))
+        of_size.map_or(0, |s| (s.generated() * GENERATED_PART * weight) as u64)
     }
 }
 
@@ -169,12 +193,21 @@
 pub struct WorkShare {
     live: Arc<EndpointLive>,
     work: u64,
+    work_left: u64,
 }
 
 impl WorkShare {
-    fn new(live: &Arc<EndpointLive>, work: u64) -> WorkShare {
+    fn new(live: &Arc<EndpointLive>, job: &Job, weight: f64) -> WorkShare {
+        let work = job.work(weight);
         live.begin(work);
-        WorkShare { live: live.clone(), work }
+        WorkShare { live: live.clone(), work, work_left: job.work_left(weight) }
+    }
+
+    /// Takes note that the endpoint has begun to answer: the prompt is read.
+    fn answer_began(&mut self) {
+        self.live.begin(self.work_left);
+        self.live.end(self.work);
+        self.work = self.work_left;
     }
 }
 
@@ -382,7 +415,7 @@
             match pass_on(traffic, job, &tries, model.as_ref(), sent).await {
                 Ok(resp) => return Ok(resp),
                 Err(e) => {
-                    failed_attempt(traffic, job, &chosen, model.as_ref(), &e);
+                    failed_attempt(traffic, job, &chosen, model.as_ref(), &e, began.elapsed());
                     tries.note_ran(Ran::Yes);
                     if !may_go_on(job, &tries) {
                         return Err(gave_up(job, &tries, e));
@@ -430,23 +463,23 @@
     model: Option<&ModelId>,
     why: SendAgain,
 ) -> std::result::Result<Sent, Stop> {
-    let chosen = match choose(traffic, job, tries) {
+    let chosen = match choose(traffic, job, tries, model) {
         Ok(chosen) => chosen,
         Err(e) => return Err(Stop::Final(gave_up(job, tries, e))),
     };
     if let Err(e) = check_before_send(traffic, job, tries, why) {
         return Err(Stop::Final(gave_up(job, tries, e)));
     }
-    let share = WorkShare::new(&chosen.live, job.work());
+    let mut share = WorkShare::new(&chosen.live, job, weight_of(traffic, job, model));
     let began = Instant::now();
-    let until = patience(job, tries);
-    match send(traffic, job, tries, &chosen, model, until, None).await {
+    match send(traffic, job, tries, &chosen, model, None).await {
         Ok(answered) => {
+            share.answer_began();
             note_load(traffic, &chosen, &answered);
             Ok(Sent { answered, chosen, share, began })
         }
         Err(e) => {
-            failed_attempt(traffic, job, &chosen, model, &e);
+            failed_attempt(traffic, job, &chosen, model, &e, began.elapsed());
             tries.note_ran(e.ran);
             match may_go_on(job, tries) {
                 true => Err(Stop::Again),
@@ -459,7 +492,7 @@
 /// Takes the load that an endpoint tells with an answer.
 fn note_load(traffic: &Traffic, chosen: &Chosen, answered: &Answered) {
     if let Some(load) = answered.facts.load {
-        let work = (load.running + load.waiting) * TOLD_WORK;
+        let work = load.running * RUNNING_WORK + load.waiting * WAITING_WORK;
         chosen.live.report(traffic.shared.now(), work, Tokens(0));
     }
 }
@@ -485,7 +518,12 @@
 }
 
 /// Chooses the endpoint of the next attempt.
-fn choose(traffic: &Traffic, job: &Job, tries: &Tries) -> Result<Chosen> {
+fn choose(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &Tries,
+    model: Option<&ModelId>,
+) -> Result<Chosen> {
     let view = traffic.shared.view.load();
     let service = view.services.get(&job.service).ok_or_else(|| full("no endpoint is listed"))?;
     let session = job.facts.session.as_deref().unwrap_or(&job.id);
@@ -496,9 +534,10 @@
     };
     let is_barred = |side| side == Side::New && is_barred(service);
     let sides = [drawn, other].into_iter().filter(|side| !is_barred(*side));
+    let reread = job.reread(weight_of(traffic, job, model));
     let mut last = full("no endpoint can be used");
     for side in sides {
-        match pick(traffic, job, tries, service, side) {
+        match pick(traffic, job, tries, service, side, reread) {
             Ok(chosen) => return Ok(chosen),
             Err(e) => last = e,
         }
@@ -520,6 +559,7 @@
     tries: &Tries,
     service: &ServiceView,
     side: Side,
+    reread: u64,
 ) -> Result<Chosen> {
     let place = job.facts.shared_prefix.as_deref().unwrap_or(&job.id);
     let ask = Ask {
@@ -528,6 +568,7 @@
         need: Tokens(0),
         tried: &tries.tried,
         priority: 0,
+        reread,
     };
     let picked = service.pool(side).pick(traffic.shared.now(), &ask)?;
     let new_version = match side {
@@ -545,15 +586,30 @@
     })
 }
 
-/// Gets when an attempt is given up for another one.
-fn patience(job: &Job, tries: &Tries) -> Instant {
+/// Waits until an attempt is to be given up for another one: soon if the endpoint has fallen silent
+/// altogether, later if it is only slow.
+async fn impatience(traffic: &Traffic, job: &Job, tries: &Tries, chosen: &Chosen) {
     let route = &job.admitted.route;
-    let is_last = tries.sent + 1 >= route.most_attempts;
-    if is_last || !route.work.is_repeatable() {
-        return job.until;
+    if tries.sent >= route.most_attempts || !route.work.is_repeatable() {
+        return std::future::pending().await;
+    }
+    let sent_at = traffic.shared.now();
+    let silent = job.objective().mul_f64(SILENT_PART).max(LEAST_PATIENCE);
+    let slow = job.objective().mul_f64(SLOW_TIMES).max(LEAST_PATIENCE * 2);
+    tokio::time::sleep(silent).await;
+    if chosen.live.was_heard_since(sent_at) {
+        tokio::time::sleep(slow.saturating_sub(silent)).await;
+    }
+}
+
+/// Gets a model's weight in the work of an endpoint, by its price beside the largest model's.
+fn weight_of(traffic: &Traffic, job: &Job, model: Option<&ModelId>) -> f64 {
+    let view = traffic.shared.view.load();
+    let service = view.catalog.as_ref().and_then(|c| c.services.get(&job.service));
+    match (service, model) {
+        (Some(service), Some(model)) => service.weight_of(model),
+        _ => 1.0,
     }
-    let patience = job.objective().mul_f64(PATIENCE_PART).max(LEAST_PATIENCE);
-    job.until.min(Instant::now() + patience)
 }
 
 /// Sends a request to a chosen endpoint.
@@ -563,7 +619,6 @@
     tries: &mut Tries,
     chosen: &Chosen,
     model: Option<&ModelId>,
-    until: Instant,
     last_event: Option<u64>,
 ) -> Result<Answered> {
     let shared = &traffic.shared;
@@ -589,10 +644,17 @@
         endpoint: chosen.id.as_str(),
         address: &chosen.address,
         attempt_id: job.facts.attempt_id.as_deref(),
-        until,
+        until: job.until,
     };
     let make = |_| make_request(traffic, job, chosen, model, last_event);
-    attempt::send(&attempt, make).await
+    let sent = tokio::select! {
+        sent = attempt::send(&attempt, make) => sent?,
+        () = impatience(traffic, job, tries, chosen) => {
+            return Err(Error::new(Code::Deadline, "no answer in time").with_ran(Ran::Unknown));
+        }
+    };
+    chosen.live.heard(shared.now());
+    Ok(sent)
 }
 
 fn make_request(
@@ -625,6 +687,7 @@
     chosen: &Chosen,
     model: Option<&ModelId>,
     e: &Error,
+    took: Duration,
 ) {
     let shared = &traffic.shared;
     let ran = format!("{:?}", e.ran);
@@ -639,11 +702,22 @@
         ],
     );
     shared.metrics.attempt("failed");
-    // A refusal for want of room says nothing about the endpoint's health.
-    if e.code != Code::EndpointRefused {
-        chosen.live.note(shared.now(), false);
-        traffic.pool.forget(chosen.id.as_str());
-        observe(traffic, job, chosen, model, true, None, None);
+    match e.code {
+        // A refusal for want of room says nothing about the endpoint's health.
+        Code::EndpointRefused => {}
+        // Neither does slowness of an endpoint that serves others, but it counts as a long time.
+        Code::Deadline => {
+            let since = Millis(shared.now().0.saturating_sub(took.as_millis() as u64));
+            if !chosen.live.was_heard_since(since) {
+                chosen.live.note(shared.now(), false);
+            }
+            observe(traffic, job, chosen, model, false, Some(took), None);
+        }
+        _ => {
+            chosen.live.note(shared.now(), false);
+            traffic.pool.forget(chosen.id.as_str());
+            observe(traffic, job, chosen, model, true, None, None);
+        }
     }
 }
 
@@ -800,13 +874,18 @@
 }
 
 /// Chooses an endpoint on which a broken stream goes on.
-pub fn choose_again(traffic: &Traffic, job: &Job, tries: &Tries) -> Result<(Chosen, WorkShare)> {
+pub fn choose_again(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &Tries,
+    model: Option<&ModelId>,
+) -> Result<(Chosen, WorkShare)> {
     let route = &job.admitted.route;
     if tries.sent >= route.most_attempts {
         return Err(Error::new(Code::EndpointFailed, "no attempt is left"));
     }
-    let chosen = choose(traffic, job, tries)?;
+    let chosen = choose(traffic, job, tries, model)?;
     check_before_send(traffic, job, tries, SendAgain::Failure)?;
-    let share = WorkShare::new(&chosen.live, job.work());
+    let share = WorkShare::new(&chosen.live, job, weight_of(traffic, job, model));
     Ok((chosen, share))
 }
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -6,6 +6,7 @@
 //! the caller's connection is broken off too.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http::Response;
@@ -17,6 +18,7 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::ModelId;
+use tidetrack_core::placement::EndpointLive;
 use tidetrack_core::traffic::catalog::Work;
 
 use crate::attempt::Answered;
@@ -28,12 +30,15 @@
 };
 use crate::pool::Lease;
 
-/// Part of the longest pause in time that an endpoint may be silent before its stream goes on
-/// elsewhere.
-const SILENCE_PART: f64 = 0.7;
+/// Multiple of the longest pause in time after which a stream goes on elsewhere, if nothing else came
+/// from its endpoint either. A new run reads the prompt again, so a short stall is better borne.
+const SILENT_TIMES: f64 = 1.3;
 
-/// Silence that is borne where the route names no longest pause.
-const USUAL_SILENCE: Duration = Duration::from_secs(2);
+/// The same for an endpoint that serves others meanwhile.
+const STALLED_TIMES: f64 = 3.0;
+
+/// The longest pause where the route names none.
+const USUAL_GAP: Duration = Duration::from_millis(1_200);
 
 /// A stream that is passed on.
 pub struct Stream {
@@ -149,34 +154,33 @@
 
     /// Gets the next event, or an error if the endpoint breaks off or falls silent.
     async fn next(&mut self) -> Result<Next> {
-        let silence = self.job.admitted.route.most_gap.map_or(USUAL_SILENCE, |gap| {
-            Duration::from_millis(gap.0).mul_f64(SILENCE_PART)
-        });
-        let is_resumable = self.job.admitted.route.work.is_repeatable();
-        let silent_at = Instant::now() + silence;
-        let until = if is_resumable { silent_at.min(self.job.until) } else { self.job.until };
-        let next = self.source.next();
-        match tokio::time::timeout_at(tokio::time::Instant::from_std(until), next).await {
-            Ok(next) => next,
-            Err(_) => Err(Error::new(Code::Deadline, "the stream fell silent").with_ran(Ran::Yes)),
-        }
+        let until = tokio::time::Instant::from_std(self.job.until);
+        let silence = silence(&self.traffic, &self.job, self.source.chosen.live.clone());
+        let late = |text: &str| Error::new(Code::Deadline, text).with_ran(Ran::Yes);
+        let next = tokio::select! {
+            next = self.source.next() => next,
+            () = silence => return Err(late("the stream fell silent")),
+            () = tokio::time::sleep_until(until) => return Err(late("the stream took too long")),
+        };
+        self.source.chosen.live.heard(self.traffic.shared.now());
+        next
     }
 
     /// Goes on at another endpoint after the last event that was passed on.
     async fn resume(&mut self, tries: &mut Tries, mut why: Error) -> Result<()> {
         let job = self.job.clone();
         loop {
-            failed_attempt(&self.traffic, &job, &self.source.chosen, self.model.as_ref(), &why);
+            let took = self.source.sent_at.elapsed();
+            failed_attempt(&self.traffic, &job, &self.source.chosen, self.model.as_ref(), &why, took);
             let is_resumable = job.admitted.route.work == Work::Stream { resumable: true };
             if !is_resumable || self.last_event.is_none() || Instant::now() >= job.until {
                 return Err(why);
             }
-            let (chosen, share) = choose_again(&self.traffic, &job, tries)?;
             let model = self.model.clone();
+            let (chosen, share) = choose_again(&self.traffic, &job, tries, model.as_ref())?;
             let last = self.last_event;
-            let until = job.until;
             let sent_at = Instant::now();
-            let sent = send(&self.traffic, &job, tries, &chosen, model.as_ref(), until, last).await;
+            let sent = send(&self.traffic, &job, tries, &chosen, model.as_ref(), last).await;
             match sent {
                 Ok(answered) if answered.head.status.is_success() => {
                     self.traffic.shared.journal.line(
@@ -197,7 +201,8 @@
                     self.source = Source::new(answered, chosen, share, sent_at).1;
                 }
                 Err(e) => {
-                    failed_attempt(&self.traffic, &job, &chosen, model.as_ref(), &e);
+                    let took = sent_at.elapsed();
+                    failed_attempt(&self.traffic, &job, &chosen, model.as_ref(), &e, took);
                     return Err(e);
                 }
             }
@@ -237,6 +242,21 @@
     }
 }
 
+/// Waits until a silent stream is to go on elsewhere.
+async fn silence(traffic: &Traffic, job: &Job, live: Arc<EndpointLive>) {
+    let route = &job.admitted.route;
+    if !route.work.is_repeatable() {
+        return std::future::pending().await;
+    }
+    let gap = route.most_gap.map_or(USUAL_GAP, |gap| Duration::from_millis(gap.0));
+    let since = traffic.shared.now();
+    let (silent, stalled) = (gap.mul_f64(SILENT_TIMES), gap.mul_f64(STALLED_TIMES));
+    tokio::time::sleep(silent).await;
+    if live.was_heard_since(since) {
+        tokio::time::sleep(stalled.saturating_sub(silent)).await;
+    }
+}
+
 impl Source {
     fn new(
         answered: Answered,
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -27,6 +27,10 @@
 /// How long the store holds the other watches.
 const OTHER_WAIT: Millis = Millis(8_000);
 
+/// Pause after a change of the endpoints, in which others gather for one reply: endpoints start and
+/// leave in groups, and an entry counts within two seconds.
+const ENDPOINTS_SETTLE: Duration = Duration::from_millis(250);
+
 /// First pause after a failed call; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 
@@ -104,7 +108,11 @@
         }
         loop {
             match self.read_changes(kind, revision).await {
-                Ok(next) => revision = next,
+                Ok(next) if next > revision => {
+                    revision = next;
+                    tokio::time::sleep(settle_time(kind)).await;
+                }
+                Ok(_) => {}
                 Err(e) => return e,
             }
         }
@@ -153,6 +161,14 @@
     }
 }
 
+/// Gets how long changes gather before the next watch begins.
+fn settle_time(kind: Kind) -> Duration {
+    match kind {
+        Kind::Endpoints => ENDPOINTS_SETTLE,
+        Kind::Catalog | Kind::Rollouts => Duration::ZERO,
+    }
+}
+
 /// Draws a pause around `pause`, so that hosts do not come back in step.
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(0.5 + rand::random::<f64>())
