Keep sessions at work on the old version there through a roll-out's first half

Ruled out: the host's cap on the share (a smaller share and a wider cap left it as it was). Change: hosts remember the few sessions that a draw would move, tell each other, and begin the sample once that news has spread.

--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use crate::events::Event;
-use crate::ids::{EndpointId, HostId, ServiceId, VersionName};
+use crate::ids::{EndpointId, HostId, ServiceId};
 use crate::placement::{draw, EndpointLive, PoolEndpoint, PoolView};
 use crate::traffic::catalog::Catalog;
 use crate::traffic::endpoints::{EndpointRecord, EndpointTable};
@@ -17,7 +17,7 @@
     Barred, EndpointKey, News, PeerBook, PeerMessage, ToldProof, ToldTally,
 };
 use crate::traffic::trial::{
-    Exposure, Observed, Phase, ProgressWrite, RolloutOrder, Side, Trial,
+    Exposure, Observed, Phase, ProgressWrite, RolloutOrder, SessionDraw, Side, Trial, TrialView,
 };
 use crate::units::Millis;
 
@@ -82,19 +82,22 @@
     pub proven: PoolView,
     /// Endpoints of the version under roll-out.
     pub new: PoolView,
-    /// The version under roll-out and where its requests go.
-    pub trial: Option<(VersionName, Phase)>,
-    /// Counts of the roll-out.
+    /// The roll-out, if there is one.
+    pub trial: Option<TrialView>,
+    /// Sessions and counts for the share of a new version.
     pub exposure: Arc<Exposure>,
 }
 
 impl ServiceView {
-    /// Decides which side a session's request goes to.
-    pub fn side(&self, session_draw: f64) -> Side {
-        match &self.trial {
-            None => Side::Proven,
-            Some((_, phase)) => self.exposure.side(*phase, session_draw),
-        }
+    /// Decides which side a request goes to.
+    pub fn side(&self, now: Millis, who: SessionDraw, session_time: Millis) -> Side {
+        let can_try = !self.new.endpoints().is_empty();
+        self.exposure.side(now, who, self.trial.as_ref(), can_try, session_time)
+    }
+
+    /// Tells whether the version under roll-out is barred.
+    pub fn is_barred(&self) -> bool {
+        self.trial.as_ref().is_some_and(|t| t.phase == Phase::Barred)
     }
 
     /// Tells whether an endpoint belongs to the service.
@@ -131,7 +134,8 @@
     table: EndpointTable,
     has_endpoints: bool,
     trials: BTreeMap<ServiceId, Trial>,
-    exposures: HashMap<(ServiceId, VersionName), Arc<Exposure>>,
+    exposures: HashMap<ServiceId, Arc<Exposure>>,
+    session_time: Millis,
     live: HashMap<EndpointId, Arc<EndpointLive>>,
     peers: PeerBook,
     last_round: Millis,
@@ -139,7 +143,9 @@
 
 impl Beliefs {
     /// Makes the beliefs of a host that knows nothing yet but where some others may be.
-    pub fn new(host: HostId, peers: PeerBook) -> Beliefs {
+    ///
+    /// A session ends when nothing came of it for `session_time`.
+    pub fn new(host: HostId, peers: PeerBook, session_time: Millis) -> Beliefs {
         Beliefs {
             host,
             peers,
@@ -149,6 +155,7 @@
             has_endpoints: false,
             trials: BTreeMap::new(),
             exposures: HashMap::new(),
+            session_time,
             live: HashMap::new(),
         }
     }
@@ -228,6 +235,10 @@
     fn hear(&mut self, now: Millis, msg: PeerMessage, actions: &mut Vec<Action>) {
         let before = self.peers.len();
         let from = msg.from.clone();
+        for (service, sessions) in &msg.news.sessions {
+            let exposure = self.exposures.entry(service.clone()).or_default();
+            exposure.hold_told(now, sessions, self.session_time);
+        }
         let proof = self.peers.hear(now, msg);
         if self.peers.len() > before {
             actions.push(Action::Note(Event::PeerAlive, format!("peer={from}")));
@@ -275,6 +286,9 @@
                 Phase::Barred => news.barred.push(Barred { service, version }),
                 Phase::Done => {}
                 Phase::Sample | Phase::Moved => {
+                    if let Some(exposure) = self.exposures.get(&service) {
+                        news.sessions.push((service.clone(), exposure.own_held(now)));
+                    }
                     let tally = trial.judge.tally(now);
                     news.tallies.push(ToldTally { service, version, tally });
                 }
@@ -397,14 +411,9 @@
         proven: Vec<PoolEndpoint>,
         new: Vec<PoolEndpoint>,
     ) -> ServiceView {
-        let trial = self.trials.get(service).map(|t| (t.order.version.clone(), t.phase()));
-        let exposure = match &trial {
-            None => Arc::default(),
-            Some((version, _)) => {
-                let key = (service.clone(), version.clone());
-                self.exposures.entry(key).or_default().clone()
-            }
-        };
+        let spread = self.peers.spread(ROUND_EVERY);
+        let trial = self.trials.get(service).map(|t| t.view(spread));
+        let exposure = self.exposures.entry(service.clone()).or_default().clone();
         let pool = |endpoints| PoolView::new(endpoints, 0);
         ServiceView { proven: pool(proven), new: pool(new), trial, exposure }
     }
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -17,7 +17,7 @@
 
 use crate::ids::{EndpointId, HostId, ServiceId, VersionName};
 use crate::placement::rendezvous;
-use crate::traffic::trial::Tally;
+use crate::traffic::trial::{SessionKey, Tally};
 use crate::units::Millis;
 
 /// Hosts that one round of messages goes to.
@@ -86,6 +86,8 @@
     pub tallies: Vec<ToldTally>,
     /// Versions it holds bad.
     pub barred: Vec<Barred>,
+    /// Sessions at work on proven versions of services under roll-out.
+    pub sessions: Vec<(ServiceId, Vec<SessionKey>)>,
 }
 
 /// One message.
@@ -253,6 +255,13 @@
         self.peers.keys().filter(|h| weight(h) > own).count() < PROVERS
     }
 
+    /// Gets the time within which news of one host has gone to all others.
+    pub fn spread(&self, round_every: Millis) -> Millis {
+        let rounds = self.peers.len().div_ceil(FANOUT) as u64;
+        // Twice, for a message may be lost.
+        Millis(round_every.0 * rounds * 2)
+    }
+
     /// Counts the other hosts that are heard.
     pub fn len(&self) -> usize {
         self.peers.len()
--- a/crates/tidetrack-core/src/traffic/trial.rs
+++ b/crates/tidetrack-core/src/traffic/trial.rs
@@ -7,23 +7,32 @@
 //! bad bars it at once and writes so to the store, where all others read it. The step from half to
 //! half and the end are writes of whichever host is first, under the object's revision.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{EndpointId, ModelId, RouteId, ServiceId, VersionName};
+use crate::placement::draw;
 use crate::units::Millis;
 
-/// Share of sessions on the new version in the first half, two thirds of the usual bound of 0.15.
-const FIRST_SHARE: f64 = 0.1;
+/// Share of sessions on the new version in the first half: half of the usual bound of 0.15, so that a
+/// host hardly ever meets the bound below and has to move a session off the new version for it.
+const FIRST_SHARE: f64 = 0.07;
 
 /// Share of a host's requests that may meet the new version in the first half.
-const MOST_SHARE: f64 = 0.13;
+const MOST_SHARE: f64 = 0.14;
 
 /// Requests that a host may send to the new version before the share counts.
-const FREE_EXPOSURE: u64 = 2;
+const FREE_EXPOSURE: u64 = 6;
+
+/// Sessions that one message tells at most.
+const MOST_TOLD: usize = 200;
+
+/// Time that the hosts have at least to tell each other their sessions before a sample begins.
+const LEAST_SPREAD: Millis = Millis(500);
 
 /// Part of the time after which all traffic moves. Over a half, for hosts learn of the order at
 /// slightly different times and sessions must not move early.
@@ -142,35 +151,125 @@
     New,
 }
 
-/// Counts of a host's requests during a roll-out.
+/// A roll-out as traffic sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TrialView {
+    /// The new version.
+    pub version: VersionName,
+    /// Where requests go.
+    pub phase: Phase,
+    /// When the first half's sample begins: by then the hosts have told each other which sessions
+    /// are at work on the proven versions.
+    pub sample_from: Millis,
+}
+
+/// Names a session in messages.
+pub type SessionKey = u32;
+
+/// Who a request belongs to, for the draw of versions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SessionDraw {
+    /// The session; `None` for a request that stands alone.
+    pub session: Option<SessionKey>,
+    /// Its draw, from 0 up to 1; the same at every host.
+    pub draw: f64,
+}
+
+impl SessionDraw {
+    /// Draws for a session, or for a request that has none.
+    pub fn new(session: Option<&str>, request: &str) -> SessionDraw {
+        SessionDraw {
+            session: session.map(|name| xxh3_64(name.as_bytes()) as SessionKey),
+            draw: draw("version", session.unwrap_or(request)),
+        }
+    }
+}
+
+/// Sessions and counts of one service at one host, for the share of a new version.
+///
+/// A session that is at work on a proven version when a roll-out begins must stay there in its first
+/// half. Only sessions whose draw would move them matter, so each host remembers just those it saw
+/// of late, and the hosts tell them to each other while a roll-out is in its first half.
 #[derive(Debug, Default)]
 pub struct Exposure {
     all: AtomicU64,
     new: AtomicU64,
+    held: Mutex<HashMap<SessionKey, Held>>,
+}
+
+/// A session that stays on the proven versions.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    until: Millis,
+    /// Whether this host saw it itself, and so tells it to others.
+    is_own: bool,
 }
 
 impl Exposure {
-    /// Decides where a request of a session goes; `draw` is the session's, from 0 up to 1.
-    pub fn side(&self, phase: Phase, draw: f64) -> Side {
-        match phase {
-            Phase::Barred => Side::Proven,
-            Phase::Moved | Phase::Done => Side::New,
-            Phase::Sample => {
-                let all = self.all.fetch_add(1, Ordering::Relaxed) + 1;
-                let most = (all as f64 * MOST_SHARE) as u64 + FREE_EXPOSURE;
-                let is_drawn = draw < FIRST_SHARE;
-                match is_drawn && self.new.load(Ordering::Relaxed) < most {
-                    true => Side::New,
-                    false => Side::Proven,
-                }
-            }
+    /// Decides where a request goes. `can_try` tells whether the new version has an endpoint.
+    pub fn side(
+        &self,
+        now: Millis,
+        who: SessionDraw,
+        trial: Option<&TrialView>,
+        can_try: bool,
+        session_time: Millis,
+    ) -> Side {
+        match trial.map(|t| t.phase) {
+            Some(Phase::Moved | Phase::Done) => return Side::New,
+            Some(Phase::Barred) => return Side::Proven,
+            Some(Phase::Sample) => drop(self.all.fetch_add(1, Ordering::Relaxed)),
+            None => {}
+        }
+        if who.draw >= FIRST_SHARE {
+            return Side::Proven;
         }
+        let is_open = can_try && trial.is_some_and(|t| now >= t.sample_from);
+        if is_open && self.has_room() && !self.is_held(now, who) {
+            return Side::New;
+        }
+        self.hold(now, who, session_time);
+        Side::Proven
     }
 
     /// Counts a request sent to the new version.
     pub fn sent_to_new(&self) {
         self.new.fetch_add(1, Ordering::Relaxed);
     }
+
+    /// Takes note that a session is at work on a proven version.
+    pub fn hold(&self, now: Millis, who: SessionDraw, session_time: Millis) {
+        if let Some(session) = who.session.filter(|_| who.draw < FIRST_SHARE) {
+            let held = Held { until: now + session_time, is_own: true };
+            self.held.lock().expect("no holder of the lock panics").insert(session, held);
+        }
+    }
+
+    /// Takes sessions that another host tells.
+    pub fn hold_told(&self, now: Millis, sessions: &[SessionKey], session_time: Millis) {
+        let mut all = self.held.lock().expect("no holder of the lock panics");
+        for session in sessions {
+            let held = all.entry(*session).or_insert(Held { until: now, is_own: false });
+            held.until = held.until.max(now + session_time);
+        }
+    }
+
+    /// Lists the sessions that this host saw itself, and forgets those that have ended.
+    pub fn own_held(&self, now: Millis) -> Vec<SessionKey> {
+        let mut all = self.held.lock().expect("no holder of the lock panics");
+        all.retain(|_, held| now < held.until);
+        all.iter().filter(|(_, h)| h.is_own).map(|(s, _)| *s).take(MOST_TOLD).collect()
+    }
+
+    fn is_held(&self, now: Millis, who: SessionDraw) -> bool {
+        let all = self.held.lock().expect("no holder of the lock panics");
+        who.session.and_then(|s| all.get(&s)).is_some_and(|held| now < held.until)
+    }
+
+    fn has_room(&self) -> bool {
+        let all = self.all.load(Ordering::Relaxed) as f64;
+        self.new.load(Ordering::Relaxed) < (all * MOST_SHARE) as u64 + FREE_EXPOSURE
+    }
 }
 
 /// What was seen of one answer, for the judgement of versions.
@@ -418,6 +517,15 @@
         self.order.progress.as_ref().filter(|p| p.version == self.order.version)
     }
 
+    /// Gets the roll-out as traffic sees it; `spread` is the time that news takes to all hosts.
+    pub fn view(&self, spread: Millis) -> TrialView {
+        TrialView {
+            version: self.order.version.clone(),
+            phase: self.phase(),
+            sample_from: self.began + spread + LEAST_SPREAD,
+        }
+    }
+
     /// Gets where requests go.
     pub fn phase(&self) -> Phase {
         match self.progress() {
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -33,7 +33,7 @@
         let (host, address) = (settings.host.clone(), settings.peer_address);
         let book = PeerBook::new(host.clone(), address, settings.seeds.clone());
         let peers = Peers::start(shared.clone()).await;
-        let mut beliefs = Beliefs::new(host, book);
+        let mut beliefs = Beliefs::new(host, book, settings.bounds.session_time);
         loop {
             let input = match tokio::time::timeout(TICK, inputs.recv_async()).await {
                 Ok(Ok(input)) => input,
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -24,7 +24,7 @@
 use tidetrack_core::traffic::cascade;
 use tidetrack_core::traffic::control::{Input, ServiceView};
 use tidetrack_core::traffic::gate::{self, Admitted};
-use tidetrack_core::traffic::trial::{Observed, Phase, Side};
+use tidetrack_core::traffic::trial::{Observed, SessionDraw, Side};
 use tidetrack_core::units::{Millis, Tokens};
 
 use crate::attempt::{self, Answered, Attempt};
@@ -356,6 +356,7 @@
             ("request", &id),
             ("route", &route.name),
             ("service", &service),
+            ("session", &facts.session.as_deref().unwrap_or("-")),
             ("config", &catalog.map_or(0, |c| c.version)),
             ("config_age_ms", &age),
             ("time_ms", &time.as_millis()),
@@ -526,29 +527,32 @@
 ) -> Result<Chosen> {
     let view = traffic.shared.view.load();
     let service = view.services.get(&job.service).ok_or_else(|| full("no endpoint is listed"))?;
-    let session = job.facts.session.as_deref().unwrap_or(&job.id);
-    let drawn = service.side(draw("version", session));
+    let who = SessionDraw::new(job.facts.session.as_deref(), &job.id);
+    let now = traffic.shared.now();
+    let session_time = traffic.shared.settings.bounds.session_time;
+    let drawn = service.side(now, who, session_time);
     let other = match drawn {
         Side::Proven => Side::New,
         Side::New => Side::Proven,
     };
-    let is_barred = |side| side == Side::New && is_barred(service);
-    let sides = [drawn, other].into_iter().filter(|side| !is_barred(*side));
+    let sides = [drawn, other].into_iter();
+    let sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
     let reread = job.reread(weight_of(traffic, job, model));
     let mut last = full("no endpoint can be used");
     for side in sides {
         match pick(traffic, job, tries, service, side, reread) {
-            Ok(chosen) => return Ok(chosen),
+            Ok(chosen) => {
+                if side == Side::Proven {
+                    service.exposure.hold(now, who, session_time);
+                }
+                return Ok(chosen);
+            }
             Err(e) => last = e,
         }
     }
     Err(last)
 }
 
-fn is_barred(service: &ServiceView) -> bool {
-    matches!(service.trial, Some((_, Phase::Barred)))
-}
-
 fn full(text: &str) -> Error {
     Error::new(Code::Overloaded, text).with_retry_after(RETRY_FULL_MS)
 }
@@ -573,7 +577,7 @@
     let picked = service.pool(side).pick(traffic.shared.now(), &ask)?;
     let new_version = match side {
         Side::Proven => None,
-        Side::New => service.trial.as_ref().map(|(version, _)| version.clone()),
+        Side::New => service.trial.as_ref().map(|t| t.version.clone()),
     };
     if new_version.is_some() {
         service.exposure.sent_to_new();
--- a/crates/tidetrack-plane/src/settings.rs
+++ b/crates/tidetrack-plane/src/settings.rs
@@ -42,6 +42,8 @@
     pub resend_ratio: f64,
     /// The sliding window in which these are counted.
     pub resend_window: Millis,
+    /// A session has ended when nothing came of it for this time.
+    pub session_time: Millis,
     /// Time from a stop signal until the process is ended by force.
     pub stop_within: Millis,
 }
