--- a/crates/tidetrack-core/src/traffic/trial.rs
+++ b/crates/tidetrack-core/src/traffic/trial.rs
@@ -43,7 +43,7 @@
 const COMPLETE_AT: f64 = 0.86;
 
 /// Progress is written down in steps of this part, for hosts that start in between.
-const PROGRESS_STEP: f64 = 0.25;
+const PROGRESS_STEP: f64 = 0.4;
 
 /// Failed answers that bar the version, over all hosts.
 const FAILED_TO_BAR: f32 = 3.5;
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -543,8 +543,11 @@
     let sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
     let reread = job.reread(weight_of(traffic, job, model));
     let mut last = full("no endpoint can be used");
-    for side in sides {
-        match pick(traffic, job, tries, service, side, reread) {
+    // Where all endpoints were tried, all but the last are tried again.
+    let untried = tries.tried.as_slice();
+    let but_last = &untried[untried.len().saturating_sub(1)..];
+    for (side, tried) in sides.flat_map(|side| [(side, untried), (side, but_last)]) {
+        match pick(traffic, job, tried, service, side, reread) {
             Ok(chosen) => {
                 if side == Side::Proven {
                     service.exposure.hold(now, who, session_time);
@@ -564,7 +567,7 @@
 fn pick(
     traffic: &Traffic,
     job: &Job,
-    tries: &Tries,
+    tried: &[EndpointId],
     service: &ServiceView,
     side: Side,
     reread: u64,
@@ -572,9 +575,9 @@
     let place = job.facts.shared_prefix.as_deref().unwrap_or(&job.id);
     let ask = Ask {
         place: place_of(place.as_bytes()),
-        salt: place_of(job.id.as_bytes()).wrapping_add(u64::from(tries.sent)),
+        salt: place_of(job.id.as_bytes()).wrapping_add(tried.len() as u64),
         need: Tokens(0),
-        tried: &tries.tried,
+        tried,
         priority: 0,
         reread,
     };
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -36,7 +36,7 @@
 
 /// Pause after a change of the endpoints, in which others gather for one reply: endpoints start and
 /// leave in groups, and an entry counts within two seconds.
-const ENDPOINTS_SETTLE: Duration = Duration::from_millis(250);
+const ENDPOINTS_SETTLE: Duration = Duration::from_millis(600);
 
 /// First pause after a failed call; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
