--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -636,7 +636,11 @@
     tries.tried.push(chosen.id.clone());
     tries.sent += 1;
     let load = chosen.live.load(shared.now()) as u64;
-    let load_age = (shared.now() - chosen.live.reported_at()).0;
+    let reported_at = chosen.live.reported_at();
+    let load_age = match reported_at {
+        Millis(0) => -1,
+        at => (shared.now() - at).0 as i64,
+    };
     shared.journal.routine(
         Event::AttemptSent,
         &[
@@ -751,7 +755,10 @@
         return Error::new(Code::Deadline, last.message).with_ran(ran);
     }
     match ran {
-        Ran::No if last.code.status() == 503 => last.with_ran(Ran::No),
+        Ran::No if last.retry_after_ms.is_some() => last.with_ran(Ran::No),
+        Ran::No if last.code.status() == 503 => {
+            last.with_ran(Ran::No).with_retry_after(RETRY_FULL_MS)
+        }
         Ran::No => full(&last.message),
         _ => Error::new(Code::EndpointFailed, last.message).with_ran(ran),
     }
