Tell a request's story from hosts' logs: tidetrackctl explain

Lines carry the time of day for ordering; beliefs that changed on the same hosts shortly before stand between a request's own lines.

--- a/crates/tidetrack-ctl/src/lib.rs
+++ b/crates/tidetrack-ctl/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod apply;
 pub mod bill;
 pub mod dry_run;
+pub mod explain;
 pub mod folder;
 pub mod rollout;
 pub mod status;
--- a/crates/tidetrack-ctl/src/main.rs
+++ b/crates/tidetrack-ctl/src/main.rs
@@ -14,7 +14,7 @@
 use tidetrack_core::events::events_table;
 use tidetrack_core::facts::{Fact, Subject};
 use tidetrack_core::ids::{RolloutId, RouteId, VersionRef};
-use tidetrack_ctl::{apply, bill, dry_run, folder, rollout, status};
+use tidetrack_ctl::{apply, bill, dry_run, explain, folder, rollout, status};
 use tidetrack_wire::platform::{config_name, PlatformClient};
 
 const USAGE: &str = "tidetrackctl COMMAND [options]
@@ -29,6 +29,7 @@
   status                      show what hosts know and have in force
   bill                        add up the ledger
   dry-run DIR ROUTE FILE      run a policy on recorded requests beside an old script's choices
+  explain ID [FILE...]        tell a request's story from hosts' logs (else standard input)
   codes                       print the tables of result codes and log events
 
 exit status: 0 good; 20 a conflict with another operator; 1N for a code TT-Nxxx; 2 bad usage";
@@ -97,12 +98,22 @@
         ["status"] => show_status(&matches),
         ["bill"] => show_bill(&matches),
         ["dry-run", dir, route, file] => do_dry_run(&matches, dir, route, file),
+        ["explain", id, ref files @ ..] => explain_request(id, files),
         ["codes"] => print(&format!("{}\n{}", codes_table(), events_table())),
         [] => Err(usage("no command")),
         _ => Err(usage(&format!("cannot make sense of {:?}", words.join(" ")))),
     }
 }
 
+fn explain_request(id: &str, files: &[&str]) -> Result<()> {
+    let read = |file: &&str| std::fs::read_to_string(file).with_context(|| file.to_string());
+    let logs: Vec<String> = match files {
+        [] => vec![std::io::read_to_string(std::io::stdin())?],
+        files => files.iter().map(read).collect::<Result<_>>()?,
+    };
+    print(&explain::explain(id, &logs)?)
+}
+
 /// Prints text; a reader that has closed its end has had enough.
 fn print(text: &str) -> Result<()> {
     match std::io::stdout().write_all(text.as_bytes()) {
--- a/crates/tidetrack-plane/src/journal.rs
+++ b/crates/tidetrack-plane/src/journal.rs
@@ -85,6 +85,7 @@
         let logger = slog::Logger::root(
             drain.fuse(),
             slog::o!(
+                "time" => slog::FnValue(|_: &Record<'_>| seconds_now()),
                 "host" => host.to_string(),
                 "left_out" => slog::FnValue(move |_: &Record<'_>| left_out.load(Ordering::Relaxed)),
             ),
@@ -113,6 +114,13 @@
     }
 }
 
+/// Gets the time of day in seconds, to the millisecond. It orders lines of several hosts; nothing is
+/// decided by it.
+fn seconds_now() -> f64 {
+    let since = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
+    since.as_millis() as f64 / 1_000.0
+}
+
 /// Writes lines until the process ends, several at a time where several wait.
 fn write_lines(lines: &flume::Receiver<Vec<u8>>) {
     let mut out = std::io::stdout();
