--- a/crates/tidetrack-core/src/placement.rs
+++ b/crates/tidetrack-core/src/placement.rs
@@ -223,6 +223,12 @@
         }
     }
 
+    /// Records that the endpoint could not be reached: unlike a failed answer, one is enough.
+    pub fn note_unreachable(&self, now: Millis) {
+        self.failures.fetch_max(FAILURES_TO_EJECT - 1, Ordering::Relaxed);
+        self.note(now, false);
+    }
+
     /// Tells whether the endpoint is ejected for its failures.
     pub fn is_ejected(&self, now: Millis) -> bool {
         self.ejected_until.load(Ordering::Relaxed) > now.0
--- a/crates/tidetrack-core/src/traffic/budget.rs
+++ b/crates/tidetrack-core/src/traffic/budget.rs
@@ -71,6 +71,13 @@
         granted
     }
 
+    /// Gives a further send back that reached nobody.
+    pub fn give_back(&mut self, now: Millis) {
+        let bucket = self.bucket(now);
+        // A send of an earlier bucket is given back there by its ageing.
+        bucket.further = bucket.further.saturating_sub(1);
+    }
+
     fn totals(&mut self, now: Millis) -> (u32, u32) {
         self.bucket(now);
         let sum = |f: fn(&Bucket) -> u32| self.buckets.iter().map(f).sum();
--- /dev/null
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -0,0 +1,144 @@
+//! Choice of the endpoint of an attempt, and whether the attempt may be made.
+
+use tidetrack_core::codes::Code;
+use tidetrack_core::errors::{Error, Result};
+use tidetrack_core::ids::{EndpointId, ModelId};
+use tidetrack_core::placement::{place_of, Ask};
+use tidetrack_core::traffic::budget::SendAgain;
+use tidetrack_core::traffic::control::ServiceView;
+use tidetrack_core::traffic::trial::{SessionDraw, Side};
+use tidetrack_core::units::Tokens;
+
+use crate::job::{Chosen, Job, Traffic, Tries, WorkShare};
+
+/// When to come back after a refusal for want of room, in milliseconds.
+const RETRY_FULL_MS: u64 = 300;
+
+/// Checks, right before a send, that the request may still be passed on.
+pub fn check_before_send(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &Tries,
+    why: SendAgain,
+) -> Result<()> {
+    let shared = &traffic.shared;
+    let now = shared.now();
+    let bound = shared.settings.bounds.revoke_within;
+    let needs_proof = job.admitted.holder.is_some();
+    if needs_proof && bound.is_some_and(|bound| !shared.fresh.holds(now, bound)) {
+        let e = Error::new(Code::Stale, "the configuration was not confirmed for too long");
+        return Err(e.with_retry_after(RETRY_FULL_MS));
+    }
+    if tries.sent == 0 {
+        if tries.unreached == 0 {
+            traffic.with_budget(&job.service, |b| b.first(now));
+        }
+        return Ok(());
+    }
+    match traffic.with_budget(&job.service, |b| b.take(now, why)) {
+        true => Ok(()),
+        false => Err(Error::new(Code::RetryBudget, "the budget of further sends is spent")),
+    }
+}
+
+/// Chooses the endpoint of the next attempt.
+pub fn choose(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &Tries,
+    model: Option<&ModelId>,
+) -> Result<Chosen> {
+    let view = traffic.shared.view.load();
+    let service = view.services.get(&job.service).ok_or_else(|| full("no endpoint is listed"))?;
+    let who = SessionDraw::new(job.facts.session.as_deref(), &job.id);
+    let now = traffic.shared.now();
+    let session_time = traffic.shared.settings.bounds.session_time;
+    let drawn = service.side(now, who, session_time);
+    let other = match drawn {
+        Side::Proven => Side::New,
+        Side::New => Side::Proven,
+    };
+    let sides = [drawn, other].into_iter();
+    let sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
+    let reread = job.reread(weight_of(traffic, job, model));
+    let mut last = full("no endpoint can be used");
+    // Where all endpoints were tried, all but the last are tried again.
+    let untried = tries.tried.as_slice();
+    let but_last = &untried[untried.len().saturating_sub(1)..];
+    for (side, tried) in sides.flat_map(|side| [(side, untried), (side, but_last)]) {
+        match pick(traffic, job, tried, service, side, reread) {
+            Ok(chosen) => {
+                if side == Side::Proven {
+                    service.exposure.hold(now, who, session_time);
+                }
+                return Ok(chosen);
+            }
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
+}
+
+pub fn full(text: &str) -> Error {
+    Error::new(Code::Overloaded, text).with_retry_after(RETRY_FULL_MS)
+}
+
+fn pick(
+    traffic: &Traffic,
+    job: &Job,
+    tried: &[EndpointId],
+    service: &ServiceView,
+    side: Side,
+    reread: u64,
+) -> Result<Chosen> {
+    let place = job.facts.shared_prefix.as_deref().unwrap_or(&job.id);
+    let ask = Ask {
+        place: place_of(place.as_bytes()),
+        salt: place_of(job.id.as_bytes()).wrapping_add(tried.len() as u64),
+        need: Tokens(0),
+        tried,
+        priority: 0,
+        reread,
+    };
+    let picked = service.pool(side).pick(traffic.shared.now(), &ask)?;
+    let new_version = match side {
+        Side::Proven => None,
+        Side::New => service.trial.as_ref().map(|t| t.version.clone()),
+    };
+    if new_version.is_some() {
+        service.exposure.sent_to_new();
+    }
+    Ok(Chosen {
+        id: picked.id.clone(),
+        address: picked.address.clone(),
+        live: picked.live.clone(),
+        new_version,
+    })
+}
+
+/// Gets a model's weight in the work of an endpoint, by its price beside the largest model's.
+pub fn weight_of(traffic: &Traffic, job: &Job, model: Option<&ModelId>) -> f64 {
+    let view = traffic.shared.view.load();
+    let service = view.catalog.as_ref().and_then(|c| c.services.get(&job.service));
+    match (service, model) {
+        (Some(service), Some(model)) => service.weight_of(model),
+        _ => 1.0,
+    }
+}
+
+/// Chooses an endpoint on which a broken stream goes on.
+pub fn choose_again(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &Tries,
+    model: Option<&ModelId>,
+) -> Result<(Chosen, WorkShare)> {
+    let route = &job.admitted.route;
+    if tries.sent >= route.most_attempts {
+        return Err(Error::new(Code::EndpointFailed, "no attempt is left"));
+    }
+    let chosen = choose(traffic, job, tries, model)?;
+    check_before_send(traffic, job, tries, SendAgain::Failure)?;
+    let share = WorkShare::new(&chosen.live, job, weight_of(traffic, job, model));
+    Ok((chosen, share))
+}
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -19,7 +19,8 @@
 
 use crate::control;
 use crate::dialect::Dialect;
-use crate::exchange::{serve, Traffic};
+use crate::exchange::serve;
+use crate::job::Traffic;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::server::{accept_loop, listen, serve_small, Connections, ServerOptions, StopStage};
--- /dev/null
+++ b/crates/tidetrack-plane/src/job.rs
@@ -0,0 +1,218 @@
+//! A request on its way: what it is, what it has led to so far, and what the traffic thread keeps
+//! beside it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+
+use tidetrack_core::codes::Ran;
+use tidetrack_core::ids::{EndpointId, ServiceId, VersionName};
+use tidetrack_core::placement::{work_of, EndpointLive};
+use tidetrack_core::traffic::budget::SendBudget;
+use tidetrack_core::traffic::gate::Admitted;
+use tidetrack_core::traffic::outlook::Outlook;
+use tidetrack_core::units::Tokens;
+
+use crate::dialect::RequestFacts;
+use crate::pool::Pool;
+use crate::shared::SharedRef;
+
+/// Work that a plain call counts as.
+const PLAIN_WORK: u64 = 400;
+
+/// Multiple of its work that reading a shared part again counts as: it costs its price, delays what
+/// runs there, and drives other parts from the endpoint's memory.
+const REREAD_TIMES: f64 = 4.0;
+
+/// Part of the generated tokens that counts as work once the prompt has been read.
+const GENERATED_PART: f64 = 0.1;
+
+/// What the traffic thread owns.
+pub struct Traffic {
+    /// What the threads share.
+    pub shared: SharedRef,
+    /// Connections to endpoints.
+    pub pool: Pool,
+    budgets: RefCell<HashMap<ServiceId, SendBudget>>,
+    /// What is expected of second runs.
+    pub outlook: RefCell<Outlook>,
+    /// Requests that are not answered in full yet.
+    pub in_flight: Cell<usize>,
+    /// Whether new requests are refused because the host stops.
+    pub refuses: Cell<bool>,
+    numbers: Cell<u64>,
+}
+
+impl Traffic {
+    /// Makes the state of the traffic thread.
+    pub fn new(shared: SharedRef) -> Traffic {
+        Traffic {
+            shared,
+            pool: Pool::default(),
+            budgets: RefCell::default(),
+            outlook: RefCell::default(),
+            in_flight: Cell::new(0),
+            refuses: Cell::new(false),
+            numbers: Cell::new(0),
+        }
+    }
+
+    /// Numbers a request that brings no id.
+    pub fn next_number(&self) -> u64 {
+        self.numbers.set(self.numbers.get() + 1);
+        self.numbers.get()
+    }
+
+    /// Does something with the budget of further sends to a service.
+    pub fn with_budget<T>(&self, service: &ServiceId, f: impl FnOnce(&mut SendBudget) -> T) -> T {
+        let bounds = &self.shared.settings.bounds;
+        let mut budgets = self.budgets.borrow_mut();
+        let new = || SendBudget::new(bounds.resend_ratio, bounds.resend_window);
+        f(budgets.entry(service.clone()).or_insert_with(new))
+    }
+}
+
+/// Counts a request as in flight for as long as it lives.
+pub struct InFlight(Rc<Traffic>);
+
+impl InFlight {
+    /// Counts a request.
+    pub fn new(traffic: &Rc<Traffic>) -> InFlight {
+        traffic.in_flight.set(traffic.in_flight.get() + 1);
+        InFlight(traffic.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// A request that was admitted, as its attempts need it.
+pub struct Job {
+    /// Its id in the log: the caller's, or this host's number.
+    pub id: String,
+    /// What its head says.
+    pub facts: RequestFacts,
+    /// Its route and workspace.
+    pub admitted: Admitted,
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query, unaltered.
+    pub uri: Uri,
+    /// The caller's head.
+    pub head: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// When its head had been read.
+    pub began: Instant,
+    /// When it is given up.
+    pub until: Instant,
+    /// The service it goes to.
+    pub service: ServiceId,
+}
+
+impl Job {
+    /// Tells whether it asks for a generation.
+    pub fn is_engine(&self) -> bool {
+        self.facts.size.is_some()
+    }
+
+    /// Gets the work that an endpoint without the request's shared prefix does in addition.
+    pub fn reread(&self, weight: f64) -> u64 {
+        let shared = self.facts.shared_tokens.unwrap_or(Tokens(0));
+        let work = work_of(shared, Tokens(0)) as f64 * weight * REREAD_TIMES;
+        (work as u64).max(1)
+    }
+
+    /// Gets the time within which an answer earns its full credit.
+    pub fn objective(&self) -> Duration {
+        Duration::from_millis(self.admitted.route.objective.0)
+    }
+
+    /// Gets the work the request counts as at an endpoint; `weight` is the model's.
+    pub fn work(&self, weight: f64) -> u64 {
+        let of_size = self.facts.size.as_ref();
+        let full = of_size.map_or(PLAIN_WORK, |s| work_of(s.prompt, Tokens(0)));
+        ((full as f64 * weight) as u64).max(1)
+    }
+
+    /// Gets the work that is left once the prompt has been read.
+    pub fn work_left(&self, weight: f64) -> u64 {
+        let of_size = self.facts.size.as_ref();
+        of_size.map_or(0, |s| (s.generated() * GENERATED_PART * weight) as u64)
+    }
+}
+
+/// An endpoint that was chosen for an attempt.
+#[derive(Clone)]
+pub struct Chosen {
+    /// Its id.
+    pub id: EndpointId,
+    /// Its address.
+    pub address: String,
+    /// Its load and health.
+    pub live: Arc<EndpointLive>,
+    /// The version under roll-out, if the endpoint runs it.
+    pub new_version: Option<VersionName>,
+}
+
+/// Work handed to an endpoint, until dropped.
+pub struct WorkShare {
+    live: Arc<EndpointLive>,
+    work: u64,
+    work_left: u64,
+}
+
+impl WorkShare {
+    /// Counts a job's work at an endpoint.
+    pub fn new(live: &Arc<EndpointLive>, job: &Job, weight: f64) -> WorkShare {
+        let work = job.work(weight);
+        live.begin(work);
+        WorkShare { live: live.clone(), work, work_left: job.work_left(weight) }
+    }
+
+    /// Takes note that the endpoint has begun to answer: the prompt is read.
+    pub fn answer_began(&mut self) {
+        self.live.begin(self.work_left);
+        self.live.end(self.work);
+        self.work = self.work_left;
+    }
+}
+
+impl Drop for WorkShare {
+    fn drop(&mut self) {
+        self.live.end(self.work);
+    }
+}
+
+/// What the attempts of a request have led to so far.
+#[derive(Clone, Default)]
+pub struct Tries {
+    /// Endpoints that were tried.
+    pub tried: Vec<EndpointId>,
+    /// Endpoints that the request was sent to.
+    pub sent: u32,
+    /// Attempts that reached no endpoint.
+    pub unreached: u32,
+    /// Whether the request has run, as far as is known.
+    pub ran: Option<Ran>,
+}
+
+impl Tries {
+    /// Takes note of whether an attempt ran.
+    pub fn note_ran(&mut self, ran: Ran) {
+        let worst = match (self.ran, ran) {
+            (Some(Ran::Yes), _) | (_, Ran::Yes) => Ran::Yes,
+            (Some(Ran::Unknown), _) | (_, Ran::Unknown) => Ran::Unknown,
+            _ => Ran::No,
+        };
+        self.ran = Some(worst);
+    }
+}
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -11,16 +11,20 @@
 
 pub mod attempt;
 pub mod body;
+pub mod choose;
 pub mod control;
 pub mod dialect;
 pub mod events;
 pub mod exchange;
 pub mod host;
+pub mod job;
 pub mod journal;
 pub mod metrics;
 pub mod peers;
 pub mod pool;
 pub mod relay;
+pub mod report;
+pub mod send;
 pub mod server;
 pub mod settings;
 pub mod shared;
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -23,12 +23,12 @@
 
 use crate::attempt::Answered;
 use crate::body::{AnswerBody, BrokenOff, Piece};
+use crate::choose::choose_again;
 use crate::events::{EventSplitter, StreamEvent};
-use crate::exchange::{
-    answered_line, choose_again, failed_attempt, observe, send, Chosen, Job, Traffic, Tries,
-    WorkShare,
-};
+use crate::job::{Chosen, Job, Traffic, Tries, WorkShare};
 use crate::pool::Lease;
+use crate::report::{answered_line, failed_attempt, observe};
+use crate::send::send;
 
 /// Multiple of the longest pause in time after which a stream goes on elsewhere, if nothing else came
 /// from its endpoint either. A new run reads the prompt again, so a short stall is better borne.
--- /dev/null
+++ b/crates/tidetrack-plane/src/report.rs
@@ -0,0 +1,115 @@
+//! What is logged, counted and told of attempts and answers.
+
+use std::time::Duration;
+
+use tidetrack_core::codes::Code;
+use tidetrack_core::errors::Error;
+use tidetrack_core::events::Event;
+use tidetrack_core::ids::ModelId;
+use tidetrack_core::traffic::control::Input;
+use tidetrack_core::traffic::trial::Observed;
+use tidetrack_core::units::Millis;
+
+use crate::job::{Chosen, Job, Traffic};
+
+/// Logs a failed attempt and lets it count against the endpoint.
+pub fn failed_attempt(
+    traffic: &Traffic,
+    job: &Job,
+    chosen: &Chosen,
+    model: Option<&ModelId>,
+    e: &Error,
+    took: Duration,
+) {
+    let shared = &traffic.shared;
+    let ran = format!("{:?}", e.ran);
+    shared.journal.line(
+        Event::AttemptFailed,
+        &[
+            ("request", &job.id),
+            ("endpoint", &chosen.id),
+            ("code", &e.code),
+            ("why", &e.message),
+            ("ran", &ran),
+        ],
+    );
+    shared.metrics.attempt("failed");
+    match e.code {
+        // A refusal for want of room says nothing about the endpoint's health.
+        Code::EndpointRefused => {}
+        // Neither does slowness of an endpoint that serves others, but it counts as a long time.
+        Code::Deadline => {
+            let since = Millis(shared.now().0.saturating_sub(took.as_millis() as u64));
+            if chosen.live.was_heard_since(since) {
+                observe(traffic, job, chosen, model, false, Some(took), None);
+            } else {
+                chosen.live.note(shared.now(), false);
+            }
+        }
+        Code::EndpointUnreachable => {
+            chosen.live.note_unreachable(shared.now());
+            traffic.pool.forget(chosen.id.as_str());
+        }
+        // A break is the endpoint's end or the network's doing, and says nothing of its version.
+        _ => {
+            chosen.live.note(shared.now(), false);
+            traffic.pool.forget(chosen.id.as_str());
+        }
+    }
+}
+
+/// Logs and counts a request whose answer is passed on.
+pub fn answered_line(
+    traffic: &Traffic,
+    job: &Job,
+    chosen: &Chosen,
+    model: Option<&ModelId>,
+    status: u16,
+) {
+    let shared = &traffic.shared;
+    let took = job.began.elapsed();
+    let route = job.admitted.route.name.as_str();
+    let fields: [(&'static str, &dyn std::fmt::Display); 6] = [
+        ("request", &job.id),
+        ("route", &route),
+        ("endpoint", &chosen.id),
+        ("model", &model.map_or("-", ModelId::as_str)),
+        ("status", &status),
+        ("ms", &took.as_millis()),
+    ];
+    if let (Some(model), Some(size)) = (model, &job.facts.size) {
+        let in_time = took <= job.objective();
+        let route = &job.admitted.route.name;
+        traffic.outlook.borrow_mut().answered(shared.now(), route, model, size, in_time);
+    }
+    match status < 500 {
+        true => shared.journal.routine(Event::RequestDone, &fields),
+        false => shared.journal.line(Event::RequestDone, &fields),
+    }
+    shared.metrics.request(route, &status.to_string());
+    shared.metrics.objective(route, status < 400 && took <= job.objective());
+    shared.metrics.first_byte(route, took.as_secs_f64() * 1_000.0);
+    shared.metrics.attempt("answered");
+}
+
+/// Tells the control thread what was seen of an answer.
+pub fn observe(
+    traffic: &Traffic,
+    job: &Job,
+    chosen: &Chosen,
+    model: Option<&ModelId>,
+    failed: bool,
+    head: Option<Duration>,
+    gap_ms: Option<f64>,
+) {
+    traffic.shared.tell(Input::Observed(Observed {
+        service: job.service.clone(),
+        new_version: chosen.new_version.clone(),
+        endpoint: chosen.id.clone(),
+        route: job.admitted.route.name.clone(),
+        model: model.cloned(),
+        failed,
+        head_ms: head.map(|d| d.as_secs_f64() * 1_000.0),
+        gap_ms,
+    }));
+}
--- /dev/null
+++ b/crates/tidetrack-plane/src/send.rs
@@ -0,0 +1,131 @@
+//! Sending a request to a chosen endpoint, and waiting no longer than is sensible.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+
+use tidetrack_core::codes::{Code, Ran};
+use tidetrack_core::errors::{Error, Result};
+use tidetrack_core::events::Event;
+use tidetrack_core::ids::{ModelId, VersionName};
+use tidetrack_core::units::{Millis, Tokens};
+
+use crate::attempt::{self, Answered, Attempt};
+use crate::dialect::Handover;
+use crate::job::{Chosen, Job, Traffic, Tries};
+
+/// Work that one request counts as which an endpoint tells as running. An engine reads prompts one
+/// after another, but makes the tokens of all that run together, so what runs adds little.
+const RUNNING_WORK: u64 = 40;
+
+/// Work that one request counts as which an endpoint tells as waiting.
+const WAITING_WORK: u64 = 400;
+
+/// Part of the objective after which an attempt at an endpoint that has fallen silent altogether is
+/// given up for another.
+const SILENT_PART: f64 = 0.8;
+
+/// Multiple of the objective after which an attempt is given up although its endpoint still serves
+/// other requests.
+const SLOW_TIMES: f64 = 2.0;
+
+/// Least patience with an attempt, for objectives shorter than an endpoint's usual time.
+const LEAST_PATIENCE: Duration = Duration::from_millis(150);
+
+/// Sends a request to a chosen endpoint.
+pub async fn send(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &mut Tries,
+    chosen: &Chosen,
+    model: Option<&ModelId>,
+    last_event: Option<u64>,
+) -> Result<Answered> {
+    let shared = &traffic.shared;
+    tries.tried.push(chosen.id.clone());
+    tries.sent += 1;
+    let load = chosen.live.load(shared.now()) as u64;
+    let reported_at = chosen.live.reported_at();
+    let load_age = match reported_at {
+        Millis(0) => -1,
+        at => (shared.now() - at).0 as i64,
+    };
+    shared.journal.routine(
+        Event::AttemptSent,
+        &[
+            ("request", &job.id),
+            ("attempt", &tries.sent),
+            ("endpoint", &chosen.id),
+            ("model", &model.map_or("-", ModelId::as_str)),
+            ("new_version", &chosen.new_version.as_ref().map_or("-", VersionName::as_str)),
+            ("load", &load),
+            ("load_age_ms", &load_age),
+        ],
+    );
+    let attempt = Attempt {
+        pool: &traffic.pool,
+        dialect: &shared.dialect,
+        endpoint: chosen.id.as_str(),
+        address: &chosen.address,
+        attempt_id: job.facts.attempt_id.as_deref(),
+        until: job.until,
+    };
+    let make = |_| make_request(traffic, job, chosen, model, last_event);
+    let sent = tokio::select! {
+        sent = attempt::send(&attempt, make) => sent?,
+        () = impatience(traffic, job, tries, chosen) => {
+            return Err(Error::new(Code::Deadline, "no answer in time").with_ran(Ran::Unknown));
+        }
+    };
+    chosen.live.heard(shared.now());
+    Ok(sent)
+}
+
+fn make_request(
+    traffic: &Traffic,
+    job: &Job,
+    chosen: &Chosen,
+    model: Option<&ModelId>,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let left = job.until.saturating_duration_since(Instant::now());
+    let handover = Handover {
+        time_left: Millis(left.as_millis() as u64),
+        endpoint: &chosen.id,
+        workspace: job.admitted.holder.as_ref().map(|h| &h.workspace),
+        rank: job.is_engine().then(|| job.admitted.rank()),
+        model,
+        last_event: last_event.or(job.facts.last_event),
+    };
+    let mut req = Request::new(Full::new(job.body.clone()));
+    *req.method_mut() = job.method.clone();
+    *req.uri_mut() = job.uri.clone();
+    *req.headers_mut() = (traffic.shared.dialect.endpoint_head)(&job.head, &handover);
+    req
+}
+
+/// Waits until an attempt is to be given up for another one: soon if the endpoint has fallen silent
+/// altogether, later if it is only slow.
+async fn impatience(traffic: &Traffic, job: &Job, tries: &Tries, chosen: &Chosen) {
+    let route = &job.admitted.route;
+    if tries.sent >= route.most_attempts || !route.work.is_repeatable() {
+        return std::future::pending().await;
+    }
+    let sent_at = traffic.shared.now();
+    let silent = job.objective().mul_f64(SILENT_PART).max(LEAST_PATIENCE);
+    let slow = job.objective().mul_f64(SLOW_TIMES).max(LEAST_PATIENCE * 2);
+    tokio::time::sleep(silent).await;
+    if chosen.live.was_heard_since(sent_at) {
+        tokio::time::sleep(slow.saturating_sub(silent)).await;
+    }
+}
+
+/// Takes the load that an endpoint tells with an answer.
+pub fn note_load(traffic: &Traffic, chosen: &Chosen, answered: &Answered) {
+    if let Some(load) = answered.facts.load {
+        let work = load.running * RUNNING_WORK + load.waiting * WAITING_WORK;
+        chosen.live.report(traffic.shared.now(), work, Tokens(0));
+    }
+}
--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -24,7 +24,7 @@
 use tidetrack_core::traffic::catalog::CallerLimits;
 
 use crate::body::AnswerBody;
-use crate::exchange::Traffic;
+use crate::job::Traffic;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
