--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -12,13 +12,13 @@
 use crate::placement::{draw, EndpointLive, PoolEndpoint, PoolView};
 use crate::traffic::catalog::Catalog;
 use crate::traffic::endpoints::{EndpointRecord, EndpointTable};
+use crate::traffic::exposure::{Exposure, SessionDraw};
 use crate::traffic::freshness::Freshness;
+use crate::traffic::judge::Observed;
 use crate::traffic::peers::{
     Barred, EndpointKey, News, PeerBook, PeerMessage, ToldProof, ToldTally,
 };
-use crate::traffic::trial::{
-    Exposure, Observed, Phase, ProgressWrite, RolloutOrder, SessionDraw, Side, Trial, TrialView,
-};
+use crate::traffic::trial::{Phase, ProgressWrite, RolloutOrder, Side, Trial, TrialView};
 use crate::units::Millis;
 
 /// Longest that a host leaves a write about a roll-out to others, in milliseconds; hosts draw their
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -17,7 +17,8 @@
 
 use crate::ids::{EndpointId, HostId, ServiceId, VersionName};
 use crate::placement::rendezvous;
-use crate::traffic::trial::{SessionKey, Tally};
+use crate::traffic::exposure::SessionKey;
+use crate::traffic::judge::Tally;
 use crate::units::Millis;
 
 /// Hosts that one round of messages goes to.
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -12,13 +12,13 @@
 };
 use tidetrack_core::traffic::control::{Action, Beliefs, FleetView, Input};
 use tidetrack_core::traffic::endpoints::{EndpointRecord, EndpointTable};
+use tidetrack_core::traffic::exposure::{Exposure, SessionDraw};
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::gate::{admit, Entry};
+use tidetrack_core::traffic::judge::Observed;
 use tidetrack_core::traffic::outlook::Outlook;
 use tidetrack_core::traffic::peers::{News, PeerBook, PeerMessage, ToldProof};
-use tidetrack_core::traffic::trial::{
-    Exposure, Observed, Phase, Progress, RolloutOrder, RolloutState, SessionDraw, Side, Trial,
-};
+use tidetrack_core::traffic::trial::{Phase, Progress, RolloutOrder, RolloutState, Side, Trial};
 use tidetrack_core::units::{Millis, Tokens};
 
 fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -6,7 +6,8 @@
 use tidetrack_core::placement::{place_of, Ask};
 use tidetrack_core::traffic::budget::SendAgain;
 use tidetrack_core::traffic::control::ServiceView;
-use tidetrack_core::traffic::trial::{SessionDraw, Side};
+use tidetrack_core::traffic::exposure::SessionDraw;
+use tidetrack_core::traffic::trial::Side;
 use tidetrack_core::units::Tokens;
 
 use crate::job::{Chosen, Job, Traffic, Tries, WorkShare};
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -7,7 +7,7 @@
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::ModelId;
 use tidetrack_core::traffic::control::Input;
-use tidetrack_core::traffic::trial::Observed;
+use tidetrack_core::traffic::judge::Observed;
 use tidetrack_core::units::Millis;
 
 use crate::job::{Chosen, Job, Traffic};
