--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -15,28 +15,33 @@
 /// When to come back after a refusal for want of room, in milliseconds.
 const RETRY_FULL_MS: u64 = 300;
 
-/// Checks, right before a send, that the request may still be passed on.
-pub fn check_before_send(
-    traffic: &Traffic,
-    job: &Job,
-    tries: &Tries,
-    why: SendAgain,
-) -> Result<()> {
+/// Checks that the configuration by which a request was admitted is still known to be the newest.
+pub fn check_proof(traffic: &Traffic, job: &Job) -> Result<()> {
     let shared = &traffic.shared;
-    let now = shared.now();
     let bound = shared.settings.bounds.revoke_within;
     let needs_proof = job.admitted.holder.is_some();
-    if needs_proof && bound.is_some_and(|bound| !shared.fresh.holds(now, bound)) {
+    if needs_proof && bound.is_some_and(|bound| !shared.fresh.holds(shared.now(), bound)) {
         let e = Error::new(Code::Stale, "the configuration was not confirmed for too long");
         return Err(e.with_retry_after(RETRY_FULL_MS));
     }
+    Ok(())
+}
+
+/// Checks, right before a send, that the request may still be passed on; `is_paid` tells that the
+/// send was taken from the budget before.
+pub fn check_before_send(traffic: &Traffic, job: &Job, tries: &Tries, is_paid: bool) -> Result<()> {
+    check_proof(traffic, job)?;
+    let now = traffic.shared.now();
+    if is_paid {
+        return Ok(());
+    }
     if tries.sent == 0 {
         if tries.unreached == 0 {
             traffic.with_budget(&job.service, |b| b.first(now));
         }
         return Ok(());
     }
-    match traffic.with_budget(&job.service, |b| b.take(now, why)) {
+    match traffic.with_budget(&job.service, |b| b.take(now, SendAgain::Failure)) {
         true => Ok(()),
         false => Err(Error::new(Code::RetryBudget, "the budget of further sends is spent")),
     }
@@ -139,7 +144,7 @@
         return Err(Error::new(Code::EndpointFailed, "no attempt is left"));
     }
     let chosen = choose(traffic, job, tries, model)?;
-    check_before_send(traffic, job, tries, SendAgain::Failure)?;
+    check_before_send(traffic, job, tries, false)?;
     let share = WorkShare::new(&chosen.live, job, weight_of(traffic, job, model));
     Ok((chosen, share))
 }
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -23,7 +23,7 @@
 
 use crate::attempt::{self, Answered};
 use crate::body::AnswerBody;
-use crate::choose::{check_before_send, choose, full, weight_of};
+use crate::choose::{check_before_send, check_proof, choose, full, weight_of};
 use crate::job::{Chosen, InFlight, Job, Traffic, Tries, WorkShare};
 use crate::relay;
 use crate::report::{answered_line, failed_attempt, observe};
@@ -195,19 +195,24 @@
     let route = &job.admitted.route;
     let mut tries = Tries::default();
     let mut model = cascade::first_model(route).cloned();
-    let mut why = SendAgain::Failure;
+    // A second opinion is paid for before the answer at hand is dropped.
+    let mut is_paid = false;
     let mut fallback: Option<Response<AnswerBody>> = None;
     loop {
-        let sent = match try_once(traffic, job, &mut tries, model.as_ref(), why).await {
+        let sent = match try_once(traffic, job, &mut tries, model.as_ref(), is_paid).await {
             Ok(sent) => sent,
             Err(Stop::Final(e)) => return fallback.map_or(Err(e), Ok),
-            Err(Stop::Again) => continue,
+            Err(Stop::Again) => {
+                is_paid = false;
+                continue;
+            }
         };
+        is_paid = false;
         let Sent { answered, chosen, share, began } = sent;
         let status = answered.head.status;
         if status.is_success() {
             if let Some(larger) = larger_model(traffic, job, &tries, model.as_ref(), &answered) {
-                why = SendAgain::SecondOpinion;
+                is_paid = true;
                 model = Some(larger);
                 // Dropping the answer closes its connection, and the endpoint stops.
                 continue;
@@ -221,7 +226,6 @@
                     if !may_go_on(job, &tries) {
                         return Err(gave_up(job, &tries, e));
                     }
-                    why = SendAgain::Failure;
                     continue;
                 }
             }
@@ -236,7 +240,6 @@
             return resp;
         }
         fallback = resp.ok().or(fallback);
-        why = SendAgain::Failure;
     }
 }
 
@@ -262,13 +265,13 @@
     job: &Job,
     tries: &mut Tries,
     model: Option<&ModelId>,
-    why: SendAgain,
+    is_paid: bool,
 ) -> std::result::Result<Sent, Stop> {
     let chosen = match choose(traffic, job, tries, model) {
         Ok(chosen) => chosen,
         Err(e) => return Err(Stop::Final(gave_up(job, tries, e))),
     };
-    if let Err(e) = check_before_send(traffic, job, tries, why) {
+    if let Err(e) = check_before_send(traffic, job, tries, is_paid) {
         return Err(Stop::Final(gave_up(job, tries, e)));
     }
     let mut share = WorkShare::new(&chosen.live, job, weight_of(traffic, job, model));
@@ -356,6 +359,11 @@
     let opts = &traffic.shared.settings.cascade;
     let prospect = prospect(traffic, job, tries, confidence, size);
     let larger = cascade::better_model(route, service, model, prospect, size, opts)?;
+    let now = traffic.shared.now();
+    check_proof(traffic, job).ok()?;
+    if !traffic.with_budget(&job.service, |b| b.take(now, SendAgain::SecondOpinion)) {
+        return None;
+    }
     traffic.shared.journal.routine(
         Event::AnswerDropped,
         &[
