--- a/crates/tidetrack-core/src/codes.rs
+++ b/crates/tidetrack-core/src/codes.rs
@@ -84,6 +84,7 @@
     EndpointUnreachable, 3003, 502, No, "No connection to the endpoint could be made.";
     Deadline, 3004, 504, Unknown, "The request's deadline passed.";
     WrongAnswer, 3005, 502, Unknown, "The answer's attempt id is not this request's.";
+    EndpointMoved, 3006, 503, No, "Another endpoint has the address now, and refused the request.";
     PlatformDown, 4001, 503, No, "The object API cannot be reached.";
     Conflict, 4002, 409, No, "The object was changed by someone else.";
     PlatformBusy, 4003, 503, No, "The object API is over its rate.";
--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -93,9 +93,13 @@
         let text = format!("the answer is for {:?}", facts.attempt_id);
         return Err(failed(Code::WrongAnswer, text, Ran::Unknown));
     }
-    if facts.did_not_run {
+    if facts.did_not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
         let text = format!("the endpoint refused with {}", head.status);
-        let refused = failed(Code::EndpointRefused, text, Ran::No);
+        let code = match head.status {
+            StatusCode::MISDIRECTED_REQUEST => Code::EndpointMoved,
+            _ => Code::EndpointRefused,
+        };
+        let refused = failed(code, text, Ran::No);
         let answered = Answered { head, facts, body, lease };
         keep_after_refusal(attempt, answered).await;
         return Err(refused);
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -46,7 +46,7 @@
                 chosen.live.note(shared.now(), false);
             }
         }
-        Code::EndpointUnreachable => {
+        Code::EndpointUnreachable | Code::EndpointMoved => {
             chosen.live.note_unreachable(shared.now());
             traffic.pool.forget(chosen.id.as_str());
         }
