--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -201,7 +201,7 @@
     loop {
         let sent = match try_once(traffic, job, &mut tries, model.as_ref(), is_paid).await {
             Ok(sent) => sent,
-            Err(Stop::Final(e)) => return fallback.map_or(Err(e), Ok),
+            Err(Stop::Final(e)) => return fallback.ok_or(e),
             Err(Stop::Again) => {
                 is_paid = false;
                 continue;
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -10,6 +10,24 @@
 const BOUNDS_MS: [f64; 12] =
     [5.0, 10.0, 25.0, 50.0, 100.0, 150.0, 300.0, 750.0, 1_500.0, 3_000.0, 8_000.0, 25_000.0];
 
+/// Makes a registry and the provider of the instruments that are shown there.
+pub fn registry() -> anyhow::Result<(Registry, SdkMeterProvider)> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .without_target_info()
+        .build()?;
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    Ok((registry, provider))
+}
+
+/// Renders a registry as Prometheus text.
+pub fn render(registry: &Registry) -> anyhow::Result<Vec<u8>> {
+    let mut out = Vec::new();
+    TextEncoder::new().encode(&registry.gather(), &mut out)?;
+    Ok(out)
+}
+
 /// The instruments of a host.
 pub struct Metrics {
     registry: Registry,
@@ -26,12 +44,7 @@
 impl Metrics {
     /// Makes the instruments.
     pub fn new() -> anyhow::Result<Metrics> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = registry()?;
         let meter = provider.meter("tidetrack");
         let histogram = meter.f64_histogram("tidetrack_first_byte_ms");
         Ok(Metrics {
@@ -86,8 +99,6 @@
 
     /// Renders all metrics as Prometheus text.
     pub fn text(&self) -> anyhow::Result<Vec<u8>> {
-        let mut out = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut out)?;
-        Ok(out)
+        render(&self.registry)
     }
 }
--- a/crates/tidetrack-router/src/metrics.rs
+++ b/crates/tidetrack-router/src/metrics.rs
@@ -3,7 +3,9 @@
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use prometheus::Registry;
+
+use tidetrack_plane::metrics;
 
 /// Bounds of the histograms in milliseconds.
 const BOUNDS_MS: [f64; 14] = [
@@ -52,12 +54,7 @@
 impl Metrics {
     /// Makes the instruments.
     pub fn new() -> anyhow::Result<Metrics> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = metrics::registry()?;
         let meter = provider.meter("tidetrack");
         let histogram = |name: &'static str| {
             meter.f64_histogram(name).with_boundaries(BOUNDS_MS.to_vec()).build()
@@ -114,8 +111,6 @@
 
     /// Renders all metrics as Prometheus text.
     pub fn text(&self) -> anyhow::Result<Vec<u8>> {
-        let mut out = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut out)?;
-        Ok(out)
+        metrics::render(&self.registry)
     }
 }
--- a/crates/tidetrack-router/src/shared.rs
+++ b/crates/tidetrack-router/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use flume::Sender;
@@ -18,6 +18,7 @@
 use tidetrack_core::tickets::TicketBook;
 use tidetrack_core::units::Millis;
 use tidetrack_core::view::{Freshness, View};
+pub use tidetrack_plane::shared::Clock;
 use tidetrack_wire::platform::PlatformClient;
 
 use crate::billing::Billing;
@@ -38,24 +39,6 @@
 /// How long traffic waits after a pause for the configuration to be confirmed.
 const CONFIRM_WAIT: Millis = Millis(2_000);
 
-/// The process's monotonic clock.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-}
-
-impl Clock {
-    /// Starts the clock. It begins at 1000 s so that spans before the start can be told.
-    pub fn start() -> Clock {
-        Clock { start: Instant::now() }
-    }
-
-    /// Gets the time.
-    pub fn now(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64 + 1_000_000)
-    }
-}
-
 /// What traffic asks before work leaves the host.
 #[derive(Debug, Default)]
 pub struct Gate {
