--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -15,26 +15,24 @@
 /// When to come back after a refusal for want of room, in milliseconds.
 const RETRY_FULL_MS: u64 = 300;
 
-/// Checks that the configuration by which a request was admitted is still known to be the newest.
-pub fn check_proof(traffic: &Traffic, job: &Job) -> Result<()> {
-    let shared = &traffic.shared;
-    let bound = shared.settings.bounds.revoke_within;
-    let needs_proof = job.admitted.holder.is_some();
-    if needs_proof && bound.is_some_and(|bound| !shared.fresh.holds(shared.now(), bound)) {
-        let e = Error::new(Code::Stale, "the configuration was not confirmed for too long");
-        return Err(e.with_retry_after(RETRY_FULL_MS));
-    }
-    Ok(())
-}
-
 /// Checks, right before a send, that the request may still be passed on; `is_paid` tells that the
 /// send was taken from the budget before.
+///
+/// The proof of the configuration is asked for before the first send only: a key that was held when
+/// the request came is held for all of its attempts, and a stream that breaks while the store is away
+/// may go on.
 pub fn check_before_send(traffic: &Traffic, job: &Job, tries: &Tries, is_paid: bool) -> Result<()> {
-    check_proof(traffic, job)?;
-    let now = traffic.shared.now();
+    let shared = &traffic.shared;
+    let now = shared.now();
     if is_paid {
         return Ok(());
     }
+    let bound = shared.settings.bounds.revoke_within;
+    let needs_proof = tries.sent == 0 && job.admitted.holder.is_some();
+    if needs_proof && bound.is_some_and(|bound| !shared.fresh.holds(now, bound)) {
+        let e = Error::new(Code::Stale, "the configuration was not confirmed for too long");
+        return Err(e.with_retry_after(RETRY_FULL_MS));
+    }
     if tries.sent == 0 {
         if tries.unreached == 0 {
             traffic.with_budget(&job.service, |b| b.first(now));
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -23,7 +23,7 @@
 
 use crate::attempt::{self, Answered};
 use crate::body::AnswerBody;
-use crate::choose::{check_before_send, check_proof, choose, full, weight_of};
+use crate::choose::{check_before_send, choose, full, weight_of};
 use crate::job::{Chosen, InFlight, Job, Traffic, Tries, WorkShare};
 use crate::relay;
 use crate::report::{answered_line, failed_attempt, observe};
@@ -361,7 +361,6 @@
     let prospect = prospect(traffic, job, tries, confidence, size);
     let larger = cascade::better_model(route, service, model, prospect, size, opts)?;
     let now = traffic.shared.now();
-    check_proof(traffic, job).ok()?;
     if !traffic.with_budget(&job.service, |b| b.take(now, SendAgain::SecondOpinion)) {
         return None;
     }
