--- a/crates/tidetrack-core/src/placement.rs
+++ b/crates/tidetrack-core/src/placement.rs
@@ -37,7 +37,10 @@
 
 /// Work that every endpoint counts as having besides, so that small differences do not drive a prefix
 /// from its cache.
-const IDLE_WORK: f64 = 50.0;
+const IDLE_WORK: f64 = 400.0;
+
+/// The same where the work of reading a prefix again is counted, which keeps a prefix where it is.
+const IDLE_WORK_BESIDE_PREFIX: f64 = 50.0;
 
 /// A report's weight halves every so many milliseconds.
 const REPORT_HALF_MS: f64 = 8_000.0;
@@ -363,8 +366,9 @@
     ) -> &'a PoolEndpoint {
         let next = self.next_home(now, ask, home);
         let again = |part: f64| ask.reread as f64 * part;
-        let cost =
-            |e: &PoolEndpoint, extra: f64| (e.live.load(now) + IDLE_WORK + extra) * e.live.pace();
+        let cost = |e: &PoolEndpoint, extra: f64| {
+            (e.live.load(now) + IDLE_WORK_BESIDE_PREFIX + extra) * e.live.pace()
+        };
         let homes = [Some((home, 0.0)), next.map(|e| (e, again(NEXT_HOME_PART)))];
         let others = drawn.iter().map(|e| (*e, again(1.0)));
         let all = homes.into_iter().flatten().chain(others);
--- /dev/null
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -0,0 +1,57 @@
+//! Sizes of the messages between hosts.
+
+use tidetrack_core::ids::EndpointId;
+use tidetrack_core::traffic::judge::Tally;
+use tidetrack_core::traffic::peers::{EndpointKey, News, PeerMessage, ToldProof, ToldTally};
+
+/// Bytes that one endpoint in use may add to a message.
+const MOST_BYTES_AN_ENDPOINT: usize = 8;
+
+/// Bytes of a message besides the endpoints in use.
+const MOST_BYTES_ELSE: usize = 220;
+
+fn message(endpoints: usize) -> PeerMessage {
+    let key = |i| EndpointKey::from(&format!("i-{i:010}").parse::<EndpointId>().expect("a name"));
+    let tally = ToldTally {
+        service: "model-service".parse().expect("a name"),
+        version: "v2".parse().expect("a name"),
+        tally: Tally::default(),
+    };
+    PeerMessage {
+        from: "edge-some-hall-1".parse().expect("a name"),
+        address: "10.1.0.40:8229".parse().expect("an address"),
+        stamp_ms: 604_800_000,
+        echo_ms: Some(604_800_000),
+        hints: vec!["10.1.0.41:8229".parse().expect("an address"); 6],
+        news: News {
+            proof: Some(ToldProof { version: 1_000, age_ms: 900 }),
+            loads: (0..endpoints).map(|i| (key(i), 2_000)).collect(),
+            tallies: vec![tally],
+            ..News::default()
+        },
+    }
+}
+
+fn size(endpoints: usize) -> usize {
+    postcard::to_allocvec(&message(endpoints)).expect("it can be written").len()
+}
+
+#[test]
+fn a_message_grows_by_a_few_bytes_for_each_endpoint_in_use() {
+    let (none, some, many) = (size(0), size(20), size(200));
+
+    println!("bytes of a message with 0, 20, 200 endpoints in use: {none}, {some}, {many}");
+    assert!(none <= MOST_BYTES_ELSE, "{none}");
+    assert!(many - none <= 200 * MOST_BYTES_AN_ENDPOINT, "{many}");
+}
+
+#[test]
+fn a_message_reads_as_it_was_written_and_cut_ones_are_refused() {
+    let message = message(20);
+    let bytes = postcard::to_allocvec(&message).expect("it can be written");
+
+    assert_eq!(postcard::from_bytes::<PeerMessage>(&bytes).expect("it can be read"), message);
+    for len in 0..bytes.len() {
+        assert!(postcard::from_bytes::<PeerMessage>(&bytes[..len]).is_err(), "{len} bytes");
+    }
+}
