--- /dev/null
+++ b/crates/tidetrack-core/tests/placement.rs
@@ -0,0 +1,148 @@
+//! Placement of requests on endpoints.
+
+use std::sync::Arc;
+
+use tidetrack_core::codes::Code;
+use tidetrack_core::placement::{Ask, EndpointLive, PoolEndpoint, PoolView};
+use tidetrack_core::units::{Millis, Tokens};
+
+fn pool(n: usize) -> PoolView {
+    let endpoint = |i| PoolEndpoint {
+        id: format!("e{i}").parse().expect("an endpoint"),
+        address: String::new(),
+        failure_domain: "a".parse().expect("a failure domain"),
+        live: Arc::default(),
+    };
+    PoolView::new((0..n).map(endpoint).collect(), 16)
+}
+
+fn ask(place: u64, salt: u64) -> Ask<'static> {
+    Ask { place, salt, need: Tokens(100), tried: &[], priority: 0, reread: 0 }
+}
+
+#[test]
+fn the_same_place_meets_the_same_endpoint_until_it_is_loaded() {
+    let pool = pool(20);
+    let first = pool.pick(Millis(0), &ask(77, 1)).expect("a pick").clone();
+    let again = pool.pick(Millis(0), &ask(77, 2)).expect("a pick");
+    assert_eq!(first.id, again.id);
+    first.live.begin(8_000);
+    let other = pool.pick(Millis(0), &ask(77, 3)).expect("a pick");
+    assert_ne!(first.id, other.id);
+}
+
+#[test]
+fn a_slow_endpoint_is_passed_over_for_a_quicker_one() {
+    let pool = pool(8);
+    let home = pool.pick(Millis(0), &ask(9, 1)).expect("a pick").clone();
+    home.live.took(100, 100 * 80_000);
+    let quick =
+        (0..20).filter(|s| pool.pick(Millis(0), &ask(9, *s)).expect("a pick").id != home.id);
+    assert!(quick.count() >= 19);
+}
+
+#[test]
+fn a_full_pool_refuses_early_and_the_urgent_later() {
+    let pool = pool(3);
+    pool.endpoints().iter().for_each(|e| e.live.begin(16 * 512 + 1));
+    assert_eq!(pool.pick(Millis(0), &ask(1, 1)).expect_err("full").code, Code::Overloaded);
+    assert!(pool.pick(Millis(0), &Ask { priority: 1, ..ask(1, 1) }).is_ok());
+}
+
+#[test]
+fn leaving_full_and_ejected_endpoints_are_passed_over() {
+    let pool = pool(4);
+    pool.endpoints()[0].live.set_leaving(true);
+    pool.endpoints()[1].live.report(Millis(0), 0, Tokens(50));
+    (0..3).for_each(|_| pool.endpoints()[2].live.note(Millis(0), false));
+    for place in 0..200u64 {
+        let pick = pool.pick(Millis(1), &ask(place << 56, place)).expect("a pick");
+        assert_eq!(pick.id.as_str(), "e3");
+    }
+}
+
+#[test]
+fn ejection_keeps_a_floor_and_leaving_does_not() {
+    let pool = pool(2);
+    for e in pool.endpoints() {
+        (0..3).for_each(|_| e.live.note(Millis(0), false));
+    }
+    assert!(pool.pick(Millis(1), &ask(5, 5)).is_ok());
+    pool.endpoints().iter().for_each(|e| e.live.set_leaving(true));
+    assert_eq!(pool.pick(Millis(1), &ask(5, 5)).expect_err("none").code, Code::Overloaded);
+}
+
+#[test]
+fn what_no_endpoint_can_hold_is_too_long() {
+    let pool = pool(2);
+    pool.endpoints().iter().for_each(|e| e.live.report(Millis(0), 0, Tokens(10)));
+    assert_eq!(pool.pick(Millis(1), &ask(5, 5)).expect_err("none").code, Code::TooLong);
+}
+
+#[test]
+fn an_old_report_loses_weight_and_own_work_does_not() {
+    let live = EndpointLive::default();
+    live.begin(100);
+    live.report(Millis(0), 300, Tokens(0));
+    assert_eq!(live.load(Millis(0)), 300.0);
+    assert_eq!(live.load(Millis(8_000)), 200.0);
+    live.end(100);
+    assert!(live.load(Millis(80_000)) < 1.0);
+}
+
+/// Asks for a request whose shared prefix costs so much work to read again.
+fn ask_with_prefix(place: u64, reread: u64) -> Ask<'static> {
+    Ask { reread, ..ask(place, 1) }
+}
+
+#[test]
+fn a_prefix_stays_where_it_is_kept_until_reading_it_again_is_cheaper() {
+    let pool = pool(12);
+    let home = pool.pick(Millis(0), &ask_with_prefix(77, 1_000)).expect("a pick").clone();
+
+    home.live.begin(400);
+    let somewhat_loaded = pool.pick(Millis(0), &ask_with_prefix(77, 1_000)).expect("a pick");
+    home.live.begin(2_000);
+    let loaded = pool.pick(Millis(0), &ask_with_prefix(77, 1_000)).expect("a pick");
+
+    assert_eq!(somewhat_loaded.id, home.id);
+    assert_ne!(loaded.id, home.id);
+}
+
+#[test]
+fn a_prefix_that_is_too_much_for_one_endpoint_goes_to_the_same_second_one_from_every_host() {
+    let hosts = [pool(12), pool(12), pool(12)];
+
+    let second: Vec<String> = hosts
+        .iter()
+        .map(|pool| {
+            let ask = ask_with_prefix(77, 1_000);
+            pool.pick(Millis(0), &ask).expect("a pick").live.begin(800);
+            pool.pick(Millis(0), &ask).expect("a pick").id.to_string()
+        })
+        .collect();
+
+    assert!(second.iter().all(|id| *id == second[0]), "{second:?}");
+}
+
+#[test]
+fn what_hosts_tell_of_their_work_goes_before_an_endpoints_old_report() {
+    let live = EndpointLive::default();
+    live.report(Millis(0), 4_000, Tokens(0));
+
+    live.told_by_hosts(Millis(100), 70);
+
+    assert_eq!(live.load(Millis(200)), 70.0);
+    assert!(live.load(Millis(1_500)) > 3_000.0, "silent hosts leave the report");
+}
+
+#[test]
+fn an_endpoint_that_cannot_be_reached_is_ejected_at_once() {
+    let pool = pool(3);
+    let gone = pool.pick(Millis(0), &ask_with_prefix(5, 10)).expect("a pick").clone();
+
+    gone.live.note_unreachable(Millis(0));
+
+    assert!(gone.live.is_ejected(Millis(1)));
+    assert_ne!(pool.pick(Millis(1), &ask_with_prefix(5, 10)).expect("a pick").id, gone.id);
+}
