--- a/crates/tidetrack-core/src/traffic/cascade.rs
+++ b/crates/tidetrack-core/src/traffic/cascade.rs
@@ -39,7 +39,7 @@
 
 impl Default for CascadeOptions {
     /// The worth is the mean of the sheets of the first two fleets (0.21 to 0.48 by kind of
-    /// request); the other two are from trials on days of both, `docs/BENCHMARKS.md`.
+    /// request); the other two are from trials on days of both, `docs/BENCHMARKS-platform.md`.
     fn default() -> Self {
         CascadeOptions { worth_per_1k: 0.4, others_delayed: 2.0, scarcity: 100.0 }
     }
