Wait until the last lines of the log are written, not only taken

The flush now waits for a count of unwritten lines, up to 300 ms instead of 100. Test: a_flush_waits_until_the_last_line_is_written, with a slow reader.

--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -44,7 +44,7 @@
 const SWEEP: Duration = Duration::from_secs(5);
 
 /// Longest wait for the last lines of the log.
-const LAST_LINES: Duration = Duration::from_millis(100);
+const LAST_LINES: Duration = Duration::from_millis(300);
 
 /// Files kept free for logs, the store and what the runtime needs.
 const FILES_KEPT: usize = 264;
--- a/crates/tidetrack-plane/src/journal.rs
+++ b/crates/tidetrack-plane/src/journal.rs
@@ -27,12 +27,14 @@
 pub struct Journal {
     logger: slog::Logger,
     queue: flume::Sender<Vec<u8>>,
+    unwritten: Arc<AtomicU64>,
 }
 
 /// Turns records into lines and queues them.
 struct QueueDrain {
     queue: flume::Sender<Vec<u8>>,
     left_out: Arc<AtomicU64>,
+    unwritten: Arc<AtomicU64>,
 }
 
 impl Drain for QueueDrain {
@@ -48,10 +50,14 @@
             "msg" => slog::PushFnValue(|r: &Record<'_>, ser| ser.emit(r.msg())),
         ));
         let written = json.build().log(record, values);
+        self.unwritten.fetch_add(1, Ordering::AcqRel);
         let queued = written.is_ok() && self.queue.try_send(line).is_ok();
         match queued {
             true => drop(self.left_out.fetch_sub(left_out, Ordering::Relaxed)),
-            false => drop(self.left_out.fetch_add(1, Ordering::Relaxed)),
+            false => {
+                self.unwritten.fetch_sub(1, Ordering::AcqRel);
+                self.left_out.fetch_add(1, Ordering::Relaxed);
+            }
         }
         Ok(())
     }
@@ -70,18 +76,30 @@
 }
 
 impl Journal {
-    /// Starts the log of a host, with its writer thread.
+    /// Starts the log of a host, with a thread that writes to standard output.
     pub fn start(host: &str) -> std::io::Result<Journal> {
+        Journal::start_to(host, std::io::stdout())
+    }
+
+    /// Starts the log of a host, with a thread that writes to `out`.
+    pub fn start_to(host: &str, out: impl Write + Send + 'static) -> std::io::Result<Journal> {
         let (queue, lines) = flume::bounded::<Vec<u8>>(WAITING);
+        let journal = Journal::to_queue(host, queue);
+        let unwritten = journal.unwritten.clone();
         let thread = std::thread::Builder::new().name("journal".into()).stack_size(64 * 1024);
-        thread.spawn(move || write_lines(&lines))?;
-        Ok(Journal::to_queue(host, queue))
+        thread.spawn(move || write_lines(&lines, out, &unwritten))?;
+        Ok(journal)
     }
 
     /// Makes a log whose lines go to a queue.
-    pub fn to_queue(host: &str, queue: flume::Sender<Vec<u8>>) -> Journal {
+    fn to_queue(host: &str, queue: flume::Sender<Vec<u8>>) -> Journal {
         let left_out = Arc::new(AtomicU64::new(0));
-        let drain = QueueDrain { queue: queue.clone(), left_out: left_out.clone() };
+        let unwritten = Arc::new(AtomicU64::new(0));
+        let drain = QueueDrain {
+            queue: queue.clone(),
+            left_out: left_out.clone(),
+            unwritten: unwritten.clone(),
+        };
         let logger = slog::Logger::root(
             drain.fuse(),
             slog::o!(
@@ -90,7 +108,7 @@
                 "left_out" => slog::FnValue(move |_: &Record<'_>| left_out.load(Ordering::Relaxed)),
             ),
         );
-        Journal { logger, queue }
+        Journal { logger, queue, unwritten }
     }
 
     /// Writes an event.
@@ -105,10 +123,10 @@
         }
     }
 
-    /// Waits until the writer has taken all lines, for as long as `most`.
+    /// Waits until all lines are written, for as long as `most`.
     pub fn flush(&self, most: std::time::Duration) {
         let until = std::time::Instant::now() + most;
-        while !self.queue.is_empty() && std::time::Instant::now() < until {
+        while self.unwritten.load(Ordering::Acquire) > 0 && std::time::Instant::now() < until {
             std::thread::sleep(std::time::Duration::from_millis(2));
         }
     }
@@ -122,13 +140,17 @@
 }
 
 /// Writes lines until the process ends, several at a time where several wait.
-fn write_lines(lines: &flume::Receiver<Vec<u8>>) {
-    let mut out = std::io::stdout();
+fn write_lines(lines: &flume::Receiver<Vec<u8>>, mut out: impl Write, unwritten: &AtomicU64) {
     while let Ok(mut text) = lines.recv() {
-        lines.drain().for_each(|line| text.extend_from_slice(&line));
+        let mut taken = 1;
+        for line in lines.drain() {
+            text.extend_from_slice(&line);
+            taken += 1;
+        }
         // Without a reader of the log there is nobody left to tell.
         if out.write_all(&text).and_then(|()| out.flush()).is_err() {
             return;
         }
+        unwritten.fetch_sub(taken, Ordering::AcqRel);
     }
 }
--- /dev/null
+++ b/crates/tidetrack-plane/tests/journal.rs
@@ -0,0 +1,36 @@
+//! The log's writer.
+
+use std::io::Write;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tidetrack_core::events::Event;
+use tidetrack_plane::journal::Journal;
+
+/// A reader of the log that takes its time.
+#[derive(Clone, Default)]
+struct Slow(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Slow {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(50));
+        self.0.lock().expect("no holder of the lock panics").extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_flush_waits_until_the_last_line_is_written() {
+    let out = Slow::default();
+    let journal = Journal::start_to("h1", out.clone()).expect("a thread");
+
+    journal.line(Event::Stopped, &[("cut", &0)]);
+    journal.flush(Duration::from_secs(20));
+
+    let text = out.0.lock().expect("no holder of the lock panics").clone();
+    assert!(String::from_utf8_lossy(&text).contains("\"cut\":\"0\""), "{text:?}");
+}
