Carry an operator's verb out beside hosts' writes; a host that has left does not call itself

Ruled out: a lost reply (the code was a plain conflict). The verb is now made again on the state as it stands, as long as phase, stage and generation are what the operator saw; pause and abort mean the same in any stage.

Cause of the quickstart's panic as it stops (message.from != own_life): a host that has announced its end holds itself dead, and dead hosts are called now and then to find them again. Test failed first: a_host_that_has_left_does_not_call_itself.

--- a/crates/tidetrack-core/src/node/links.rs
+++ b/crates/tidetrack-core/src/node/links.rs
@@ -98,7 +98,9 @@
             return None;
         }
         self.sought_at = now;
-        let dead = self.members.iter().filter(|m| !m.is_live());
+        // This host itself is held dead once it has left.
+        let is_other = |m: &&Member| m.incarnation.host != self.own.host;
+        let dead = self.members.iter().filter(|m| !m.is_live()).filter(is_other);
         let dead = dead.map(|m| (m.incarnation.host.clone(), m.peer.clone()));
         let unmet = self.seeds.iter().filter(|(h, _)| self.members.lookup(h).is_none());
         let lost: Vec<(HostId, String)> =
--- a/crates/tidetrack-core/src/node/mod.rs
+++ b/crates/tidetrack-core/src/node/mod.rs
@@ -640,6 +640,25 @@
         assert_eq!((dead(&a), dead(&b)), (0, 0));
     }
 
+    #[test]
+    fn a_host_that_has_left_does_not_call_itself() {
+        let (mut a, _) = pair();
+        let own = a.own().host.clone();
+        a.announce(MemberState::Dead);
+
+        let called: Vec<HostId> = (12_000..40_000)
+            .step_by(500)
+            .flat_map(|now| a.tick(Millis(now)))
+            .filter_map(|action| match action {
+                Action::Exchange { to, .. } => Some(to),
+                _ => None,
+            })
+            .collect();
+
+        assert!(!called.is_empty());
+        assert!(!called.contains(&own), "{called:?}");
+    }
+
     #[test]
     fn a_silent_host_is_suspected_and_then_dead() {
         let (mut a, _) = pair();
--- a/crates/tidetrack-ctl/src/rollout.rs
+++ b/crates/tidetrack-ctl/src/rollout.rs
@@ -9,6 +9,10 @@
 use tidetrack_core::rollout::first_state;
 use tidetrack_wire::platform::{config_name, PlatformClient};
 
+/// Updates tried against hosts that write to the same object. Each of them writes at most every few
+/// hundred milliseconds, so a second conflict is rare.
+const WRITE_TRIES: usize = 8;
+
 /// What an operator does with a roll-out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verb {
@@ -74,24 +78,66 @@
     Ok(platform.write_settled(&config_name(&key), there, &body)?.version)
 }
 
+/// A roll-out's state as it was read, with what a verb needs to know beside it.
+struct Standing {
+    key: ObjectKey,
+    at: u64,
+    state: Option<RolloutState>,
+    generation: u64,
+    stages: usize,
+}
+
+impl Standing {
+    fn read(platform: &PlatformClient, id: &RolloutId) -> Result<Standing> {
+        let Object::Rollout(spec) = read(platform, &ObjectKey::new(Kind::Rollout, id))?.1 else {
+            return Err(Error::new(Code::Internal, "a roll-out of another kind"));
+        };
+        let generation = version_of(platform, &spec.to)?.generation;
+        let key = ObjectKey::new(Kind::RolloutState, id);
+        let (at, state) = match read(platform, &key) {
+            Ok((at, Object::RolloutState(state))) => (at, Some(state)),
+            Ok(_) => return Err(Error::new(Code::Internal, "a state of another kind")),
+            Err(e) if e.code == Code::ObjectGone => (0, None),
+            Err(e) => return Err(e),
+        };
+        Ok(Standing { key, at, state, generation, stages: spec.stages.len() })
+    }
+
+    /// Gets what an operator sees of the state; the rest is the hosts' accounts.
+    fn seen(&self) -> Option<(RolloutPhase, usize, u64)> {
+        self.state.as_ref().map(|s| (s.phase, s.stage, s.generation))
+    }
+}
+
+/// Tells whether a verb means the same although the roll-out went on to another stage.
+fn fits_any_stage(verb: Verb) -> bool {
+    matches!(verb, Verb::Pause | Verb::Abort)
+}
+
 /// Carries out a verb on a roll-out; gets the state that stands then.
+///
+/// Hosts write their accounts to the same object. An update that met such a write is made again, as
+/// long as the verb still means what it meant when the operator gave it.
 pub fn act(platform: &PlatformClient, id: &RolloutId, verb: Verb) -> Result<RolloutState> {
-    let Object::Rollout(spec) = read(platform, &ObjectKey::new(Kind::Rollout, id))?.1 else {
-        return Err(Error::new(Code::Internal, "a roll-out of another kind"));
-    };
-    let generation = version_of(platform, &spec.to)?.generation;
-    let key = ObjectKey::new(Kind::RolloutState, id);
-    let (at, state) = match read(platform, &key) {
-        Ok((at, Object::RolloutState(state))) => (at, Some(state)),
-        Ok(_) => return Err(Error::new(Code::Internal, "a state of another kind")),
-        Err(e) if e.code == Code::ObjectGone => (0, None),
-        Err(e) => return Err(e),
-    };
-    let mut next = next(state, verb, generation, spec.stages.len())?;
-    next.op = format!("ctl-{:016x}", rand::random::<u64>());
-    let body = Object::RolloutState(next.clone()).to_json();
-    platform.write_settled(&config_name(&key), at, &body)?;
-    Ok(next)
+    let first = Standing::read(platform, id)?;
+    let meant = first.seen();
+    let mut standing = first;
+    for _ in 0..WRITE_TRIES {
+        let state = standing.state.clone();
+        let mut next = next(state, verb, standing.generation, standing.stages)?;
+        next.op = format!("ctl-{:016x}", rand::random::<u64>());
+        let body = Object::RolloutState(next.clone()).to_json();
+        match platform.write_settled(&config_name(&standing.key), standing.at, &body) {
+            Ok(_) => return Ok(next),
+            Err(e) if e.code == Code::Conflict => standing = Standing::read(platform, id)?,
+            Err(e) => return Err(e),
+        }
+        if standing.seen() != meant && !fits_any_stage(verb) {
+            let why = "the roll-out went on meanwhile; look at it and decide again";
+            return Err(Error::new(Code::Conflict, why));
+        }
+    }
+    Err(Error::new(Code::Conflict, "the roll-out is written to all the time; try again"))
 }
 
 fn next(
--- a/crates/tidetrack-standin/src/objects.rs
+++ b/crates/tidetrack-standin/src/objects.rs
@@ -30,6 +30,8 @@
     pub delay_ms: u64,
     /// So many of the next writes take effect and lose their reply.
     pub lose_replies: u32,
+    /// The next conditional update finds that this body was written to its object right before.
+    pub write_first: Option<String>,
     /// Writes a second; 0 has no limit.
     pub writes_per_second: u32,
     /// Reads a second; 0 has no limit.
@@ -211,6 +213,13 @@
     /// Writes or deletes an object; tells its new version and whether the reply gets lost.
     fn put(&self, name: &str, expected: u64, body: Option<String>) -> (Option<u64>, bool) {
         let mut state = self.lock();
+        if let Some(other) = state.faults.write_first.take() {
+            state.revision += 1;
+            let version = state.revision;
+            state.objects.insert(name.to_string(), (version, other.clone()));
+            let body = Some(other);
+            state.changes.push_back(StoredObject { name: name.to_string(), version, body });
+        }
         let present = state.objects.get(name).map_or(0, |(version, _)| *version);
         if present != expected {
             state.counts.conflicts += 1;
