Ask for proofs of the configuration, and meet a fleet's hosts in seconds

Now a host asks one of the three provers and is answered at once; a host's first message is answered with 48 addresses; a host is gone after three silent turns of its; provers read instead of watching briefly (a proof by a watch of 1.3 s is 1.3 s old when it comes).

--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -16,7 +16,7 @@
 use crate::traffic::freshness::Freshness;
 use crate::traffic::judge::Observed;
 use crate::traffic::peers::{
-    Barred, EndpointKey, News, PeerBook, PeerMessage, ToldProof, ToldTally,
+    Barred, EndpointKey, News, PeerBook, PeerMessage, Question, ToldProof, ToldTally, ROUND_EVERY,
 };
 use crate::traffic::trial::{Phase, ProgressWrite, RolloutOrder, Side, Trial, TrialView};
 use crate::units::Millis;
@@ -28,8 +28,13 @@
 /// A write that brought no news is tried again after this time.
 const WRITE_AGAIN: Millis = Millis(700);
 
-/// Rounds of messages to other hosts come this often.
-const ROUND_EVERY: Millis = Millis(250);
+/// Age of the proof of the configuration at which a host asks another for a younger one. A prover's is
+/// up to 1.5 s old, so this asks about once a second; three questions more fit in before the host reads
+/// the configuration itself.
+const ASK_FOR_PROOF: Millis = Millis(1_600);
+
+/// Least time between questions for a proof.
+const ASK_AGAIN: Millis = Millis(300);
 
 /// Something that changes beliefs.
 #[derive(Debug)]
@@ -139,6 +144,9 @@
     live: HashMap<EndpointId, Arc<EndpointLive>>,
     peers: PeerBook,
     last_round: Millis,
+    last_asked: Millis,
+    /// What was told in the last round.
+    told: News,
 }
 
 impl Beliefs {
@@ -150,6 +158,8 @@
             host,
             peers,
             last_round: Millis(0),
+            last_asked: Millis(0),
+            told: News::default(),
             catalog: None,
             table: EndpointTable::default(),
             has_endpoints: false,
@@ -160,6 +170,11 @@
         }
     }
 
+    /// Gets the other hosts that are heard.
+    pub fn peers(&self) -> &PeerBook {
+        &self.peers
+    }
+
     /// Tells whether this host is to prove the configuration itself at short intervals.
     pub fn is_prover(&self) -> bool {
         self.peers.is_prover()
@@ -168,7 +183,17 @@
     /// Takes an input; `fresh` is what this host can pass on to others.
     pub fn take(&mut self, now: Millis, input: Input, fresh: &Freshness) -> Vec<Action> {
         let mut actions = Vec::new();
+        let question = match &input {
+            Input::Heard(msg) => Question::of(msg),
+            _ => None,
+        };
         let mut changed = self.apply(now, input, &mut actions);
+        if let Some(question) = question {
+            let news = News { proof: self.told_proof(now, fresh), ..self.told.clone() };
+            let reply = self.peers.reply(now, &question, &news);
+            actions.push(Action::Send(vec![(question.address, reply)]));
+        }
+        self.ask_for_proof(now, fresh, &mut actions);
         if now >= self.last_round + ROUND_EVERY {
             self.last_round = now;
             changed |= self.do_round(now, fresh, &mut actions);
@@ -255,8 +280,8 @@
         for host in self.peers.sweep(now) {
             actions.push(Action::Note(Event::PeerDead, format!("peer={host}")));
         }
-        let news = self.news(now, fresh);
-        actions.push(Action::Send(self.peers.round(now, &news)));
+        self.told = self.news(now, fresh);
+        actions.push(Action::Send(self.peers.round(now, &self.told)));
         if !self.peers.is_empty() {
             let loads = self.peers.loads(now);
             for (id, live) in &self.live {
@@ -268,9 +293,23 @@
         services.iter().map(|s| self.judge(now, s, actions)).fold(false, |a, b| a | b)
     }
 
-    fn news(&mut self, now: Millis, fresh: &Freshness) -> News {
+    /// Asks a host that proves the configuration, when this one's proof grows old.
+    fn ask_for_proof(&mut self, now: Millis, fresh: &Freshness, actions: &mut Vec<Action>) {
+        let is_old = fresh.age(now).is_some_and(|age| age >= ASK_FOR_PROOF);
+        if !is_old || now < self.last_asked + ASK_AGAIN || self.is_prover() {
+            return;
+        }
+        self.last_asked = now;
+        actions.extend(self.peers.ask_prover(now, &self.told).map(|m| Action::Send(vec![m])));
+    }
+
+    fn told_proof(&self, now: Millis, fresh: &Freshness) -> Option<ToldProof> {
         let proof = self.catalog.as_ref().zip(fresh.age(now));
-        let proof = proof.map(|(c, age)| ToldProof { version: c.version, age_ms: age.0 });
+        proof.map(|(c, age)| ToldProof { version: c.version, age_ms: age.0 })
+    }
+
+    fn news(&mut self, now: Millis, fresh: &Freshness) -> News {
+        let proof = self.told_proof(now, fresh);
         let loads = self.live.iter().map(|(id, live)| (EndpointKey::from(id), live.own_work()));
         let mut news = News {
             proof,
@@ -411,7 +450,7 @@
         proven: Vec<PoolEndpoint>,
         new: Vec<PoolEndpoint>,
     ) -> ServiceView {
-        let spread = self.peers.spread(ROUND_EVERY);
+        let spread = self.peers.spread();
         let trial = self.trials.get(service).map(|t| t.view(spread));
         let exposure = self.exposures.entry(service.clone()).or_default().clone();
         let pool = |endpoints| PoolView::new(endpoints, 0);
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -8,6 +8,10 @@
 //! A proof can be passed on without comparing clocks: a host's message repeats the sender's stamp of
 //! the last message it got from the receiver. The receiver knows that its stamp was made before the
 //! answer, so the proof began no later than its own stamp less the age that was told.
+//!
+//! In a large fleet the last message of most hosts is seconds old, and so is what it proves. A host
+//! whose proof grows old therefore asks one of those that prove the configuration, which answers at
+//! once.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -15,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{EndpointId, HostId, ServiceId, VersionName};
+use crate::ids::{EndpointId, FailureDomain, HostId, ServiceId, VersionName};
 use crate::placement::rendezvous;
 use crate::traffic::exposure::SessionKey;
 use crate::traffic::judge::Tally;
@@ -24,14 +28,25 @@
 /// Hosts that one round of messages goes to.
 const FANOUT: usize = 8;
 
-/// A host that was not heard for this time is gone.
+/// A host that was not heard for this time is gone, in a fleet in which a round reaches all.
 const GONE_AFTER: Millis = Millis(3_000);
 
+/// Rounds come this often.
+pub const ROUND_EVERY: Millis = Millis(250);
+
+/// In a large fleet a host is gone when so many turns of its passed in silence: two messages in a row
+/// may be lost by chance, on links that lose a few in a hundred.
+const TURNS_MISSED: u64 = 3;
+
 /// Loads older than this are not counted any more.
 const LOAD_KEPT: Millis = Millis(1_500);
 
 /// Addresses of other hosts that a message names.
-const MOST_HINTS: usize = 6;
+const HINTS: usize = 6;
+
+/// Addresses that the answer to a host's first message names: enough that a host which starts knows
+/// most of some hundred others after a few answers.
+const FIRST_HINTS: usize = 48;
 
 /// Hosts of a fleet that prove the configuration themselves at short intervals.
 const PROVERS: usize = 3;
@@ -98,6 +113,10 @@
     pub from: HostId,
     /// Where the sender hears messages.
     pub address: SocketAddr,
+    /// Where the sender stands.
+    pub failure_domain: FailureDomain,
+    /// Whether the sender waits for an answer.
+    pub wants_reply: bool,
     /// The sender's clock, in milliseconds. Only the sender makes sense of it.
     pub stamp_ms: u64,
     /// The stamp of the last message that the sender had from the receiver.
@@ -122,10 +141,33 @@
 pub struct PeerBook {
     host: HostId,
     address: SocketAddr,
+    failure_domain: FailureDomain,
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<HostId, Peer>,
     hinted: BTreeMap<SocketAddr, Millis>,
     turn: usize,
+    /// Counts the questions for a proof, to ask another host each time.
+    asked: usize,
+}
+
+/// A message that its sender wants answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// Where the answer goes.
+    pub address: SocketAddr,
+    /// The sender's stamp.
+    pub stamp_ms: u64,
+    /// Whether the sender had not heard this host before.
+    pub is_first: bool,
+}
+
+impl Question {
+    /// Gets the question that a message asks, if any.
+    pub fn of(msg: &PeerMessage) -> Option<Question> {
+        let is_first = msg.echo_ms.is_none();
+        let question = Question { address: msg.address, stamp_ms: msg.stamp_ms, is_first };
+        msg.wants_reply.then_some(question)
+    }
 }
 
 /// What a message proves to its receiver.
@@ -140,9 +182,25 @@
 
 impl PeerBook {
     /// Makes a book of a host that knows only where some others may be.
-    pub fn new(host: HostId, address: SocketAddr, seeds: Vec<SocketAddr>) -> PeerBook {
+    pub fn new(
+        host: HostId,
+        address: SocketAddr,
+        failure_domain: FailureDomain,
+        seeds: Vec<SocketAddr>,
+    ) -> PeerBook {
         let seeds = seeds.into_iter().filter(|s| *s != address).collect();
-        PeerBook { host, address, seeds, peers: BTreeMap::new(), hinted: BTreeMap::new(), turn: 0 }
+        // Hosts begin at different provers.
+        let asked = xxh3_64(host.as_str().as_bytes()) as usize % PROVERS;
+        PeerBook {
+            host,
+            address,
+            failure_domain,
+            seeds,
+            peers: BTreeMap::new(),
+            hinted: BTreeMap::new(),
+            turn: 0,
+            asked,
+        }
     }
 
     /// Takes a message; gives back the proof it carries, if it is one for this host.
@@ -170,7 +228,8 @@
     /// Forgets hosts that fell silent; lists them.
     pub fn sweep(&mut self, now: Millis) -> Vec<HostId> {
         self.hinted.retain(|_, since| now < *since + GONE_AFTER);
-        let is_gone = |p: &Peer| now >= p.heard_at + GONE_AFTER;
+        let gone_after = Millis(GONE_AFTER.0.max(self.turn_time().0 * TURNS_MISSED));
+        let is_gone = |p: &Peer| now >= p.heard_at + gone_after;
         let gone: Vec<HostId> =
             self.peers.iter().filter(|(_, p)| is_gone(p)).map(|(h, _)| h.clone()).collect();
         self.peers.retain(|_, p| !is_gone(p));
@@ -179,30 +238,68 @@
 
     /// Makes the messages of one round, with their receivers.
     pub fn round(&mut self, now: Millis, news: &News) -> Vec<(SocketAddr, PeerMessage)> {
-        let mut known: Vec<(SocketAddr, Option<u64>)> =
-            self.peers.values().map(|p| (p.address, Some(p.stamp_ms))).collect();
-        let mut receivers = Vec::new();
-        let most = known.len().min(FANOUT);
-        for i in 0..most {
-            receivers.push(known[(self.turn + i) % known.len()]);
-        }
-        self.turn = self.turn.wrapping_add(most);
-        let unheard = self.seeds.iter().chain(self.hinted.keys());
-        let unheard: Vec<SocketAddr> =
-            unheard.filter(|a| known.iter().all(|(k, _)| k != *a)).copied().collect();
-        receivers.extend(unheard.into_iter().take(FANOUT).map(|a| (a, None)));
-        let start = self.turn % known.len().max(1);
-        known.rotate_left(start);
-        let hints: Vec<SocketAddr> = known.iter().take(MOST_HINTS).map(|(a, _)| *a).collect();
-        let message = |echo_ms| PeerMessage {
+        let known = self.peers.values().map(|p| (p.address, Some(p.stamp_ms)));
+        let receivers: Vec<(SocketAddr, Option<u64>)> =
+            known.cycle().skip(self.turn_at()).take(self.peers.len().min(FANOUT)).collect();
+        let mut messages: Vec<(SocketAddr, PeerMessage)> = receivers
+            .into_iter()
+            .map(|(address, echo)| (address, self.message(now, echo, HINTS, news)))
+            .collect();
+        let unheard: Vec<SocketAddr> = self.unheard();
+        let first = unheard.iter().cycle().skip(self.turn).take(unheard.len().min(FANOUT));
+        messages.extend(first.map(|address| {
+            let message = self.message(now, None, HINTS, news);
+            (*address, PeerMessage { wants_reply: true, ..message })
+        }));
+        self.turn = self.turn.wrapping_add(FANOUT);
+        messages
+    }
+
+    /// Lists the addresses at which hosts may be that were not heard yet.
+    fn unheard(&self) -> Vec<SocketAddr> {
+        let is_known = |address: &SocketAddr| self.peers.values().any(|p| p.address == *address);
+        self.seeds.iter().chain(self.hinted.keys()).filter(|a| !is_known(a)).copied().collect()
+    }
+
+    /// Gets the place of the next receiver among the hosts that are heard.
+    fn turn_at(&self) -> usize {
+        self.turn % self.peers.len().max(1)
+    }
+
+    /// Makes a message to a host whose last stamp was `echo_ms`.
+    fn message(&self, now: Millis, echo_ms: Option<u64>, hints: usize, news: &News) -> PeerMessage {
+        let known = self.peers.values().map(|p| p.address);
+        let hints = hints.min(self.peers.len());
+        PeerMessage {
             from: self.host.clone(),
             address: self.address,
+            failure_domain: self.failure_domain.clone(),
+            wants_reply: false,
             stamp_ms: now.0,
             echo_ms,
-            hints: hints.clone(),
+            hints: known.cycle().skip(self.turn_at()).take(hints).collect(),
             news: news.clone(),
-        };
-        receivers.into_iter().map(|(address, echo)| (address, message(echo))).collect()
+        }
+    }
+
+    /// Answers a question that came just now; a host's first one is answered with many hints.
+    pub fn reply(&self, now: Millis, to: &Question, news: &News) -> PeerMessage {
+        let hints = if to.is_first { FIRST_HINTS } else { HINTS };
+        self.message(now, Some(to.stamp_ms), hints, news)
+    }
+
+    /// Asks one of the hosts that prove the configuration, another one each time.
+    pub fn ask_prover(&mut self, now: Millis, news: &News) -> Option<(SocketAddr, PeerMessage)> {
+        let mut provers: Vec<(u64, &Peer)> =
+            self.peers.iter().map(|(host, peer)| (prover_weight(host), peer)).collect();
+        provers.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        provers.truncate(PROVERS);
+        let (_, peer) = *provers.get(self.asked % provers.len().max(1))?;
+        let message =
+            PeerMessage { wants_reply: true, ..self.message(now, Some(peer.stamp_ms), 0, news) };
+        let address = peer.address;
+        self.asked = self.asked.wrapping_add(1);
+        Some((address, message))
     }
 
     /// Sums the work that the other hosts have at endpoints.
@@ -239,16 +336,19 @@
     /// ranks those it hears alike; where they hear different ones, a few more or fewer prove, and a
     /// host without a relayed proof proves for itself.
     pub fn is_prover(&self) -> bool {
-        let weight = |host: &HostId| rendezvous("prover", host.as_str());
-        let own = weight(&self.host);
-        self.peers.keys().filter(|h| weight(h) > own).count() < PROVERS
+        let own = prover_weight(&self.host);
+        self.peers.keys().filter(|h| prover_weight(h) > own).count() < PROVERS
+    }
+
+    /// Gets the time in which a host has sent one message to each other.
+    fn turn_time(&self) -> Millis {
+        Millis(ROUND_EVERY.0 * self.peers.len().div_ceil(FANOUT) as u64)
     }
 
     /// Gets the time within which news of one host has gone to all others.
-    pub fn spread(&self, round_every: Millis) -> Millis {
-        let rounds = self.peers.len().div_ceil(FANOUT) as u64;
+    pub fn spread(&self) -> Millis {
         // Twice, for a message may be lost.
-        Millis(round_every.0 * rounds * 2)
+        Millis(self.turn_time().0 * 2)
     }
 
     /// Counts the other hosts that are heard.
@@ -261,3 +361,8 @@
         self.peers.is_empty()
     }
 }
+
+/// Ranks hosts for proving the configuration.
+fn prover_weight(host: &HostId) -> u64 {
+    rendezvous("prover", host.as_str())
+}
--- /dev/null
+++ b/crates/tidetrack-core/tests/support/mod.rs
@@ -0,0 +1,124 @@
+//! What tests of the traffic decisions begin with.
+
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tidetrack_core::ids::HostId;
+use tidetrack_core::traffic::catalog::{
+    Catalog, KeyHolder, PricedModel, Route, Service, Target, Work,
+};
+use tidetrack_core::traffic::control::{Action, Beliefs, FleetView, Input};
+use tidetrack_core::traffic::endpoints::EndpointRecord;
+use tidetrack_core::traffic::freshness::Freshness;
+use tidetrack_core::traffic::peers::PeerBook;
+use tidetrack_core::traffic::trial::{Progress, RolloutOrder, RolloutState};
+use tidetrack_core::units::Millis;
+
+pub fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
+
+pub fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: id(name),
+        hostname: "shop.example".into(),
+        path_prefix: prefix.into(),
+        targets: vec![Target { service: id("llm"), weight: 1 }],
+        work: Work::Stream { resumable: true },
+        timeout: Millis(20_000),
+        objective: Millis(1_500),
+        most_gap: Some(Millis(1_200)),
+        rank: 1,
+        most_attempts: 3,
+        is_public: false,
+        models: vec![id("small"), id("large")],
+    }
+}
+
+pub fn catalog(version: u64) -> Catalog {
+    let holder = KeyHolder { workspace: id("north"), rank: Some(0) };
+    let models = vec![
+        PricedModel { name: id("small"), price: 0.02 },
+        PricedModel { name: id("large"), price: 0.35 },
+    ];
+    Catalog {
+        version,
+        routes: vec![Arc::new(route("all", "/a/")), Arc::new(route("books", "/a/books/"))],
+        services: [(id("llm"), Service { models, ..Service::default() })].into(),
+        keys: Some([("north-key".to_string(), holder)].into()),
+        ..Catalog::default()
+    }
+}
+
+pub const BOUND: Option<Millis> = Some(Millis(5_000));
+
+pub fn fresh_since(began: u64) -> Freshness {
+    let fresh = Freshness::default();
+    fresh.proved(Millis(began));
+    fresh
+}
+
+pub fn record(name: &str, version: &str) -> EndpointRecord {
+    EndpointRecord {
+        id: id(name),
+        service: id("llm"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        failure_domain: id("a"),
+        version: id(version),
+        slots: 8,
+        is_leaving: false,
+    }
+}
+
+pub fn order(revision: u64, progress: Option<Progress>) -> RolloutOrder {
+    RolloutOrder {
+        service: id("llm"),
+        version: id("v2"),
+        duration: Millis(20_000),
+        revision,
+        progress,
+    }
+}
+
+pub fn progress(state: RolloutState, elapsed: u64, has_moved: bool) -> Progress {
+    Progress { state, version: id("v2"), elapsed: Millis(elapsed), has_moved }
+}
+
+pub fn host(n: u32) -> (HostId, SocketAddr) {
+    (id(&format!("h{n}")), format!("10.0.{}.{}:7", n / 250, n % 250).parse().expect("an address"))
+}
+
+pub fn beliefs(n: u32) -> Beliefs {
+    let ((name, address), (_, seed)) = (host(n), host(1));
+    let book = PeerBook::new(name.clone(), address, id("hall"), vec![seed]);
+    Beliefs::new(name, book, Millis(5_000))
+}
+
+pub fn with_rollout(n: u32, fresh: &Freshness) -> Beliefs {
+    let mut beliefs = beliefs(n);
+    let endpoints =
+        vec![record("o1", "v1"), record("o2", "v1"), record("n1", "v2"), record("n2", "v2")];
+    beliefs.take(Millis(0), Input::Catalog(Arc::new(catalog(3))), fresh);
+    beliefs.take(Millis(0), Input::EndpointList(endpoints), fresh);
+    beliefs.take(Millis(0), Input::RolloutList(vec![order(1, None)]), fresh);
+    beliefs
+}
+
+pub fn writes(actions: &[Action]) -> Vec<RolloutState> {
+    let state = |a: &Action| match a {
+        Action::Write(write) => Some(write.progress.state),
+        _ => None,
+    };
+    actions.iter().filter_map(state).collect()
+}
+
+pub fn view_of(actions: &[Action]) -> Option<Arc<FleetView>> {
+    let view = |a: &Action| match a {
+        Action::Publish(view) => Some(view.clone()),
+        _ => None,
+    };
+    actions.iter().rev().find_map(view)
+}
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -1,16 +1,15 @@
 //! Decisions of the traffic plane, under a clock that the tests move.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tidetrack_core::codes::Code;
-use tidetrack_core::ids::{EndpointId, HostId, ModelId, RouteId, ServiceId, VersionName};
+use tidetrack_core::ids::{EndpointId, ModelId, RouteId, ServiceId, VersionName};
 use tidetrack_core::traffic::budget::{SendAgain, SendBudget};
 use tidetrack_core::traffic::cascade::{better_model, CascadeOptions, GenerationSize, Prospect};
-use tidetrack_core::traffic::catalog::{
-    Catalog, KeyHolder, PricedModel, Route, Service, Target, Work,
-};
-use tidetrack_core::traffic::control::{Action, Beliefs, FleetView, Input};
+use tidetrack_core::traffic::control::{Action, Beliefs, Input};
 use tidetrack_core::traffic::endpoints::{EndpointRecord, EndpointTable};
 use tidetrack_core::traffic::exposure::{Exposure, SessionDraw};
 use tidetrack_core::traffic::freshness::Freshness;
@@ -18,57 +17,18 @@
 use tidetrack_core::traffic::judge::Observed;
 use tidetrack_core::traffic::outlook::Outlook;
 use tidetrack_core::traffic::peers::{News, PeerBook, PeerMessage, ToldProof};
-use tidetrack_core::traffic::trial::{Phase, Progress, RolloutOrder, RolloutState, Side, Trial};
+use tidetrack_core::traffic::trial::{Phase, RolloutState, Side, Trial};
 use tidetrack_core::units::{Millis, Tokens};
 
-fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("a valid name")
-}
-
-fn route(name: &str, prefix: &str) -> Route {
-    Route {
-        name: id(name),
-        hostname: "shop.example".into(),
-        path_prefix: prefix.into(),
-        targets: vec![Target { service: id("llm"), weight: 1 }],
-        work: Work::Stream { resumable: true },
-        timeout: Millis(20_000),
-        objective: Millis(1_500),
-        most_gap: Some(Millis(1_200)),
-        rank: 1,
-        most_attempts: 3,
-        is_public: false,
-        models: vec![id("small"), id("large")],
-    }
-}
-
-fn catalog(version: u64) -> Catalog {
-    let holder = KeyHolder { workspace: id("north"), rank: Some(0) };
-    let models = vec![
-        PricedModel { name: id("small"), price: 0.02 },
-        PricedModel { name: id("large"), price: 0.35 },
-    ];
-    Catalog {
-        version,
-        routes: vec![Arc::new(route("all", "/a/")), Arc::new(route("books", "/a/books/"))],
-        services: [(id("llm"), Service { models, ..Service::default() })].into(),
-        keys: Some([("north-key".to_string(), holder)].into()),
-        ..Catalog::default()
-    }
-}
+use support::{
+    beliefs, catalog, fresh_since, host, id, order, progress, record, route, view_of, with_rollout,
+    writes, BOUND,
+};
 
 fn entry<'a>(path: &'a str, key: Option<&'a str>) -> Entry<'a> {
     Entry { hostname: "shop.example:80", path, key }
 }
 
-const BOUND: Option<Millis> = Some(Millis(5_000));
-
-fn fresh_since(began: u64) -> Freshness {
-    let fresh = Freshness::default();
-    fresh.proved(Millis(began));
-    fresh
-}
-
 #[test]
 fn the_longest_prefix_takes_the_request_and_the_workspaces_rank_goes_first() {
     let catalog = catalog(1);
@@ -145,18 +105,6 @@
     assert!(budget.take(Millis(1), SendAgain::Failure));
 }
 
-fn record(name: &str, version: &str) -> EndpointRecord {
-    EndpointRecord {
-        id: id(name),
-        service: id("llm"),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        failure_domain: id("a"),
-        version: id(version),
-        slots: 8,
-        is_leaving: false,
-    }
-}
-
 fn names(table: &EndpointTable) -> Vec<String> {
     table.records().map(|r| r.id.to_string()).collect()
 }
@@ -234,20 +182,6 @@
     assert!(outlook.chance(Millis(10_000), &route, &model, &size) > 0.9);
 }
 
-fn order(revision: u64, progress: Option<Progress>) -> RolloutOrder {
-    RolloutOrder {
-        service: id("llm"),
-        version: id("v2"),
-        duration: Millis(20_000),
-        revision,
-        progress,
-    }
-}
-
-fn progress(state: RolloutState, elapsed: u64, has_moved: bool) -> Progress {
-    Progress { state, version: id("v2"), elapsed: Millis(elapsed), has_moved }
-}
-
 #[test]
 fn a_rollout_moves_in_its_second_half_and_ends_before_its_deadline() {
     let mut trial = Trial::new(Millis(0), order(1, None));
@@ -328,16 +262,6 @@
     assert!(new <= 150, "{new}");
 }
 
-fn host(n: u32) -> (HostId, SocketAddr) {
-    (id(&format!("h{n}")), format!("10.0.0.{n}:7").parse().expect("an address"))
-}
-
-fn beliefs(n: u32) -> Beliefs {
-    let ((name, address), (_, seed)) = (host(n), host(1));
-    let book = PeerBook::new(name.clone(), address, vec![seed]);
-    Beliefs::new(name, book, Millis(5_000))
-}
-
 fn seen(endpoint: &str, new: bool, failed: bool) -> Input {
     Input::Observed(Observed {
         service: id("llm"),
@@ -351,32 +275,6 @@
     })
 }
 
-fn with_rollout(n: u32, fresh: &Freshness) -> Beliefs {
-    let mut beliefs = beliefs(n);
-    let endpoints =
-        vec![record("o1", "v1"), record("o2", "v1"), record("n1", "v2"), record("n2", "v2")];
-    beliefs.take(Millis(0), Input::Catalog(Arc::new(catalog(3))), fresh);
-    beliefs.take(Millis(0), Input::EndpointList(endpoints), fresh);
-    beliefs.take(Millis(0), Input::RolloutList(vec![order(1, None)]), fresh);
-    beliefs
-}
-
-fn writes(actions: &[Action]) -> Vec<RolloutState> {
-    let state = |a: &Action| match a {
-        Action::Write(write) => Some(write.progress.state),
-        _ => None,
-    };
-    actions.iter().filter_map(state).collect()
-}
-
-fn view_of(actions: &[Action]) -> Option<Arc<FleetView>> {
-    let view = |a: &Action| match a {
-        Action::Publish(view) => Some(view.clone()),
-        _ => None,
-    };
-    actions.iter().rev().find_map(view)
-}
-
 #[test]
 fn a_bad_version_is_barred_at_once_and_written_down() {
     let fresh = fresh_since(0);
@@ -475,11 +373,13 @@
 
 #[test]
 fn a_proof_is_passed_on_and_never_looks_younger_than_it_is() {
-    let mut book = PeerBook::new(id("h1"), host(1).1, vec![]);
+    let mut book = PeerBook::new(id("h1"), host(1).1, id("hall"), vec![]);
     let news = News { proof: Some(ToldProof { version: 3, age_ms: 400 }), ..News::default() };
     let message = |echo_ms| PeerMessage {
         from: id("h2"),
         address: host(2).1,
+        failure_domain: id("hall"),
+        wants_reply: false,
         stamp_ms: 77,
         echo_ms,
         hints: vec![],
@@ -527,11 +427,13 @@
 #[test]
 fn a_host_sends_as_much_in_a_large_fleet_as_in_a_small_one() {
     let sent_per_round = |n: u32| {
-        let mut book = PeerBook::new(id("h0"), "10.9.0.1:7".parse().expect("an address"), vec![]);
+        let mut book = PeerBook::new(id("h0"), host(0).1, id("hall"), vec![]);
         for i in 1..=n {
             let message = PeerMessage {
                 from: id(&format!("h{i}")),
                 address: format!("10.1.{}.{}:7", i / 250, i % 250).parse().expect("an address"),
+                failure_domain: id("hall"),
+                wants_reply: false,
                 stamp_ms: 1,
                 echo_ms: None,
                 hints: vec![],
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -31,7 +31,12 @@
         Watches::start(shared.clone(), store.clone(), proves_seen);
         let settings = &shared.settings;
         let (host, address) = (settings.host.clone(), settings.peer_address);
-        let book = PeerBook::new(host.clone(), address, settings.seeds.clone());
+        let book = PeerBook::new(
+            host.clone(),
+            address,
+            settings.failure_domain.clone(),
+            settings.seeds.clone(),
+        );
         let peers = Peers::start(shared.clone()).await;
         let mut beliefs = Beliefs::new(host, book, settings.bounds.session_time);
         loop {
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -1,9 +1,10 @@
 //! Keeps the beliefs of a host at the store's state: a list of each kind, then a watch from there.
 //!
-//! The configuration's watch also proves freshness: each of its replies, and each list, was the
-//! store's newest state at some moment after the call began. Losing the store is noticed there, for
-//! its waits are short; the other kinds then start again from a list.
+//! A few hosts also prove that the configuration is the newest, by short reads; the others are told.
+//! A host whose proof grows old all the same reads for itself, and notices there that it has lost the
+//! store; once the store answers again, all kinds start again from a list.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,19 +21,18 @@
 use crate::shared::SharedRef;
 use crate::store::Store;
 
-/// How long the store holds the configuration's watch of a host that proves it for others too. A
-/// proof is at most about twice as old, which leaves room within the usual bound of 5 s on
-/// revocation.
-const PROVING_WAIT: Millis = Millis(1_300);
+/// Age of its proof at which a host that proves the configuration for others reads it. With the time
+/// until others ask for it, a proof stays within half of the usual bound of 5 s on revocation.
+const PROVE_EVERY: Millis = Millis(1_500);
 
 /// Age of the proof at which a host that relies on others' proofs reads the configuration itself.
-const PROOF_WANTED: Millis = Millis(2_200);
+const PROOF_WANTED: Millis = Millis(2_500);
 
 /// Pause between looks at the proof's age.
 const PROOF_LOOK: Duration = Duration::from_millis(200);
 
-/// How long the store holds the other watches. A dead connection is noticed by its probes.
-const OTHER_WAIT: Millis = Millis(20_000);
+/// How long the store holds a watch. A dead connection is noticed by its probes.
+const WATCH_WAIT: Millis = Millis(20_000);
 
 /// Pause after a change of the endpoints, in which others gather for one reply: endpoints start and
 /// leave in groups, and an entry counts within two seconds.
@@ -52,13 +52,18 @@
     returns: watch::Sender<u64>,
     /// Whether this host proves the configuration at short intervals.
     proves: watch::Receiver<bool>,
+    /// Whether the store did not answer the last read of the configuration.
+    is_lost: Cell<bool>,
+    /// Revision up to which the configuration was read; 0 if it was not.
+    catalog_at: Cell<u64>,
 }
 
 impl Watches {
     /// Starts the watches of all kinds on the present thread.
     pub fn start(shared: SharedRef, store: Rc<Store>, proves: watch::Receiver<bool>) {
         let (returns, _) = watch::channel(0);
-        let watches = Rc::new(Watches { shared, store, returns, proves });
+        let (is_lost, catalog_at) = (Cell::new(false), Cell::new(0));
+        let watches = Rc::new(Watches { shared, store, returns, proves, is_lost, catalog_at });
         tokio::task::spawn_local(watches.clone().keep_proof());
         for kind in [Kind::Catalog, Kind::Endpoints, Kind::Rollouts] {
             tokio::task::spawn_local(watches.clone().keep(kind));
@@ -69,11 +74,11 @@
     async fn keep(self: Rc<Self>, kind: Kind) {
         let mut returns = self.returns.subscribe();
         let mut pause = FIRST_PAUSE;
-        let mut is_lost = false;
+        let mut is_logged = false;
         loop {
             returns.mark_unchanged();
             let e = tokio::select! {
-                e = self.follow(kind, &mut is_lost) => e,
+                e = self.follow(kind, &mut is_logged) => e,
                 _ = returns.changed(), if kind != Kind::Catalog => continue,
             };
             if e.code == Code::HistoryGone {
@@ -81,56 +86,78 @@
                 pause = FIRST_PAUSE;
                 continue;
             }
-            if !is_lost {
-                is_lost = true;
+            if kind == Kind::Catalog {
+                self.lost(&e);
+            } else if !is_logged {
+                self.log_lost(kind, &e);
+            }
+            if !std::mem::replace(&mut is_logged, true) {
                 pause = FIRST_PAUSE;
-                self.lost(kind, &e);
             }
             tokio::time::sleep(jittered(pause)).await;
             pause = (pause * 2).min(LONGEST_PAUSE);
         }
     }
 
-    /// Reads the configuration when no proof has come from elsewhere for a while. A failed read is
-    /// not made again at once: the watch notices that the store is lost, and returns.
+    /// Reads the configuration at short intervals if others rely on it, and otherwise when no proof has
+    /// come from elsewhere for a while.
     async fn keep_proof(self: Rc<Self>) {
+        let mut pause = FIRST_PAUSE;
         loop {
             tokio::time::sleep(PROOF_LOOK).await;
             let age = self.shared.fresh.age(self.shared.now());
-            let is_wanted = age.is_some_and(|age| age >= PROOF_WANTED) && !*self.proves.borrow();
-            if is_wanted && self.read_all(Kind::Catalog).await.is_err() {
-                tokio::time::sleep(LONGEST_PAUSE).await;
+            let wanted = if *self.proves.borrow() { PROVE_EVERY } else { PROOF_WANTED };
+            let after = self.catalog_at.get();
+            if after == 0 || age.is_none_or(|age| age < wanted) {
+                continue;
+            }
+            match self.read_changes(Kind::Catalog, after, Millis(0)).await {
+                Ok(_) => {
+                    pause = FIRST_PAUSE;
+                    self.back();
+                }
+                // The watch meets the same, and lists.
+                Err(e) if e.code == Code::HistoryGone => {}
+                Err(e) => {
+                    self.lost(&e);
+                    tokio::time::sleep(jittered(pause)).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
             }
         }
     }
 
-    fn lost(&self, kind: Kind, e: &Error) {
-        let kind_name = format!("{kind:?}");
-        self.shared.journal.line(Event::PlatformLost, &[("kind", &kind_name), ("why", e)]);
-        if kind == Kind::Catalog {
+    fn log_lost(&self, kind: Kind, e: &Error) {
+        let kind = format!("{kind:?}");
+        self.shared.journal.line(Event::PlatformLost, &[("kind", &kind), ("why", e)]);
+    }
+
+    /// Takes note that the configuration could not be read.
+    fn lost(&self, e: &Error) {
+        if !self.is_lost.replace(true) {
+            self.log_lost(Kind::Catalog, e);
             self.shared.tell(Input::StoreLost);
         }
     }
 
-    fn back(&self, kind: Kind) {
-        self.shared.journal.line(Event::PlatformBack, &[("kind", &format!("{kind:?}"))]);
-        if kind == Kind::Catalog {
+    /// Takes note that the configuration was read.
+    fn back(&self) {
+        if self.is_lost.replace(false) {
+            self.shared.journal.line(Event::PlatformBack, &[]);
             self.shared.tell(Input::StoreBack);
             self.returns.send_modify(|n| *n += 1);
         }
     }
 
     /// Lists a kind and follows its changes until a call fails.
-    async fn follow(&self, kind: Kind, is_lost: &mut bool) -> Error {
+    async fn follow(&self, kind: Kind, is_logged: &mut bool) -> Error {
         let mut revision = match self.read_all(kind).await {
             Ok(revision) => revision,
             Err(e) => return e,
         };
-        if std::mem::take(is_lost) {
-            self.back(kind);
-        }
+        *is_logged = false;
         loop {
-            match self.read_changes(kind, revision).await {
+            match self.read_changes(kind, revision, WATCH_WAIT).await {
                 Ok(next) if next > revision => {
                     revision = next;
                     tokio::time::sleep(settle_time(kind)).await;
@@ -153,16 +180,22 @@
             }
         }
         match kind {
-            Kind::Catalog => self.shared.fresh.proved(listed.began),
+            Kind::Catalog => self.catalog_read(listed.began, listed.revision),
             Kind::Endpoints => self.shared.tell(Input::EndpointList(endpoints)),
             Kind::Rollouts => self.shared.tell(Input::RolloutList(rollouts)),
         }
         Ok(listed.revision)
     }
 
-    async fn read_changes(&self, kind: Kind, after: u64) -> Result<u64> {
-        let proves = kind == Kind::Catalog && *self.proves.borrow();
-        let wait = if proves { PROVING_WAIT } else { OTHER_WAIT };
+    /// Takes note of a read of the configuration.
+    fn catalog_read(&self, began: Millis, revision: u64) {
+        self.shared.fresh.proved(began);
+        self.catalog_at.set(self.catalog_at.get().max(revision));
+        self.back();
+    }
+
+    /// Reads the changes of a kind after a revision; the store may wait for one.
+    async fn read_changes(&self, kind: Kind, after: u64, wait: Millis) -> Result<u64> {
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
         let call = (dialect.watch)(kind, after, wait);
@@ -179,7 +212,7 @@
             }
         }
         if kind == Kind::Catalog {
-            self.shared.fresh.proved(began);
+            self.catalog_read(began, changes.revision);
         }
         Ok(changes.revision.max(after))
     }
--- a/crates/tidetrack-plane/tests/messages.rs
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -20,6 +20,8 @@
     PeerMessage {
         from: "edge-some-hall-1".parse().expect("a name"),
         address: "10.1.0.40:8229".parse().expect("an address"),
+        failure_domain: "some-hall".parse().expect("a name"),
+        wants_reply: true,
         stamp_ms: 604_800_000,
         echo_ms: Some(604_800_000),
         hints: vec!["10.1.0.41:8229".parse().expect("an address"); 6],
