--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -13,6 +13,7 @@
 use crate::traffic::catalog::Catalog;
 use crate::traffic::endpoints::{EndpointRecord, EndpointTable};
 use crate::traffic::exposure::{Exposure, SessionDraw};
+use crate::traffic::feeds::{Catch, Feeds, Kind};
 use crate::traffic::freshness::Freshness;
 use crate::traffic::judge::Observed;
 use crate::traffic::peers::{
@@ -25,6 +26,10 @@
 /// turn within it.
 const WRITE_TURNS_MS: f64 = 400.0;
 
+/// How long a host that does not watch the store leaves a write to those that do: some rounds more than
+/// a write needs to be known everywhere.
+const WATCHERS_WRITE_FOR: Millis = Millis(1_500);
+
 /// A write that brought no news is tried again after this time.
 const WRITE_AGAIN: Millis = Millis(700);
 
@@ -53,6 +58,17 @@
     Rollout(RolloutOrder),
     /// A roll-out is gone.
     RolloutGone(ServiceId),
+    /// Every change of a kind up to a revision of the store is known.
+    CaughtUp {
+        /// The kind.
+        kind: Kind,
+        /// The revision.
+        complete: u64,
+        /// The newest change; `None` if the changes were not told one by one.
+        changed: Option<u64>,
+    },
+    /// Changes could not be got.
+    CatchFailed(Catch),
     /// The store does not answer this host.
     StoreLost,
     /// The store answers this host again.
@@ -74,6 +90,8 @@
     Write(ProgressWrite),
     /// Another host's proof of the configuration holds for this host too; it began at this time.
     Proved(Millis),
+    /// Changes of the store are to be got.
+    Catch(Catch),
     /// Messages are to be sent.
     Send(Vec<(SocketAddr, PeerMessage)>),
     /// A belief changed; for the log.
@@ -143,6 +161,7 @@
     session_time: Millis,
     live: HashMap<EndpointId, Arc<EndpointLive>>,
     peers: PeerBook,
+    feeds: Feeds,
     last_round: Millis,
     last_asked: Millis,
     /// What was told in the last round.
@@ -157,6 +176,7 @@
         Beliefs {
             host,
             peers,
+            feeds: Feeds::default(),
             last_round: Millis(0),
             last_asked: Millis(0),
             told: News::default(),
@@ -170,6 +190,11 @@
         }
     }
 
+    /// Tells whether this host is to watch the store for others.
+    pub fn is_watcher(&self) -> bool {
+        self.peers.is_watcher()
+    }
+
     /// Gets the other hosts that are heard.
     pub fn peers(&self) -> &PeerBook {
         &self.peers
@@ -194,6 +219,7 @@
             actions.push(Action::Send(vec![(question.address, reply)]));
         }
         self.ask_for_proof(now, fresh, &mut actions);
+        actions.extend(self.feeds.due(now).into_iter().map(Action::Catch));
         if now >= self.last_round + ROUND_EVERY {
             self.last_round = now;
             changed |= self.do_round(now, fresh, &mut actions);
@@ -240,6 +266,17 @@
                 true
             }
             Input::RolloutGone(service) => self.trials.remove(&service).is_some(),
+            Input::CaughtUp { kind, complete, changed } => {
+                if self.feeds.caught_up(kind, complete, changed) {
+                    // Others are told at once.
+                    self.last_round = Millis(0);
+                }
+                false
+            }
+            Input::CatchFailed(catch) => {
+                self.feeds.failed(now, &catch);
+                false
+            }
             Input::StoreLost => {
                 self.table.store_lost();
                 false
@@ -264,6 +301,9 @@
             let exposure = self.exposures.entry(service.clone()).or_default();
             exposure.hold_told(now, sessions, self.session_time);
         }
+        let is_near = self.peers.is_near(&msg.failure_domain);
+        let lacking = self.feeds.told(now, &msg.news.changed, msg.address, is_near);
+        actions.extend(lacking.into_iter().map(Action::Catch));
         let proof = self.peers.hear(now, msg);
         if self.peers.len() > before {
             actions.push(Action::Note(Event::PeerAlive, format!("peer={from}")));
@@ -313,6 +353,7 @@
         let loads = self.live.iter().map(|(id, live)| (EndpointKey::from(id), live.own_work()));
         let mut news = News {
             proof,
+            changed: self.feeds.changed(),
             loads: loads
                 .filter(|(_, work)| *work > 0)
                 .map(|(key, work)| (key, u32::try_from(work).unwrap_or(u32::MAX)))
@@ -344,8 +385,8 @@
         let endpoints = self.table.records().filter(is_new).count();
         let mut all = trial.judge.tally(now);
         self.peers.tallies(now, service, &version).for_each(|(tally, age)| all.add(tally, age));
-        let told = self.peers.is_barred(service, &version) && trial.bar();
-        if !told && !trial.judge(&all, endpoints) {
+        let told = self.peers.is_barred(service, &version) && trial.bar(now);
+        if !told && !trial.judge(now, &all, endpoints) {
             return false;
         }
         let text = format!(
@@ -404,10 +445,16 @@
     }
 
     fn write_progress(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        // A host alone has nobody to wait for; those that watch the store hear first what others wrote.
+        let (turns_ms, after) = match (self.peers.is_empty(), self.peers.is_watcher()) {
+            (true, _) => (0.0, Millis(0)),
+            (false, true) => (WRITE_TURNS_MS, Millis(0)),
+            (false, false) => (WRITE_TURNS_MS, WATCHERS_WRITE_FOR),
+        };
         for (service, trial) in &mut self.trials {
             let job = format!("{service}/{}", trial.order.version);
-            let turn = draw(&job, self.host.as_str()) * WRITE_TURNS_MS;
-            let due = trial.due(now, Millis(turn as u64), WRITE_AGAIN);
+            let turn = draw(&job, self.host.as_str()) * turns_ms;
+            let due = trial.due(now, after + Millis(turn as u64), WRITE_AGAIN);
             actions.extend(due.map(Action::Write));
         }
     }
--- /dev/null
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -0,0 +1,180 @@
+//! What this host knows of the store's changes, and where it gets what it lacks.
+//!
+//! A few hosts of each failure domain watch the store; the others hear from them, and from each
+//! other, up to which change somebody knows each kind. A host that hears of a change it lacks gets it
+//! from the host that told it. Where that fails, or takes too long, it reads the store itself, so a
+//! host depends on no single other one.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::units::Millis;
+
+/// How long a change is left to hosts of the own failure domain to be told, before it is got from
+/// another one: bytes between failure domains cost.
+const FAR_AFTER: Millis = Millis(200);
+
+/// How long after the first word of a change the store is read for it.
+const STORE_AFTER: Millis = Millis(700);
+
+/// Pause after a failed read of the store, beside the time of a try.
+const STORE_AGAIN: Millis = Millis(600);
+
+/// Time after which a try counts as failed.
+const TRY_WITHIN: Millis = Millis(400);
+
+/// A kind of objects that hosts follow in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// The configuration.
+    Catalog,
+    /// The endpoints.
+    Endpoints,
+    /// The roll-outs.
+    Rollouts,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Kind; 3] = [Kind::Catalog, Kind::Endpoints, Kind::Rollouts];
+}
+
+/// A revision of the store for each kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revisions([u64; 3]);
+
+impl Revisions {
+    /// Gets a kind's revision.
+    pub fn get(&self, kind: Kind) -> u64 {
+        self.0[kind as usize]
+    }
+
+    /// Raises a kind's revision; it never falls.
+    pub fn raise(&mut self, kind: Kind, to: u64) {
+        let at = &mut self.0[kind as usize];
+        *at = (*at).max(to);
+    }
+}
+
+/// Where changes are got from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// Another host.
+    Host(SocketAddr),
+    /// The store.
+    Store,
+}
+
+/// Changes that are to be got now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Catch {
+    /// Of this kind.
+    pub kind: Kind,
+    /// After this revision.
+    pub after: u64,
+    /// From there.
+    pub source: Source,
+}
+
+/// A change that somebody told of and this host lacks.
+#[derive(Clone, Copy, Debug)]
+struct Lack {
+    since: Millis,
+    wanted: u64,
+    tried_at: Option<Millis>,
+    /// Whether hosts could not give it.
+    is_failed: bool,
+}
+
+/// How far this host follows each kind.
+#[derive(Clone, Debug, Default)]
+pub struct Feeds {
+    /// Every change up to here is known; 0 if the kind was never listed.
+    complete: Revisions,
+    /// The newest change that is known; this is what other hosts are told.
+    changed: Revisions,
+    lacks: [Option<Lack>; 3],
+}
+
+impl Feeds {
+    /// Gets the newest known changes.
+    pub fn changed(&self) -> Revisions {
+        self.changed
+    }
+
+    /// Takes note that every change up to `complete` is known, the newest of them `changed`; tells
+    /// whether that is news for other hosts.
+    pub fn caught_up(&mut self, kind: Kind, complete: u64, changed: Option<u64>) -> bool {
+        self.complete.raise(kind, complete);
+        let before = self.changed.get(kind);
+        self.changed.raise(kind, changed.unwrap_or(0));
+        let lack = &mut self.lacks[kind as usize];
+        *lack = lack.filter(|l| l.wanted > self.complete.0[kind as usize]);
+        self.changed.get(kind) > before
+    }
+
+    /// Takes note that a try failed: the store is next, at once after a host, and after a pause if it
+    /// was the store that failed.
+    pub fn failed(&mut self, now: Millis, catch: &Catch) {
+        if let Some(lack) = &mut self.lacks[catch.kind as usize] {
+            lack.tried_at = (catch.source == Source::Store).then_some(now + STORE_AGAIN);
+            lack.is_failed = true;
+        }
+    }
+
+    /// Takes what another host knows; gets what is to be got from it.
+    pub fn told(
+        &mut self,
+        now: Millis,
+        told: &Revisions,
+        from: SocketAddr,
+        is_near: bool,
+    ) -> Vec<Catch> {
+        let source = Source::Host(from);
+        Kind::ALL
+            .into_iter()
+            .filter_map(|k| self.told_of(now, k, told.get(k), source, is_near))
+            .collect()
+    }
+
+    fn told_of(
+        &mut self,
+        now: Millis,
+        kind: Kind,
+        wanted: u64,
+        source: Source,
+        is_near: bool,
+    ) -> Option<Catch> {
+        let after = self.complete.get(kind);
+        // A kind that was never listed is being listed.
+        if after == 0 || wanted <= after {
+            return None;
+        }
+        let new = Lack { since: now, wanted, tried_at: None, is_failed: false };
+        let lack = self.lacks[kind as usize].get_or_insert(new);
+        lack.wanted = lack.wanted.max(wanted);
+        let is_tried = lack.tried_at.is_some_and(|at| now < at + TRY_WITHIN);
+        if is_tried || lack.is_failed || !(is_near || now >= lack.since + FAR_AFTER) {
+            return None;
+        }
+        lack.tried_at = Some(now);
+        Some(Catch { kind, after, source })
+    }
+
+    /// Gets what is to be read from the store, because hosts did not give it.
+    pub fn due(&mut self, now: Millis) -> Vec<Catch> {
+        let mut due = Vec::new();
+        for kind in Kind::ALL {
+            let Some(lack) = &mut self.lacks[kind as usize] else { continue };
+            let is_tried = lack.tried_at.is_some_and(|at| now < at + TRY_WITHIN);
+            if !is_tried && (lack.is_failed || now >= lack.since + STORE_AFTER) {
+                lack.tried_at = Some(now);
+                lack.is_failed = false;
+                let after = self.complete.get(kind);
+                due.push(Catch { kind, after, source: Source::Store });
+            }
+        }
+        due
+    }
+}
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod endpoints;
 pub mod exposure;
+pub mod feeds;
 pub mod freshness;
 pub mod gate;
 pub mod judge;
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -22,6 +22,7 @@
 use crate::ids::{EndpointId, FailureDomain, HostId, ServiceId, VersionName};
 use crate::placement::rendezvous;
 use crate::traffic::exposure::SessionKey;
+use crate::traffic::feeds::Revisions;
 use crate::traffic::judge::Tally;
 use crate::units::Millis;
 
@@ -48,6 +49,9 @@
 /// most of some hundred others after a few answers.
 const FIRST_HINTS: usize = 48;
 
+/// Hosts of a failure domain that watch the store. Two, for one may be cut off from it unnoticed.
+const WATCHERS: usize = 2;
+
 /// Hosts of a fleet that prove the configuration themselves at short intervals.
 const PROVERS: usize = 3;
 
@@ -102,6 +106,8 @@
     pub tallies: Vec<ToldTally>,
     /// Versions it holds bad.
     pub barred: Vec<Barred>,
+    /// The newest changes of the store it knows.
+    pub changed: Revisions,
     /// Sessions at work on proven versions of services under roll-out.
     pub sessions: Vec<(ServiceId, Vec<SessionKey>)>,
 }
@@ -131,6 +137,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     address: SocketAddr,
+    failure_domain: FailureDomain,
     heard_at: Millis,
     stamp_ms: u64,
     news: News,
@@ -189,8 +196,8 @@
         seeds: Vec<SocketAddr>,
     ) -> PeerBook {
         let seeds = seeds.into_iter().filter(|s| *s != address).collect();
-        // Hosts begin at different provers.
-        let asked = xxh3_64(host.as_str().as_bytes()) as usize % PROVERS;
+        // Hosts begin at different places: what several know must not go to the same few at once.
+        let start = xxh3_64(host.as_str().as_bytes()) as usize;
         PeerBook {
             host,
             address,
@@ -198,8 +205,8 @@
             seeds,
             peers: BTreeMap::new(),
             hinted: BTreeMap::new(),
-            turn: 0,
-            asked,
+            turn: start,
+            asked: start,
         }
     }
 
@@ -219,8 +226,13 @@
             version: proof.version,
             began: Millis(echo_ms.min(now.0).saturating_sub(proof.age_ms)),
         });
-        let peer =
-            Peer { address: msg.address, heard_at: now, stamp_ms: msg.stamp_ms, news: msg.news };
+        let peer = Peer {
+            address: msg.address,
+            failure_domain: msg.failure_domain,
+            heard_at: now,
+            stamp_ms: msg.stamp_ms,
+            news: msg.news,
+        };
         self.peers.insert(msg.from, peer);
         proof
     }
@@ -246,7 +258,11 @@
             .map(|(address, echo)| (address, self.message(now, echo, HINTS, news)))
             .collect();
         let unheard: Vec<SocketAddr> = self.unheard();
-        let first = unheard.iter().cycle().skip(self.turn).take(unheard.len().min(FANOUT));
+        let first = unheard
+            .iter()
+            .cycle()
+            .skip(self.turn % unheard.len().max(1))
+            .take(unheard.len().min(FANOUT));
         messages.extend(first.map(|address| {
             let message = self.message(now, None, HINTS, news);
             (*address, PeerMessage { wants_reply: true, ..message })
@@ -340,6 +356,19 @@
         self.peers.keys().filter(|h| prover_weight(h) > own).count() < PROVERS
     }
 
+    /// Tells whether this host is one of the few of its failure domain that watch the store.
+    pub fn is_watcher(&self) -> bool {
+        let weight = |host: &HostId| rendezvous("watch", host.as_str());
+        let own = weight(&self.host);
+        let near = self.peers.iter().filter(|(_, p)| self.is_near(&p.failure_domain));
+        near.filter(|(h, _)| weight(h) > own).count() < WATCHERS
+    }
+
+    /// Tells whether a failure domain is this host's own.
+    pub fn is_near(&self, failure_domain: &FailureDomain) -> bool {
+        *failure_domain == self.failure_domain
+    }
+
     /// Gets the time in which a host has sent one message to each other.
     fn turn_time(&self) -> Millis {
         Millis(ROUND_EVERY.0 * self.peers.len().div_ceil(FANOUT) as u64)
--- a/crates/tidetrack-core/src/traffic/trial.rs
+++ b/crates/tidetrack-core/src/traffic/trial.rs
@@ -115,8 +115,8 @@
     pub order: RolloutOrder,
     /// When the order began, by this host's clock as far as it knows.
     began: Millis,
-    /// Whether this host found the version bad.
-    is_bad: bool,
+    /// When this host took the version for bad, if it did.
+    bad_since: Option<Millis>,
     /// The judgement.
     pub judge: Judge,
     /// Progress that is being written, and when it may be tried again.
@@ -129,7 +129,7 @@
         let mut trial = Trial {
             order,
             began: now,
-            is_bad: false,
+            bad_since: None,
             judge: Judge::default(),
             writing_until: None,
         };
@@ -179,7 +179,7 @@
         match self.progress() {
             Some(p) if p.state == RolloutState::RolledBack => Phase::Barred,
             Some(p) if p.state == RolloutState::Completed => Phase::Done,
-            _ if self.is_bad => Phase::Barred,
+            _ if self.bad_since.is_some() => Phase::Barred,
             Some(p) if p.has_moved => Phase::Moved,
             _ => Phase::Sample,
         }
@@ -192,16 +192,16 @@
     }
 
     /// Judges the version by the counts of all hosts; tells whether it is barred by that.
-    pub fn judge(&mut self, all: &Tally, endpoints: usize) -> bool {
+    pub fn judge(&mut self, now: Millis, all: &Tally, endpoints: usize) -> bool {
         let is_open = matches!(self.phase(), Phase::Sample | Phase::Moved);
-        is_open && all.shows_bad(endpoints) && self.bar()
+        is_open && all.shows_bad(endpoints) && self.bar(now)
     }
 
     /// Bars the version, on this host's or another's judgement; tells whether that is news.
-    pub fn bar(&mut self) -> bool {
+    pub fn bar(&mut self, now: Millis) -> bool {
         let is_news = matches!(self.phase(), Phase::Sample | Phase::Moved);
         if is_news {
-            self.is_bad = true;
+            self.bad_since = Some(now);
             self.writing_until = None;
         }
         is_news
@@ -232,8 +232,9 @@
         if let Some(RolloutState::Completed | RolloutState::RolledBack) = written.map(|p| p.state) {
             return None;
         }
-        if self.is_bad {
-            return Some(at(RolloutState::RolledBack, false));
+        if let Some(since) = self.bad_since {
+            let is_turn = now >= since + patience;
+            return is_turn.then(|| at(RolloutState::RolledBack, false));
         }
         let part = |part: f64| Millis((self.order.duration.0 as f64 * part) as u64) + patience;
         let has_moved = written.is_some_and(|p| p.has_moved);
--- a/crates/tidetrack-core/tests/large_fleet.rs
+++ b/crates/tidetrack-core/tests/large_fleet.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 
 use tidetrack_core::traffic::control::{Action, Beliefs, Input};
+use tidetrack_core::traffic::feeds::{Catch, Kind, Source};
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::peers::PeerMessage;
 use tidetrack_core::units::Millis;
@@ -27,6 +28,9 @@
 /// Step of the virtual clock.
 const STEP: usize = 50;
 
+/// Time that getting changes from a host or the store takes.
+const CATCH_TIME: u64 = 10;
+
 struct FleetHost {
     beliefs: Beliefs,
     fresh: Freshness,
@@ -38,6 +42,18 @@
     hosts: Vec<FleetHost>,
     seed: StdRng,
     now: u64,
+    /// The store's newest revision; all its changes are endpoints'.
+    revision: u64,
+    /// What the hosts know of it.
+    known: Vec<u64>,
+    /// Changes that are being got: when they come, by which host, up to where; `None` if that fails.
+    catching: Vec<(u64, usize, Catch, Option<u64>)>,
+    /// Hosts that do not answer others.
+    deaf: Vec<usize>,
+    /// Whether the store fails the calls of hosts that do not watch it.
+    store_is_down: bool,
+    /// Calls to the store by hosts that do not watch it.
+    calls: usize,
     /// Messages sent in the last step.
     on_the_way: Vec<(SocketAddr, PeerMessage)>,
     sent: usize,
@@ -55,13 +71,24 @@
                 proves_at: u64::from(n) * 17 % PROVE_EVERY,
             }
         };
-        Fleet {
+        let mut fleet = Fleet {
             hosts: (1..=hosts).map(start).collect(),
             seed: StdRng::seed_from_u64(seed),
             now: 0,
+            revision: 10,
+            known: vec![10; hosts as usize],
+            catching: Vec::new(),
+            deaf: Vec::new(),
+            store_is_down: false,
+            calls: 0,
             on_the_way: Vec::new(),
             sent: 0,
+        };
+        for i in 0..fleet.hosts.len() {
+            let listed = Input::CaughtUp { kind: Kind::Endpoints, complete: 10, changed: None };
+            fleet.take(i, listed);
         }
+        fleet
     }
 
     /// Lets time pass to `until`; `look` is shown each host at each step.
@@ -69,8 +96,10 @@
         while self.now < until {
             self.now += STEP as u64;
             self.deliver();
+            self.catch();
             for i in 0..self.hosts.len() {
                 self.prove(i);
+                self.watch(i);
                 self.take(i, Input::Tick);
                 look(self.now, &self.hosts[i]);
             }
@@ -86,6 +115,48 @@
         }
     }
 
+    /// Lets a host that watches the store see its changes.
+    fn watch(&mut self, i: usize) {
+        if self.hosts[i].beliefs.is_watcher() && self.known[i] < self.revision {
+            self.caught_up(i, self.revision);
+        }
+    }
+
+    fn caught_up(&mut self, i: usize, to: u64) {
+        self.known[i] = self.known[i].max(to);
+        let changed = Some(to);
+        self.take(i, Input::CaughtUp { kind: Kind::Endpoints, complete: to, changed });
+    }
+
+    /// Gives hosts what they asked for.
+    fn catch(&mut self) {
+        let now = self.now;
+        let (ready, later) =
+            std::mem::take(&mut self.catching).into_iter().partition(|c| c.0 <= now);
+        self.catching = later;
+        for (_, i, catch, to) in ready {
+            match to {
+                Some(to) => self.caught_up(i, to),
+                None => self.take(i, Input::CatchFailed(catch)),
+            }
+        }
+    }
+
+    fn begin_to_catch(&mut self, i: usize, catch: Catch) {
+        assert_eq!(catch.kind, Kind::Endpoints);
+        let to = match catch.source {
+            Source::Store => {
+                self.calls += 1;
+                (!self.store_is_down).then_some(self.revision)
+            }
+            Source::Host(address) => {
+                let from = (0..self.hosts.len()).find(|i| host(*i as u32 + 1).1 == address);
+                from.filter(|from| !self.deaf.contains(from)).map(|from| self.known[from])
+            }
+        };
+        self.catching.push((self.now + CATCH_TIME, i, catch, to));
+    }
+
     fn deliver(&mut self) {
         // A message is answered at once, so there is one more way within a step.
         for _ in 0..2 {
@@ -99,6 +170,7 @@
     }
 
     fn take(&mut self, i: usize, input: Input) {
+        let mut wanted = Vec::new();
         let host = &mut self.hosts[i];
         for action in host.beliefs.take(Millis(self.now + ON_THE_WAY), input, &host.fresh) {
             match action {
@@ -107,9 +179,22 @@
                     self.on_the_way.extend(messages);
                 }
                 Action::Proved(began) => host.fresh.proved(began),
+                Action::Catch(catch) => wanted.push(catch),
                 _ => {}
             }
         }
+        wanted.into_iter().for_each(|catch| self.begin_to_catch(i, catch));
+    }
+
+    /// Changes the store and lets time pass until all hosts know; gets how long that took.
+    fn change(&mut self) -> u64 {
+        self.revision += 1;
+        let began = self.now;
+        while self.known.iter().any(|k| *k < self.revision) {
+            self.run(self.now + STEP as u64, |_, _| {});
+            assert!(self.now < began + 10_000, "{:?}", self.known);
+        }
+        self.now - began
     }
 }
 
@@ -159,3 +244,42 @@
     let heard: Vec<usize> = fleet.hosts.iter().map(|h| h.beliefs.peers().len()).collect();
     assert!(heard.iter().all(|n| *n >= 80), "{heard:?}");
 }
+
+#[test]
+fn changes_reach_a_large_fleet_from_the_few_that_watch_the_store() {
+    let mut fleet = Fleet::start(83, 4);
+    fleet.run(4_000, |_, _| {});
+
+    let took: Vec<u64> = (0..20).map(|_| fleet.change()).collect();
+
+    let watchers = fleet.hosts.iter().filter(|h| h.beliefs.is_watcher()).count();
+    assert_eq!(watchers, 2);
+    assert!(took.iter().all(|ms| *ms <= 1_000), "{took:?}");
+    assert!(fleet.calls <= 20, "{} calls", fleet.calls);
+}
+
+#[test]
+fn a_host_reads_the_store_itself_when_no_host_gives_it_a_change() {
+    let mut fleet = Fleet::start(12, 5);
+    fleet.run(4_000, |_, _| {});
+    fleet.deaf = (0..12).collect();
+
+    let took = fleet.change();
+
+    assert!(took <= 1_000, "{took} ms");
+    assert!((1..=10).contains(&fleet.calls), "{} calls", fleet.calls);
+}
+
+#[test]
+fn a_host_that_can_get_a_change_nowhere_asks_the_store_now_and_then() {
+    let mut fleet = Fleet::start(12, 6);
+    fleet.run(4_000, |_, _| {});
+    fleet.deaf = (0..12).collect();
+    fleet.store_is_down = true;
+    fleet.revision += 1;
+
+    fleet.run(14_000, |_, _| {});
+
+    // Ten hosts in ten seconds.
+    assert!((50..=150).contains(&fleet.calls), "{} calls", fleet.calls);
+}
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -17,7 +17,7 @@
 use crate::peers::Peers;
 use crate::shared::SharedRef;
 use crate::store::Store;
-use crate::watch::Watches;
+use crate::watch::{Duties, Watches};
 
 /// How often the beliefs are told that time has passed.
 const TICK: Duration = Duration::from_millis(100);
@@ -27,8 +27,8 @@
     let runtime = Builder::new_current_thread().enable_io().enable_time().build()?;
     LocalSet::new().block_on(&runtime, async move {
         let store = Rc::new(Store::new(shared.clone()));
-        let (proves, proves_seen) = watch::channel(true);
-        Watches::start(shared.clone(), store.clone(), proves_seen);
+        let (duties, duties_seen) = watch::channel(Duties { proves: true, watches: true });
+        let watches = Watches::start(shared.clone(), store.clone(), duties_seen);
         let settings = &shared.settings;
         let (host, address) = (settings.host.clone(), settings.peer_address);
         let book = PeerBook::new(
@@ -39,6 +39,7 @@
         );
         let peers = Peers::start(shared.clone()).await;
         let mut beliefs = Beliefs::new(host, book, settings.bounds.session_time);
+        let outlets = Outlets { shared: shared.clone(), store, watches, peers };
         loop {
             let input = match tokio::time::timeout(TICK, inputs.recv_async()).await {
                 Ok(Ok(input)) => input,
@@ -46,26 +47,42 @@
                 Err(_) => Input::Tick,
             };
             for action in beliefs.take(shared.now(), input, &shared.fresh) {
-                carry_out(&shared, &store, peers.as_ref(), action);
+                outlets.carry_out(action);
             }
-            proves.send_if_modified(|is| std::mem::replace(is, beliefs.is_prover()) != *is);
+            let now = Duties { proves: beliefs.is_prover(), watches: beliefs.is_watcher() };
+            duties.send_if_modified(|is| std::mem::replace(is, now) != now);
         }
     });
     Ok(())
 }
 
-fn carry_out(shared: &SharedRef, store: &Rc<Store>, peers: Option<&Peers>, action: Action) {
-    match action {
-        Action::Publish(view) => shared.view.store(view),
-        Action::Proved(began) => shared.fresh.proved(began),
-        Action::Send(messages) => {
-            if let Some(peers) = peers {
-                peers.send(&messages);
+/// What the control thread acts through.
+struct Outlets {
+    shared: SharedRef,
+    store: Rc<Store>,
+    watches: Rc<Watches>,
+    /// `None` if messages of other hosts cannot be heard.
+    peers: Option<Peers>,
+}
+
+impl Outlets {
+    fn carry_out(&self, action: Action) {
+        let shared = &self.shared;
+        match action {
+            Action::Publish(view) => shared.view.store(view),
+            Action::Proved(began) => shared.fresh.proved(began),
+            Action::Send(messages) => {
+                if let Some(peers) = &self.peers {
+                    peers.send(&messages);
+                }
+            }
+            Action::Catch(catch) => {
+                tokio::task::spawn_local(self.watches.clone().catch(catch));
+            }
+            Action::Note(event, text) => shared.journal.line(event, &[("detail", &text)]),
+            Action::Write(write) => {
+                tokio::task::spawn_local(write_progress(shared.clone(), self.store.clone(), write));
             }
-        }
-        Action::Note(event, text) => shared.journal.line(event, &[("detail", &text)]),
-        Action::Write(write) => {
-            tokio::task::spawn_local(write_progress(shared.clone(), store.clone(), write));
         }
     }
 }
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -13,6 +13,7 @@
 use tidetrack_core::traffic::cascade::GenerationSize;
 use tidetrack_core::traffic::catalog::Catalog;
 use tidetrack_core::traffic::endpoints::EndpointRecord;
+pub use tidetrack_core::traffic::feeds::Kind;
 use tidetrack_core::traffic::trial::{ProgressWrite, RolloutOrder};
 use tidetrack_core::units::{Millis, Tokens};
 
@@ -84,15 +85,13 @@
     pub is_encoded: bool,
 }
 
-/// Kinds of objects that the plane reads from the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Kind {
-    /// The configuration.
-    Catalog,
-    /// The endpoints.
-    Endpoints,
-    /// The roll-outs.
-    Rollouts,
+/// How old a list may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Age {
+    /// It is the store's newest state.
+    Newest,
+    /// It may be some seconds old; changes after its revision tell the rest.
+    OfLate,
 }
 
 /// An object of the store, decoded.
@@ -139,6 +138,8 @@
     pub changes: Vec<Change>,
     /// The store's revision up to which they are told.
     pub revision: u64,
+    /// Revision of the newest of the changes, where the store tells it.
+    pub newest: Option<u64>,
 }
 
 /// A call to the store.
@@ -155,8 +156,8 @@
 /// How the store is spoken to.
 #[derive(Clone, Copy)]
 pub struct StoreDialect {
-    /// Lists a kind, from the start or after a name.
-    pub list: fn(Kind, Option<&str>) -> StoreCall,
+    /// Lists a kind, from the start or after a name, as it is now or, cheaper, as it was of late.
+    pub list: fn(Kind, Option<&str>, Age) -> StoreCall,
     /// Waits for changes of a kind after a revision.
     pub watch: fn(Kind, u64, Millis) -> StoreCall,
     /// Reads a page.
--- /dev/null
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -0,0 +1,200 @@
+//! Changes of the store, passed from host to host.
+//!
+//! Each host keeps the newest changes it got, as the store told them, and gives them to hosts that
+//! ask. The question is a plain HTTP request on a kept connection: the reply is bytes of the store,
+//! which a remote procedure call would only wrap once more.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+
+use tidetrack_core::errors::Result;
+use tidetrack_core::events::Event;
+use tidetrack_core::traffic::feeds::Kind;
+
+use crate::call::{call, down};
+use crate::pool::Pool;
+use crate::server::listen;
+use crate::shared::SharedRef;
+
+/// Bytes of changes kept of a kind. A configuration of some hundred routes is about 100 KB; the memory
+/// of a host is priced.
+const MOST_KEPT: usize = 256 << 10;
+
+/// Longest time for an answer of another host, in which the change can still be got elsewhere.
+const ANSWER_WITHIN: Duration = Duration::from_millis(350);
+
+/// Pause before accepting again after a connection could not be accepted.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
+
+/// Some changes, as the store told them at one time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// All changes up to this revision are told with it and those before it.
+    pub to: u64,
+    /// The store's reply.
+    pub bytes: Vec<u8>,
+}
+
+/// A list of a kind, as the store told it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListChunk {
+    /// The revision it was taken at.
+    pub at: u64,
+    /// The store's replies, page by page.
+    pub pages: Vec<Vec<u8>>,
+}
+
+/// The newest changes of a kind.
+#[derive(Clone, Debug, Default)]
+pub struct FeedLog {
+    /// The list that the changes follow, until the oldest of them have been dropped.
+    list: Option<ListChunk>,
+    /// Changes after this revision are kept.
+    base: u64,
+    /// All changes up to this revision are known.
+    to: u64,
+    chunks: VecDeque<Chunk>,
+    bytes: usize,
+}
+
+impl FeedLog {
+    /// Gets the revision up to which all changes are known; 0 if the kind was never listed.
+    pub fn position(&self) -> u64 {
+        self.to
+    }
+
+    /// Begins anew after a list; tells whether it is as new as what is known.
+    pub fn listed(&mut self, list: ListChunk) -> bool {
+        if list.at < self.to {
+            return false;
+        }
+        *self = FeedLog { base: list.at, to: list.at, list: Some(list), ..FeedLog::default() };
+        true
+    }
+
+    /// Takes note that nothing else changed up to `to`.
+    pub fn advance(&mut self, to: u64) {
+        self.to = self.to.max(to);
+    }
+
+    /// Keeps changes; tells whether they are new. Old ones must not be applied, for they would undo
+    /// later ones.
+    pub fn push(&mut self, chunk: Chunk) -> bool {
+        if chunk.to <= self.to {
+            return false;
+        }
+        self.to = chunk.to;
+        self.bytes += chunk.bytes.len();
+        self.chunks.push_back(chunk);
+        while self.bytes > MOST_KEPT && self.chunks.len() > 1 {
+            if let Some(oldest) = self.chunks.pop_front() {
+                self.bytes -= oldest.bytes.len();
+                self.base = oldest.to;
+                self.list = None;
+            }
+        }
+        true
+    }
+
+    /// Gets what brings another host from a revision to the newest one, or `None` if that is not kept.
+    pub fn after(&self, revision: u64) -> Option<Told> {
+        let list = self.list.as_ref().filter(|_| revision < self.base);
+        if revision < self.base && list.is_none() {
+            return None;
+        }
+        let chunks = self.chunks.iter().filter(|c| c.to > revision).cloned().collect();
+        Some(Told { complete: self.to, list: list.cloned(), chunks })
+    }
+}
+
+/// What one host tells another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// All changes up to this revision are told.
+    pub complete: u64,
+    /// A list that comes first, where the changes alone are not enough.
+    pub list: Option<ListChunk>,
+    /// The changes, in order.
+    pub chunks: Vec<Chunk>,
+}
+
+/// Gets the changes of a kind after a revision that another host knows.
+pub async fn ask(pool: &Pool, address: SocketAddr, kind: Kind, after: u64) -> Result<Told> {
+    let mut req = Request::new(Full::new(Bytes::new()));
+    let path = format!("/changes/{kind:?}/{after}");
+    *req.uri_mut() = path.parse().map_err(|e| down(format!("{path}: {e}")))?;
+    let address = address.to_string();
+    let answer = tokio::time::timeout(ANSWER_WITHIN, call(pool, &address, &address, req));
+    let (status, bytes) = answer.await.map_err(|_| down("no answer in time"))??;
+    if status != StatusCode::OK {
+        return Err(down(format!("the host answered {status}")));
+    }
+    postcard::from_bytes(&bytes).map_err(|e| down(format!("changes that cannot be read: {e}")))
+}
+
+/// Gives this host's changes to others, until the process ends; `told` looks them up.
+pub async fn serve(
+    shared: SharedRef,
+    address: SocketAddr,
+    told: Rc<dyn Fn(Kind, u64) -> Option<Told>>,
+) {
+    let listener = match listen(address) {
+        Ok(listener) => listener,
+        Err(e) => {
+            shared.journal.line(Event::PeerSocketFailed, &[("why", &e)]);
+            return;
+        }
+    };
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                shared.journal.line(Event::AcceptFailed, &[("why", &e)]);
+                tokio::time::sleep(ACCEPT_AGAIN).await;
+                continue;
+            }
+        };
+        let told = told.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|req| {
+                let resp = answer(&req, told.as_ref());
+                async move { Ok::<_, Infallible>(resp) }
+            });
+            // A host that leaves in the middle asks elsewhere.
+            drop(Builder::new().serve_connection(TokioIo::new(stream), service).await);
+        });
+    }
+}
+
+fn answer(
+    req: &Request<Incoming>,
+    told: &dyn Fn(Kind, u64) -> Option<Told>,
+) -> Response<Full<Bytes>> {
+    let found = question(req.uri().path()).and_then(|(kind, after)| told(kind, after));
+    let bytes = found.and_then(|told| postcard::to_allocvec(&told).ok());
+    let mut resp = Response::new(Full::new(Bytes::new()));
+    match bytes {
+        Some(bytes) => *resp.body_mut() = Full::new(Bytes::from(bytes)),
+        None => *resp.status_mut() = StatusCode::NOT_FOUND,
+    }
+    resp
+}
+
+/// Reads which changes are asked for.
+pub fn question(path: &str) -> Option<(Kind, u64)> {
+    let (kind, after) = path.strip_prefix("/changes/")?.split_once('/')?;
+    let kind = Kind::ALL.into_iter().find(|k| format!("{k:?}") == kind)?;
+    Some((kind, after.parse().ok()?))
+}
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -11,11 +11,13 @@
 
 pub mod attempt;
 pub mod body;
+pub mod call;
 pub mod choose;
 pub mod control;
 pub mod dialect;
 pub mod events;
 pub mod exchange;
+pub mod feed;
 pub mod host;
 pub mod job;
 pub mod journal;
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -38,6 +38,7 @@
     attempts: Counter<u64>,
     store_calls: Counter<u64>,
     peer_messages: Counter<u64>,
+    feed_calls: Counter<u64>,
     first_byte: Histogram<f64>,
 }
 
@@ -53,6 +54,7 @@
             attempts: meter.u64_counter("tidetrack_attempts").build(),
             store_calls: meter.u64_counter("tidetrack_store_calls").build(),
             peer_messages: meter.u64_counter("tidetrack_peer_messages").build(),
+            feed_calls: meter.u64_counter("tidetrack_feed_calls").build(),
             first_byte: histogram.with_boundaries(BOUNDS_MS.to_vec()).build(),
             registry,
             _provider: provider,
@@ -87,6 +89,11 @@
         self.peer_messages.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a call for changes of the store by where it went and how.
+    pub fn feed_call(&self, result: &'static str) {
+        self.feed_calls.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Counts messages that were sent.
     pub fn peer_messages_sent(&self, n: usize) {
         self.peer_messages.add(n as u64, &[KeyValue::new("result", "sent")]);
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -8,22 +8,20 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
-use tidetrack_core::codes::{Code, Ran};
+use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::units::Millis;
 
-use crate::dialect::{Kind, Page, StoreCall, Stored};
+use crate::call::{self, down};
+use crate::dialect::{Age, Kind, Page, StoreCall, Stored};
 use crate::pool::Pool;
 use crate::shared::SharedRef;
 
 /// Longest time for a call; the store answers in milliseconds, and a slow one in some hundred.
 const CALL_WITHIN: Duration = Duration::from_millis(1_200);
 
-/// Largest reply, in bytes: a page is about 1 MB.
-const MOST_REPLY: usize = 8 << 20;
-
 /// Name of the store in the pool of connections.
 const STORE: &str = "store";
 
@@ -38,16 +36,14 @@
 pub struct Listed {
     /// The objects.
     pub objects: Vec<Stored>,
+    /// The store's replies that told them.
+    pub pages: Vec<Bytes>,
     /// The revision of the first page: a watch goes on from there.
     pub revision: u64,
     /// When the read began.
     pub began: Millis,
 }
 
-fn down(text: impl Into<String>) -> Error {
-    Error::new(Code::PlatformDown, text).with_ran(Ran::Unknown)
-}
-
 impl Store {
     /// Makes a client.
     pub fn new(shared: SharedRef) -> Store {
@@ -70,22 +66,15 @@
     }
 
     async fn call_untimed(&self, call: &StoreCall) -> Result<Bytes> {
-        let mut lease = self.pool.take(STORE, &self.address).await.map_err(|e| down(e.message))?;
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.path.parse().map_err(|e| down(format!("{}: {e}", call.path)))?;
-        let host = http::HeaderValue::from_str(&self.address).map_err(|e| down(e.to_string()))?;
-        req.headers_mut().insert(http::header::HOST, host);
         if !call.body.is_empty() {
             let json = http::HeaderValue::from_static("application/json");
             req.headers_mut().insert(http::header::CONTENT_TYPE, json);
         }
-        let sent = lease.sender.send_request(req).await;
-        let (head, body) = sent.map_err(|e| down(e.to_string()))?.into_parts();
-        let body = Limited::new(body, MOST_REPLY).collect().await;
-        let body = body.map_err(|e| down(e.to_string()))?.to_bytes();
-        self.pool.keep(STORE, lease, None);
-        match head.status {
+        let (status, body) = call::call(&self.pool, STORE, &self.address, req).await?;
+        match status {
             StatusCode::OK | StatusCode::CREATED => Ok(body),
             StatusCode::NOT_FOUND => Err(Error::new(Code::ObjectGone, "no such object")),
             StatusCode::CONFLICT => Err(Error::new(Code::Conflict, "it was changed meanwhile")),
@@ -98,17 +87,18 @@
     }
 
     /// Lists a kind, page by page.
-    pub async fn list(&self, kind: Kind) -> Result<Listed> {
+    pub async fn list(&self, kind: Kind, age: Age) -> Result<Listed> {
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
-        let mut listed = Listed { objects: Vec::new(), revision: 0, began };
+        let mut listed = Listed { objects: Vec::new(), pages: Vec::new(), revision: 0, began };
         let mut after: Option<String> = None;
         loop {
-            let call = (dialect.list)(kind, after.as_deref());
+            let call = (dialect.list)(kind, after.as_deref(), age);
             let bytes = self.call(&call, Duration::ZERO).await?;
             let page: Page = (dialect.read_page)(kind, &bytes)?;
             self.note_unreadable(&page.unreadable);
             listed.objects.extend(page.objects);
+            listed.pages.push(bytes);
             if after.is_none() {
                 listed.revision = page.revision;
             }
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -1,13 +1,15 @@
-//! Keeps the beliefs of a host at the store's state: a list of each kind, then a watch from there.
+//! Keeps the beliefs of a host at the store's state: a list of each kind, then changes from there. A
+//! few hosts watch the store for them; the others get them host to host (`feed`).
 //!
 //! A few hosts also prove that the configuration is the newest, by short reads; the others are told.
 //! A host whose proof grows old all the same reads for itself, and notices there that it has lost the
 //! store; once the store answers again, all kinds start again from a list.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 
@@ -15,9 +17,12 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::control::Input;
+use tidetrack_core::traffic::feeds::{Catch, Source};
 use tidetrack_core::units::Millis;
 
-use crate::dialect::{Change, Kind, Stored};
+use crate::dialect::{Age, Change, Changes, Kind, Stored};
+use crate::feed::{self, Chunk, FeedLog, ListChunk};
+use crate::pool::Pool;
 use crate::shared::SharedRef;
 use crate::store::Store;
 
@@ -41,33 +46,165 @@
 /// First pause after a failed call; it doubles.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 
-/// Longest pause after failed calls.
+/// Longest pause after failed calls of a host that others rely on.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
+/// The same for all other hosts: they hear from those that the store is back.
+const LONGEST_PAUSE_OF_MANY: Duration = Duration::from_secs(2);
+
+/// Time from the start in which hosts of a large fleet have met, so that few of them begin to watch.
+const MEETING_TIME: Duration = Duration::from_millis(1_500);
+
+/// Pause between sweeps of connections to other hosts.
+const SWEEP: Duration = Duration::from_secs(5);
+
+/// What a host does for the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Duties {
+    /// It proves the configuration at short intervals.
+    pub proves: bool,
+    /// It watches the store.
+    pub watches: bool,
+}
+
 /// What the watches of a host share.
 pub struct Watches {
     shared: SharedRef,
     store: Rc<Store>,
+    /// Connections to other hosts.
+    hosts: Pool,
+    /// The newest changes, by kind.
+    logs: RefCell<[FeedLog; 3]>,
     /// Counts the returns of the store, for the other kinds to start again.
     returns: watch::Sender<u64>,
-    /// Whether this host proves the configuration at short intervals.
-    proves: watch::Receiver<bool>,
+    duties: watch::Receiver<Duties>,
     /// Whether the store did not answer the last read of the configuration.
     is_lost: Cell<bool>,
-    /// Revision up to which the configuration was read; 0 if it was not.
-    catalog_at: Cell<u64>,
+    started: Instant,
 }
 
 impl Watches {
     /// Starts the watches of all kinds on the present thread.
-    pub fn start(shared: SharedRef, store: Rc<Store>, proves: watch::Receiver<bool>) {
+    pub fn start(
+        shared: SharedRef,
+        store: Rc<Store>,
+        duties: watch::Receiver<Duties>,
+    ) -> Rc<Watches> {
         let (returns, _) = watch::channel(0);
-        let (is_lost, catalog_at) = (Cell::new(false), Cell::new(0));
-        let watches = Rc::new(Watches { shared, store, returns, proves, is_lost, catalog_at });
+        let watches = Rc::new(Watches {
+            shared: shared.clone(),
+            store,
+            hosts: Pool::default(),
+            logs: RefCell::default(),
+            returns,
+            duties,
+            is_lost: Cell::new(false),
+            started: Instant::now(),
+        });
         tokio::task::spawn_local(watches.clone().keep_proof());
-        for kind in [Kind::Catalog, Kind::Endpoints, Kind::Rollouts] {
+        for kind in Kind::ALL {
             tokio::task::spawn_local(watches.clone().keep(kind));
         }
+        let told = watches.clone();
+        let told = Rc::new(move |kind, after| told.log(kind, |log| log.after(after)));
+        let address = shared.settings.peer_address;
+        tokio::task::spawn_local(feed::serve(shared, address, told));
+        tokio::task::spawn_local(watches.clone().sweep());
+        watches
+    }
+
+    fn log<T>(&self, kind: Kind, f: impl FnOnce(&mut FeedLog) -> T) -> T {
+        f(&mut self.logs.borrow_mut()[kind as usize])
+    }
+
+    fn position(&self, kind: Kind) -> u64 {
+        self.log(kind, |log| log.position())
+    }
+
+    /// Closes connections to other hosts that rest.
+    async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            self.hosts.sweep(|_| true);
+        }
+    }
+
+    /// Gets changes that another host told of.
+    pub async fn catch(self: Rc<Self>, catch: Catch) {
+        let (kind, after) = (catch.kind, catch.after);
+        let result = match catch.source {
+            Source::Host(address) => self.ask_host(kind, after, address).await,
+            Source::Store => self.read_store(kind, after).await,
+        };
+        self.shared.metrics.feed_call(match (&result, catch.source) {
+            (Ok(()), Source::Host(_)) => "host",
+            (Err(_), Source::Host(_)) => "host_failed",
+            (Ok(()), Source::Store) => "store",
+            (Err(_), Source::Store) => "store_failed",
+        });
+        if let Err(e) = result {
+            let source = match catch.source {
+                Source::Host(address) => address.to_string(),
+                Source::Store => "store".into(),
+            };
+            let kind_name = format!("{kind:?}");
+            self.shared.journal.routine(
+                Event::ChangesNotGot,
+                &[("kind", &kind_name), ("after", &after), ("source", &source), ("why", &e)],
+            );
+            self.shared.tell(Input::CatchFailed(catch));
+        }
+    }
+
+    /// Reads the changes after a revision from the store, or the whole kind if they are forgotten.
+    async fn read_store(&self, kind: Kind, after: u64) -> Result<()> {
+        match self.read_changes(kind, after, Millis(0)).await {
+            Err(e) if e.code == Code::HistoryGone => self.read_all(kind).await,
+            result => result,
+        }
+    }
+
+    async fn ask_host(&self, kind: Kind, after: u64, address: SocketAddr) -> Result<()> {
+        let told = feed::ask(&self.hosts, address, kind, after).await?;
+        if let Some(list) = told.list {
+            let mut objects = Vec::new();
+            for page in &list.pages {
+                let page = (self.shared.dialect.store.read_page)(kind, page)?;
+                self.store.note_unreadable(&page.unreadable);
+                objects.extend(page.objects);
+            }
+            self.take_list(kind, objects, list);
+        }
+        for chunk in told.chunks {
+            let changes = (self.shared.dialect.store.read_changes)(kind, &chunk.bytes)?;
+            self.take(kind, changes, chunk);
+        }
+        self.log(kind, |log| log.advance(told.complete));
+        self.caught_up(kind, None);
+        Ok(())
+    }
+
+    /// Applies changes that are new, and keeps them for other hosts.
+    fn take(&self, kind: Kind, changes: Changes, chunk: Chunk) {
+        if !self.log(kind, |log| log.push(chunk)) {
+            return;
+        }
+        for change in changes.changes {
+            match change {
+                Change::Put(Stored::Catalog(c)) => self.shared.tell(Input::Catalog(Arc::new(c))),
+                Change::Put(Stored::Endpoint(r)) => self.shared.tell(Input::Endpoint(r)),
+                Change::Put(Stored::Rollout(o)) => self.shared.tell(Input::Rollout(o)),
+                Change::EndpointGone(id) => self.shared.tell(Input::EndpointGone(id)),
+                Change::RolloutGone(service) => self.shared.tell(Input::RolloutGone(service)),
+                Change::Unreadable(e) => self.store.note_unreadable(&[e]),
+            }
+        }
+        self.caught_up(kind, changes.newest);
+    }
+
+    fn caught_up(&self, kind: Kind, changed: Option<u64>) {
+        let complete = self.position(kind);
+        self.shared.tell(Input::CaughtUp { kind, complete, changed });
     }
 
     /// Keeps one kind for as long as the process runs.
@@ -79,7 +216,7 @@
             returns.mark_unchanged();
             let e = tokio::select! {
                 e = self.follow(kind, &mut is_logged) => e,
-                _ = returns.changed(), if kind != Kind::Catalog => continue,
+                () = self.is_to_list_again(&mut returns), if kind != Kind::Catalog => continue,
             };
             if e.code == Code::HistoryGone {
                 self.shared.journal.line(Event::HistoryGone, &[("kind", &format!("{kind:?}"))]);
@@ -95,7 +232,25 @@
                 pause = FIRST_PAUSE;
             }
             tokio::time::sleep(jittered(pause)).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
+            pause = (pause * 2).min(self.longest_pause(kind));
+        }
+    }
+
+    /// Waits until the store is back, on a host that watches it; the others hear from those.
+    async fn is_to_list_again(&self, returns: &mut watch::Receiver<u64>) {
+        // Neither sender ends before the process.
+        let _ = returns.changed().await;
+        let _ = self.duties.clone().wait_for(|duties| duties.watches).await;
+    }
+
+    /// Gets the longest pause after failed calls: hosts that others rely on, or that know nothing yet,
+    /// try more often.
+    fn longest_pause(&self, kind: Kind) -> Duration {
+        let duties = *self.duties.borrow();
+        if duties.proves || duties.watches || self.position(kind) == 0 {
+            LONGEST_PAUSE
+        } else {
+            LONGEST_PAUSE_OF_MANY
         }
     }
 
@@ -105,23 +260,24 @@
         let mut pause = FIRST_PAUSE;
         loop {
             tokio::time::sleep(PROOF_LOOK).await;
+            let wanted = if self.duties.borrow().proves { PROVE_EVERY } else { PROOF_WANTED };
+            let after = self.position(Kind::Catalog);
             let age = self.shared.fresh.age(self.shared.now());
-            let wanted = if *self.proves.borrow() { PROVE_EVERY } else { PROOF_WANTED };
-            let after = self.catalog_at.get();
-            if after == 0 || age.is_none_or(|age| age < wanted) {
+            let Some(age) = age.filter(|_| after > 0) else { continue };
+            // After a loss, a young proof of another host says that the store answers again.
+            let is_back = self.is_lost.get() && age < PROVE_EVERY;
+            if age < wanted && !is_back {
                 continue;
             }
-            match self.read_changes(Kind::Catalog, after, Millis(0)).await {
+            match self.read_store(Kind::Catalog, after).await {
                 Ok(_) => {
                     pause = FIRST_PAUSE;
                     self.back();
                 }
-                // The watch meets the same, and lists.
-                Err(e) if e.code == Code::HistoryGone => {}
                 Err(e) => {
                     self.lost(&e);
                     tokio::time::sleep(jittered(pause)).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
+                    pause = (pause * 2).min(self.longest_pause(Kind::Catalog));
                 }
             }
         }
@@ -151,28 +307,68 @@
 
     /// Lists a kind and follows its changes until a call fails.
     async fn follow(&self, kind: Kind, is_logged: &mut bool) -> Error {
-        let mut revision = match self.read_all(kind).await {
-            Ok(revision) => revision,
-            Err(e) => return e,
-        };
+        if let Err(e) = self.read_all(kind).await {
+            return e;
+        }
         *is_logged = false;
+        let mut duties = self.duties.clone();
+        tokio::time::sleep_until((self.started + self.first_watch_after()).into()).await;
         loop {
-            match self.read_changes(kind, revision, WATCH_WAIT).await {
-                Ok(next) if next > revision => {
-                    revision = next;
-                    tokio::time::sleep(settle_time(kind)).await;
-                }
-                Ok(_) => {}
-                Err(e) => return e,
+            if duties.wait_for(|duties| duties.watches).await.is_err() {
+                return Error::new(Code::Internal, "the control thread ends");
+            }
+            let before = self.position(kind);
+            if let Err(e) = self.read_changes(kind, before, WATCH_WAIT).await {
+                return e;
+            }
+            if self.position(kind) > before {
+                tokio::time::sleep(settle_time(kind)).await;
+            }
+        }
+    }
+
+    /// Gets the time after the start in which a host that may have others leaves the watches to them.
+    fn first_watch_after(&self) -> Duration {
+        if self.shared.settings.seeds.is_empty() {
+            Duration::ZERO
+        } else {
+            MEETING_TIME
+        }
+    }
+
+    /// Lists a kind. The first list may be a little old, for the changes since follow; a later one is
+    /// news to other hosts, for it may hold changes that were not told one by one.
+    async fn read_all(&self, kind: Kind) -> Result<()> {
+        let is_first = self.position(kind) == 0;
+        let age = if is_first && kind != Kind::Catalog { Age::OfLate } else { Age::Newest };
+        loop {
+            let listed = self.store.list(kind, age).await?;
+            let at = listed.revision;
+            let pages = listed.pages.iter().map(|page| page.to_vec()).collect();
+            let is_taken = self.take_list(kind, listed.objects, ListChunk { at, pages });
+            if kind == Kind::Catalog {
+                self.catalog_read(listed.began);
+            }
+            if is_taken {
+                break;
             }
         }
+        if age == Age::OfLate {
+            self.read_changes(kind, self.position(kind), Millis(0)).await?;
+        } else if !is_first {
+            self.caught_up(kind, Some(self.position(kind)));
+        }
+        Ok(())
     }
 
-    async fn read_all(&self, kind: Kind) -> Result<u64> {
-        let listed = self.store.list(kind).await?;
+    /// Takes a whole list, unless newer changes are known already: these must not be undone.
+    fn take_list(&self, kind: Kind, objects: Vec<Stored>, list: ListChunk) -> bool {
+        if !self.log(kind, |log| log.listed(list)) {
+            return false;
+        }
         let mut endpoints = Vec::new();
         let mut rollouts = Vec::new();
-        for object in listed.objects {
+        for object in objects {
             match object {
                 Stored::Catalog(catalog) => self.shared.tell(Input::Catalog(Arc::new(catalog))),
                 Stored::Endpoint(record) => endpoints.push(record),
@@ -180,41 +376,37 @@
             }
         }
         match kind {
-            Kind::Catalog => self.catalog_read(listed.began, listed.revision),
+            Kind::Catalog => {}
             Kind::Endpoints => self.shared.tell(Input::EndpointList(endpoints)),
             Kind::Rollouts => self.shared.tell(Input::RolloutList(rollouts)),
         }
-        Ok(listed.revision)
+        self.caught_up(kind, None);
+        true
     }
 
     /// Takes note of a read of the configuration.
-    fn catalog_read(&self, began: Millis, revision: u64) {
+    fn catalog_read(&self, began: Millis) {
         self.shared.fresh.proved(began);
-        self.catalog_at.set(self.catalog_at.get().max(revision));
         self.back();
     }
 
     /// Reads the changes of a kind after a revision; the store may wait for one.
-    async fn read_changes(&self, kind: Kind, after: u64, wait: Millis) -> Result<u64> {
+    async fn read_changes(&self, kind: Kind, after: u64, wait: Millis) -> Result<()> {
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
         let call = (dialect.watch)(kind, after, wait);
         let bytes = self.store.call(&call, Duration::from_millis(wait.0)).await?;
         let changes = (dialect.read_changes)(kind, &bytes)?;
-        for change in changes.changes {
-            match change {
-                Change::Put(Stored::Catalog(c)) => self.shared.tell(Input::Catalog(Arc::new(c))),
-                Change::Put(Stored::Endpoint(r)) => self.shared.tell(Input::Endpoint(r)),
-                Change::Put(Stored::Rollout(o)) => self.shared.tell(Input::Rollout(o)),
-                Change::EndpointGone(id) => self.shared.tell(Input::EndpointGone(id)),
-                Change::RolloutGone(service) => self.shared.tell(Input::RolloutGone(service)),
-                Change::Unreadable(e) => self.store.note_unreadable(&[e]),
-            }
+        let to = changes.revision;
+        if changes.newest.is_some() {
+            self.take(kind, changes, Chunk { to, bytes: bytes.to_vec() });
         }
+        self.log(kind, |log| log.advance(to));
+        self.caught_up(kind, None);
         if kind == Kind::Catalog {
-            self.catalog_read(began, changes.revision);
+            self.catalog_read(began);
         }
-        Ok(changes.revision.max(after))
+        Ok(())
     }
 }
 
--- /dev/null
+++ b/crates/tidetrack-plane/tests/feed.rs
@@ -0,0 +1,80 @@
+//! Changes that a host keeps for others.
+
+use tidetrack_core::traffic::feeds::Kind;
+use tidetrack_plane::feed::{question, Chunk, FeedLog, ListChunk};
+
+fn chunk(to: u64) -> Chunk {
+    Chunk { to, bytes: to.to_string().into_bytes() }
+}
+
+fn list(at: u64) -> ListChunk {
+    ListChunk { at, pages: vec![format!("list {at}").into_bytes()] }
+}
+
+/// A log that begins with a list at 10 and knows changes up to 30.
+fn log() -> FeedLog {
+    let mut log = FeedLog::default();
+    assert!(log.listed(list(10)));
+    assert!(log.push(chunk(20)));
+    assert!(log.push(chunk(30)));
+    log
+}
+
+#[test]
+fn a_host_gets_just_the_changes_it_lacks() {
+    let told = log().after(20).expect("changes after 20");
+
+    assert_eq!((told.complete, told.list), (30, None));
+    assert_eq!(told.chunks, vec![chunk(30)]);
+}
+
+#[test]
+fn a_host_that_is_behind_the_list_gets_the_list_too() {
+    let told = log().after(5).expect("a list and changes");
+
+    assert_eq!(told.list, Some(list(10)));
+    assert_eq!(told.chunks, vec![chunk(20), chunk(30)]);
+}
+
+#[test]
+fn changes_and_lists_that_are_older_than_what_is_known_are_not_taken() {
+    let mut log = log();
+
+    assert!(!log.push(chunk(30)));
+    assert!(!log.push(chunk(25)));
+    assert!(!log.listed(list(29)));
+
+    assert_eq!(log.position(), 30);
+    assert_eq!(log.after(10).expect("changes").chunks, vec![chunk(20), chunk(30)]);
+}
+
+#[test]
+fn a_log_drops_its_oldest_changes_and_does_not_pretend_to_have_them() {
+    let mut log = log();
+    let large = |to| Chunk { to, bytes: vec![0; 200 << 10] };
+
+    log.push(large(40));
+    log.push(large(50));
+
+    assert_eq!(log.after(10), None);
+    assert_eq!(log.after(30), None);
+    assert_eq!(log.after(40).expect("changes after 40").chunks, vec![large(50)]);
+}
+
+#[test]
+fn quiet_time_counts_as_known() {
+    let mut log = log();
+
+    log.advance(45);
+
+    let told = log.after(30).expect("nothing new");
+    assert_eq!((told.complete, told.chunks), (45, vec![]));
+}
+
+#[test]
+fn only_well_formed_questions_are_understood() {
+    assert_eq!(question("/changes/Endpoints/17"), Some((Kind::Endpoints, 17)));
+    for path in ["/changes/Endpoints/", "/changes/Other/17", "/changes/Endpoints/-1", "/", "/x/1"] {
+        assert_eq!(question(path), None, "{path}");
+    }
+}
