Pass sessions on from host to host, and move a roll-out's traffic at one instant

Hosts now pass on what they hear, with the time left; the sample shrinks as the fleet grows (written with the roll-out's first progress, so all sample the same sessions) to keep that small. They now tell each other the order's age and move at one instant of it. Ruled out: the loss of messages.

--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -113,9 +113,9 @@
 
 impl ServiceView {
     /// Decides which side a request goes to.
-    pub fn side(&self, now: Millis, who: SessionDraw, session_time: Millis) -> Side {
+    pub fn side(&self, now: Millis, who: SessionDraw, hold_for: Millis) -> Side {
         let can_try = !self.new.endpoints().is_empty();
-        self.exposure.side(now, who, self.trial.as_ref(), can_try, session_time)
+        self.exposure.side(now, who, self.trial.as_ref(), can_try, hold_for)
     }
 
     /// Tells whether the version under roll-out is barred.
@@ -158,7 +158,6 @@
     has_endpoints: bool,
     trials: BTreeMap<ServiceId, Trial>,
     exposures: HashMap<ServiceId, Arc<Exposure>>,
-    session_time: Millis,
     live: HashMap<EndpointId, Arc<EndpointLive>>,
     peers: PeerBook,
     feeds: Feeds,
@@ -170,9 +169,7 @@
 
 impl Beliefs {
     /// Makes the beliefs of a host that knows nothing yet but where some others may be.
-    ///
-    /// A session ends when nothing came of it for `session_time`.
-    pub fn new(host: HostId, peers: PeerBook, session_time: Millis) -> Beliefs {
+    pub fn new(host: HostId, peers: PeerBook) -> Beliefs {
         Beliefs {
             host,
             peers,
@@ -185,7 +182,6 @@
             has_endpoints: false,
             trials: BTreeMap::new(),
             exposures: HashMap::new(),
-            session_time,
             live: HashMap::new(),
         }
     }
@@ -286,20 +282,25 @@
                 false
             }
             Input::Observed(seen) => self.observe(now, &seen, actions),
-            Input::Heard(msg) => {
-                self.hear(now, msg, actions);
-                false
-            }
+            Input::Heard(msg) => self.hear(now, msg, actions),
             Input::Tick => self.table.sweep(now),
         }
     }
 
-    fn hear(&mut self, now: Millis, msg: PeerMessage, actions: &mut Vec<Action>) {
+    /// Takes what another host tells; tells whether the view changed.
+    fn hear(&mut self, now: Millis, msg: PeerMessage, actions: &mut Vec<Action>) -> bool {
+        let mut changed = false;
         let before = self.peers.len();
         let from = msg.from.clone();
         for (service, sessions) in &msg.news.sessions {
             let exposure = self.exposures.entry(service.clone()).or_default();
-            exposure.hold_told(now, sessions, self.session_time);
+            exposure.hold_told(now, sessions);
+        }
+        for told in &msg.news.tallies {
+            let trial = self.trials.get_mut(&told.service);
+            if let Some(trial) = trial.filter(|t| t.order.version == told.version) {
+                changed |= trial.learn_told_age(now, Millis(told.age_ms));
+            }
         }
         let is_near = self.peers.is_near(&msg.failure_domain);
         let lacking = self.feeds.told(now, &msg.news.changed, msg.address, is_near);
@@ -312,6 +313,7 @@
         if let Some(proof) = proof.filter(|p| Some(p.version) == own_version) {
             actions.push(Action::Proved(proof.began));
         }
+        changed
     }
 
     /// Tells other hosts what this one knows, and takes in what they told; tells whether the view
@@ -360,6 +362,7 @@
                 .collect(),
             ..News::default()
         };
+        let hosts = self.peers.len() + 1;
         for (service, trial) in &mut self.trials {
             let (service, version) = (service.clone(), trial.order.version.clone());
             match trial.phase() {
@@ -367,10 +370,12 @@
                 Phase::Done => {}
                 Phase::Sample | Phase::Moved => {
                     if let Some(exposure) = self.exposures.get(&service) {
-                        news.sessions.push((service.clone(), exposure.own_held(now)));
+                        let sample = trial.sample(hosts);
+                        news.sessions.push((service.clone(), exposure.told(now, sample)));
                     }
                     let tally = trial.judge.tally(now);
-                    news.tallies.push(ToldTally { service, version, tally });
+                    let age_ms = trial.age(now).0;
+                    news.tallies.push(ToldTally { service, version, age_ms, tally });
                 }
             }
         }
@@ -451,10 +456,11 @@
             (false, true) => (WRITE_TURNS_MS, Millis(0)),
             (false, false) => (WRITE_TURNS_MS, WATCHERS_WRITE_FOR),
         };
+        let hosts = self.peers.len() + 1;
         for (service, trial) in &mut self.trials {
             let job = format!("{service}/{}", trial.order.version);
             let turn = draw(&job, self.host.as_str()) * turns_ms;
-            let due = trial.due(now, after + Millis(turn as u64), WRITE_AGAIN);
+            let due = trial.due(now, after + Millis(turn as u64), WRITE_AGAIN, hosts);
             actions.extend(due.map(Action::Write));
         }
     }
@@ -498,7 +504,8 @@
         new: Vec<PoolEndpoint>,
     ) -> ServiceView {
         let spread = self.peers.spread();
-        let trial = self.trials.get(service).map(|t| t.view(spread));
+        let hosts = self.peers.len() + 1;
+        let trial = self.trials.get(service).map(|t| t.view(spread, hosts));
         let exposure = self.exposures.entry(service.clone()).or_default().clone();
         let pool = |endpoints| PoolView::new(endpoints, 0);
         ServiceView { proven: pool(proven), new: pool(new), trial, exposure }
--- a/crates/tidetrack-core/src/traffic/exposure.rs
+++ b/crates/tidetrack-core/src/traffic/exposure.rs
@@ -1,18 +1,22 @@
 //! Which sessions meet a new version in a roll-out's first half.
+//!
+//! What hosts tell each other of sessions is passed on by whoever hears it, so it reaches a large
+//! fleet in a few rounds; to keep that small, the sample shrinks as the fleet grows.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::placement::draw;
 use crate::traffic::trial::{Phase, Side, TrialView};
 use crate::units::Millis;
 
-/// Share of sessions on the new version in the first half: half of the usual bound of 0.15, so that a
-/// host hardly ever meets the bound below and has to move a session off the new version for it.
-const FIRST_SHARE: f64 = 0.07;
+/// Largest share of sessions on the new version in the first half: half of the usual bound of 0.15, so
+/// that a host hardly ever meets the bound below and has to move a session off the new version for it.
+pub const MOST_SAMPLED: f64 = 0.07;
 
 /// Share of a host's requests that may meet the new version in the first half.
 const MOST_SHARE: f64 = 0.14;
@@ -20,12 +24,33 @@
 /// Requests that a host may send to the new version before the share counts.
 const FREE_EXPOSURE: u64 = 6;
 
-/// Sessions that one message tells at most.
+/// Sessions that one message tells at most: about 1 KB.
 const MOST_TOLD: usize = 200;
 
+/// Steps in which messages tell how long a session is still held, in milliseconds.
+const HELD_STEP_MS: u64 = 100;
+
 /// Names a session in messages.
 pub type SessionKey = u32;
 
+/// A session that stays on the proven versions, as hosts tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldSession {
+    /// The session.
+    pub session: SessionKey,
+    /// How much longer it stays there, in steps of a tenth of a second.
+    pub left: u16,
+}
+
+/// Hosts up to which the sample is the largest.
+const FULL_SAMPLE_HOSTS: f64 = 30.0;
+
+/// Gets the share of sessions that meet a new version first, in a fleet of so many hosts: the more
+/// hosts, the more traffic, and the fewer sessions show how a version does.
+pub fn sample_of(hosts: usize) -> f64 {
+    MOST_SAMPLED * (FULL_SAMPLE_HOSTS / hosts as f64).min(1.0)
+}
+
 /// Who a request belongs to, for the draw of versions.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SessionDraw {
@@ -61,34 +86,33 @@
 #[derive(Clone, Copy, Debug)]
 struct Held {
     until: Millis,
-    /// Whether this host saw it itself, and so tells it to others.
-    is_own: bool,
+    /// Its draw, if this host saw the session itself.
+    draw: Option<f64>,
 }
 
 impl Exposure {
-    /// Decides where a request goes. `can_try` tells whether the new version has an endpoint.
+    /// Decides where a request goes. `can_try` tells whether the new version has an endpoint. A session
+    /// that is sent to the proven versions stays there for `hold_for`.
     pub fn side(
         &self,
         now: Millis,
         who: SessionDraw,
         trial: Option<&TrialView>,
         can_try: bool,
-        session_time: Millis,
+        hold_for: Millis,
     ) -> Side {
-        match trial.map(|t| t.phase) {
+        match trial.map(|t| t.phase_at(now)) {
             Some(Phase::Moved | Phase::Done) => return Side::New,
             Some(Phase::Barred) => return Side::Proven,
             Some(Phase::Sample) => drop(self.all.fetch_add(1, Ordering::Relaxed)),
             None => {}
         }
-        if who.draw >= FIRST_SHARE {
-            return Side::Proven;
-        }
-        let is_open = can_try && trial.is_some_and(|t| now >= t.sample_from);
-        if is_open && self.has_room() && !self.is_held(now, who) {
+        let is_sampled =
+            can_try && trial.is_some_and(|t| now >= t.sample_from && who.draw < t.sample);
+        if is_sampled && self.has_room() && !self.is_held(now, who) {
             return Side::New;
         }
-        self.hold(now, who, session_time);
+        self.hold(now, who, hold_for);
         Side::Proven
     }
 
@@ -98,27 +122,42 @@
     }
 
     /// Takes note that a session is at work on a proven version.
-    pub fn hold(&self, now: Millis, who: SessionDraw, session_time: Millis) {
-        if let Some(session) = who.session.filter(|_| who.draw < FIRST_SHARE) {
-            let held = Held { until: now + session_time, is_own: true };
-            self.held.lock().expect("no holder of the lock panics").insert(session, held);
+    pub fn hold(&self, now: Millis, who: SessionDraw, hold_for: Millis) {
+        if let Some(session) = who.session.filter(|_| who.draw < MOST_SAMPLED) {
+            let held = Held { until: now + hold_for, draw: Some(who.draw) };
+            let mut all = self.held.lock().expect("no holder of the lock panics");
+            let known = all.entry(session).or_insert(held);
+            *known = Held { until: known.until.max(held.until), ..held };
         }
     }
 
     /// Takes sessions that another host tells.
-    pub fn hold_told(&self, now: Millis, sessions: &[SessionKey], session_time: Millis) {
+    pub fn hold_told(&self, now: Millis, sessions: &[ToldSession]) {
         let mut all = self.held.lock().expect("no holder of the lock panics");
-        for session in sessions {
-            let held = all.entry(*session).or_insert(Held { until: now, is_own: false });
-            held.until = held.until.max(now + session_time);
+        for told in sessions {
+            let until = now + Millis(u64::from(told.left) * HELD_STEP_MS);
+            let held = all.entry(told.session).or_insert(Held { until, draw: None });
+            held.until = held.until.max(until);
         }
     }
 
-    /// Lists the sessions that this host saw itself, and forgets those that have ended.
-    pub fn own_held(&self, now: Millis) -> Vec<SessionKey> {
+    /// Lists the sessions to tell other hosts, those seen here and those heard of, when a roll-out's
+    /// sample is `sample`; forgets those that have ended.
+    pub fn told(&self, now: Millis, sample: f64) -> Vec<ToldSession> {
         let mut all = self.held.lock().expect("no holder of the lock panics");
         all.retain(|_, held| now < held.until);
-        all.iter().filter(|(_, h)| h.is_own).map(|(s, _)| *s).take(MOST_TOLD).collect()
+        let is_sampled = |held: &&Held| held.draw.is_none_or(|draw| draw < sample);
+        let told = |(session, held): (&SessionKey, &Held)| {
+            // Rounded down: what is passed on many times must not live for ever.
+            let left = (held.until - now).0 / HELD_STEP_MS;
+            ToldSession { session: *session, left: u16::try_from(left).unwrap_or(u16::MAX) }
+        };
+        let mut told: Vec<ToldSession> =
+            all.iter().filter(|(_, held)| is_sampled(held)).map(told).collect();
+        told.retain(|t| t.left > 0);
+        told.sort_by_key(|t| std::cmp::Reverse((t.left, t.session)));
+        told.truncate(MOST_TOLD);
+        told
     }
 
     fn is_held(&self, now: Millis, who: SessionDraw) -> bool {
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -21,7 +21,7 @@
 
 use crate::ids::{EndpointId, FailureDomain, HostId, ServiceId, VersionName};
 use crate::placement::rendezvous;
-use crate::traffic::exposure::SessionKey;
+use crate::traffic::exposure::ToldSession;
 use crate::traffic::feeds::Revisions;
 use crate::traffic::judge::Tally;
 use crate::units::Millis;
@@ -91,6 +91,8 @@
     pub service: ServiceId,
     /// The version under roll-out.
     pub version: VersionName,
+    /// Milliseconds since the order, as the teller knows it.
+    pub age_ms: u64,
     /// The counts.
     pub tally: Tally,
 }
@@ -109,7 +111,7 @@
     /// The newest changes of the store it knows.
     pub changed: Revisions,
     /// Sessions at work on proven versions of services under roll-out.
-    pub sessions: Vec<(ServiceId, Vec<SessionKey>)>,
+    pub sessions: Vec<(ServiceId, Vec<ToldSession>)>,
 }
 
 /// One message.
@@ -374,10 +376,11 @@
         Millis(ROUND_EVERY.0 * self.peers.len().div_ceil(FANOUT) as u64)
     }
 
-    /// Gets the time within which news of one host has gone to all others.
+    /// Gets the time within which news that hosts pass on has gone from one host to all others.
     pub fn spread(&self) -> Millis {
-        // Twice, for a message may be lost.
-        Millis(self.turn_time().0 * 2)
+        let hops = (self.peers.len().max(1) as f64).log(FANOUT as f64).ceil().max(1.0) as u64;
+        // One round more, for a message may be lost.
+        Millis(ROUND_EVERY.0 * (hops + 1))
     }
 
     /// Counts the other hosts that are heard.
--- a/crates/tidetrack-core/src/traffic/trial.rs
+++ b/crates/tidetrack-core/src/traffic/trial.rs
@@ -7,6 +7,7 @@
 //! whichever host is first, under the object's revision.
 
 use crate::ids::{ServiceId, VersionName};
+use crate::traffic::exposure::{sample_of, MOST_SAMPLED};
 use crate::traffic::judge::{Judge, Observed, Tally};
 use crate::units::Millis;
 
@@ -46,6 +47,8 @@
     pub elapsed: Millis,
     /// Whether all traffic has moved.
     pub has_moved: bool,
+    /// Share of the sessions that meet the new version first, so that all hosts sample the same ones.
+    pub sample: Option<f64>,
 }
 
 /// An operator's order to bring a version in, with what the hosts have written about it.
@@ -97,7 +100,7 @@
 }
 
 /// A roll-out as traffic sees it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TrialView {
     /// The new version.
     pub version: VersionName,
@@ -106,6 +109,21 @@
     /// When the first half's sample begins: by then the hosts have told each other which sessions
     /// are at work on the proven versions.
     pub sample_from: Millis,
+    /// Share of the sessions in the sample.
+    pub sample: f64,
+    /// When all traffic moves. Hosts move at one instant, as near as they know the order's age, and not
+    /// as they hear of it: a session must not find one host moved and the next one not.
+    pub moves_at: Millis,
+}
+
+impl TrialView {
+    /// Gets where requests go at an instant.
+    pub fn phase_at(&self, now: Millis) -> Phase {
+        match self.phase {
+            Phase::Sample if now >= self.moves_at => Phase::Moved,
+            phase => phase,
+        }
+    }
 }
 
 /// A roll-out as one host sees it.
@@ -165,12 +183,33 @@
         self.order.progress.as_ref().filter(|p| p.version == self.order.version)
     }
 
-    /// Gets the roll-out as traffic sees it; `spread` is the time that news takes to all hosts.
-    pub fn view(&self, spread: Millis) -> TrialView {
+    /// Takes the age of the order as another host knows it; tells whether it is older than known here.
+    pub fn learn_told_age(&mut self, now: Millis, age: Millis) -> bool {
+        let before = self.began;
+        self.began = self.began.min(now - age);
+        self.began < before
+    }
+
+    /// Gets the order's age.
+    pub fn age(&self, now: Millis) -> Millis {
+        now - self.began
+    }
+
+    /// Gets the share of the sessions that meet the new version first: what is written, or what this
+    /// host would write.
+    pub fn sample(&self, hosts: usize) -> f64 {
+        let written = self.progress().and_then(|p| p.sample);
+        written.filter(|s| (0.0..=MOST_SAMPLED).contains(s)).unwrap_or_else(|| sample_of(hosts))
+    }
+
+    /// Gets the roll-out as traffic sees it; `spread` is the time that news takes to all `hosts`.
+    pub fn view(&self, spread: Millis, hosts: usize) -> TrialView {
         TrialView {
             version: self.order.version.clone(),
             phase: self.phase(),
             sample_from: self.began + spread + LEAST_SPREAD,
+            sample: self.sample(hosts),
+            moves_at: self.began + self.part(MOVE_AT),
         }
     }
 
@@ -214,20 +253,31 @@
 
     /// Gets the progress to be written now, if any. `patience` is this host's place in the order of
     /// writers, as a time: others may be first.
-    pub fn due(&mut self, now: Millis, patience: Millis, again: Millis) -> Option<ProgressWrite> {
+    pub fn due(
+        &mut self,
+        now: Millis,
+        patience: Millis,
+        again: Millis,
+        hosts: usize,
+    ) -> Option<ProgressWrite> {
         if self.writing_until.is_some_and(|until| now < until) {
             return None;
         }
-        let progress = self.next(now, patience)?;
+        let progress = Progress { sample: Some(self.sample(hosts)), ..self.next(now, patience)? };
         self.writing_until = Some(now + again);
         let revision = self.order.revision;
         Some(ProgressWrite { service: self.order.service.clone(), revision, progress })
     }
 
+    /// Gets a part of the roll-out's time.
+    fn part(&self, part: f64) -> Millis {
+        Millis((self.order.duration.0 as f64 * part) as u64)
+    }
+
     fn next(&self, now: Millis, patience: Millis) -> Option<Progress> {
         let elapsed = now - self.began;
         let version = self.order.version.clone();
-        let at = |state, has_moved| Progress { state, version, elapsed, has_moved };
+        let at = |state, has_moved| Progress { state, version, elapsed, has_moved, sample: None };
         let written = self.progress();
         if let Some(RolloutState::Completed | RolloutState::RolledBack) = written.map(|p| p.state) {
             return None;
@@ -236,7 +286,7 @@
             let is_turn = now >= since + patience;
             return is_turn.then(|| at(RolloutState::RolledBack, false));
         }
-        let part = |part: f64| Millis((self.order.duration.0 as f64 * part) as u64) + patience;
+        let part = |part: f64| self.part(part) + patience;
         let has_moved = written.is_some_and(|p| p.has_moved);
         if has_moved && elapsed >= part(COMPLETE_AT) {
             return Some(at(RolloutState::Completed, true));
--- a/crates/tidetrack-core/tests/large_fleet.rs
+++ b/crates/tidetrack-core/tests/large_fleet.rs
@@ -4,17 +4,21 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use tidetrack_core::traffic::control::{Action, Beliefs, Input};
+use tidetrack_core::ids::ServiceId;
+use tidetrack_core::traffic::control::{Action, Beliefs, FleetView, Input};
+use tidetrack_core::traffic::exposure::SessionDraw;
 use tidetrack_core::traffic::feeds::{Catch, Kind, Source};
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::peers::PeerMessage;
+use tidetrack_core::traffic::trial::{ProgressWrite, RolloutOrder, Side};
 use tidetrack_core::units::Millis;
 
-use support::{host, with_rollout};
+use support::{host, id, order, with_endpoints};
 
 /// Time between the reads of a host that proves the configuration.
 const PROVE_EVERY: u64 = 1_500;
@@ -31,11 +35,18 @@
 /// Time that getting changes from a host or the store takes.
 const CATCH_TIME: u64 = 10;
 
+/// Latest that a host hears of a change of a roll-out.
+const LATEST_WORD: u64 = 600;
+
+/// Time for which a session is held after a request's start.
+const HOLD_FOR: Millis = Millis(13_000);
+
 struct FleetHost {
     beliefs: Beliefs,
     fresh: Freshness,
     /// When it proves the configuration next, if it does.
     proves_at: u64,
+    view: Option<Arc<FleetView>>,
 }
 
 struct Fleet {
@@ -54,6 +65,10 @@
     store_is_down: bool,
     /// Calls to the store by hosts that do not watch it.
     calls: usize,
+    /// The roll-out as it stands in the store.
+    rollout: Option<RolloutOrder>,
+    /// When hosts hear of the roll-out's states.
+    told: Vec<(u64, usize, RolloutOrder)>,
     /// Messages sent in the last step.
     on_the_way: Vec<(SocketAddr, PeerMessage)>,
     sent: usize,
@@ -65,11 +80,8 @@
         let start = |n| {
             let fresh = Freshness::default();
             fresh.proved(Millis(0));
-            FleetHost {
-                beliefs: with_rollout(n, &fresh),
-                fresh,
-                proves_at: u64::from(n) * 17 % PROVE_EVERY,
-            }
+            let proves_at = u64::from(n) * 17 % PROVE_EVERY;
+            FleetHost { beliefs: with_endpoints(n, &fresh), fresh, proves_at, view: None }
         };
         let mut fleet = Fleet {
             hosts: (1..=hosts).map(start).collect(),
@@ -81,12 +93,15 @@
             deaf: Vec::new(),
             store_is_down: false,
             calls: 0,
+            rollout: None,
+            told: Vec::new(),
             on_the_way: Vec::new(),
             sent: 0,
         };
         for i in 0..fleet.hosts.len() {
             let listed = Input::CaughtUp { kind: Kind::Endpoints, complete: 10, changed: None };
             fleet.take(i, listed);
+            fleet.take(i, Input::RolloutList(Vec::new()));
         }
         fleet
     }
@@ -97,6 +112,7 @@
             self.now += STEP as u64;
             self.deliver();
             self.catch();
+            self.tell_rollout();
             for i in 0..self.hosts.len() {
                 self.prove(i);
                 self.watch(i);
@@ -170,7 +186,7 @@
     }
 
     fn take(&mut self, i: usize, input: Input) {
-        let mut wanted = Vec::new();
+        let (mut wanted, mut written) = (Vec::new(), Vec::new());
         let host = &mut self.hosts[i];
         for action in host.beliefs.take(Millis(self.now + ON_THE_WAY), input, &host.fresh) {
             match action {
@@ -180,10 +196,52 @@
                 }
                 Action::Proved(began) => host.fresh.proved(began),
                 Action::Catch(catch) => wanted.push(catch),
+                Action::Publish(view) => host.view = Some(view),
+                Action::Write(write) => written.push(write),
                 _ => {}
             }
         }
         wanted.into_iter().for_each(|catch| self.begin_to_catch(i, catch));
+        written.into_iter().for_each(|write| self.write(write));
+    }
+
+    /// Takes a write of the roll-out's progress, if it is based on the newest state.
+    fn write(&mut self, write: ProgressWrite) {
+        let Some(order) = self.rollout.clone().filter(|o| o.revision == write.revision) else {
+            return;
+        };
+        let (revision, progress) = (order.revision + 1, Some(write.progress));
+        self.order(RolloutOrder { revision, progress, ..order });
+    }
+
+    /// Changes the roll-out; hosts hear of it at different times.
+    fn order(&mut self, order: RolloutOrder) {
+        for i in 0..self.hosts.len() {
+            let at = self.now + self.seed.random_range(20..LATEST_WORD);
+            self.told.push((at, i, order.clone()));
+        }
+        self.rollout = Some(order);
+    }
+
+    fn tell_rollout(&mut self) {
+        let now = self.now;
+        let (ready, later) = std::mem::take(&mut self.told).into_iter().partition(|t| t.0 <= now);
+        self.told = later;
+        for (_, i, order) in ready {
+            self.take(i, Input::Rollout(order));
+        }
+    }
+
+    /// Sends a request of a session to a host; gets the side it goes to.
+    fn request(&mut self, i: usize, session: &str) -> Side {
+        let host = &self.hosts[i];
+        let view = host.view.as_ref().expect("a view");
+        let service = &view.services[&id::<ServiceId>("llm")];
+        let side = service.side(Millis(self.now), SessionDraw::new(Some(session), "r"), HOLD_FOR);
+        if side == Side::New {
+            service.exposure.sent_to_new();
+        }
+        side
     }
 
     /// Changes the store and lets time pass until all hosts know; gets how long that took.
@@ -283,3 +341,84 @@
     // Ten hosts in ten seconds.
     assert!((50..=150).contains(&fleet.calls), "{} calls", fleet.calls);
 }
+
+/// A session whose requests follow each other, each at some host.
+struct Session {
+    name: String,
+    next_at: u64,
+    last: Option<Side>,
+}
+
+/// What sessions met in a roll-out.
+#[derive(Debug, Default)]
+struct Moves {
+    /// Requests in the first half that met the new version after the old one.
+    early: usize,
+    /// Requests that met the old version after the new one.
+    back: usize,
+    /// Requests of the first half that met the new version, and all of it.
+    sampled: usize,
+    all: usize,
+}
+
+/// Plays a roll-out of 20 s under sessions whose requests come from 0.05 to 4 s after each other.
+fn sessions_in_a_rollout(hosts: u32, sessions: usize, seed: u64) -> Moves {
+    let mut fleet = Fleet::start(hosts, seed);
+    fleet.run(4_000, |_, _| {});
+    let mut seed = StdRng::seed_from_u64(seed + 1);
+    let mut all: Vec<Session> = (0..sessions)
+        .map(|n| Session {
+            name: format!("s{n}"),
+            next_at: seed.random_range(0..8_000),
+            last: None,
+        })
+        .collect();
+    let began = 9_000;
+    let mut moves = Moves::default();
+    for step in 0..500 {
+        fleet.run(4_000 + (step + 1) * STEP as u64, |_, _| {});
+        if fleet.now == began {
+            fleet.order(order(1, None));
+        }
+        let is_first_half = (began..began + 10_000).contains(&fleet.now);
+        let now = fleet.now;
+        for session in all.iter_mut().filter(|s| s.next_at <= now) {
+            let at = seed.random_range(0..hosts as usize);
+            let side = fleet.request(at, &session.name);
+            let is_early = is_first_half && side == Side::New && session.last == Some(Side::Proven);
+            moves.early += usize::from(is_early);
+            moves.back += usize::from(side == Side::Proven && session.last == Some(Side::New));
+            moves.sampled += usize::from(is_first_half && side == Side::New);
+            moves.all += usize::from(is_first_half);
+            session.last = Some(side);
+            // Some requests are short calls right after each other.
+            let pause = if seed.random::<f64>() < 0.5 { 50..250 } else { 200..4_000 };
+            session.next_at = fleet.now + seed.random_range(pause);
+            // Now and then a reader begins a new session.
+            if seed.random::<f64>() < 0.15 {
+                session.name.push('x');
+                session.last = None;
+            }
+        }
+    }
+    moves
+}
+
+#[test]
+fn sessions_keep_their_version_through_a_rollout_of_a_large_fleet() {
+    let all: Vec<Moves> = (1..=4).map(|seed| sessions_in_a_rollout(83, 900, seed)).collect();
+
+    println!("{all:?}");
+    assert!(all.iter().all(|m| m.early <= 3 && m.back <= 3), "{all:?}");
+    assert!(all.iter().map(|m| m.early).sum::<usize>() <= 1, "{all:?}");
+    assert!(all.iter().all(|m| m.sampled >= 20), "{all:?}");
+}
+
+#[test]
+fn sessions_keep_their_version_through_a_rollout_of_a_small_fleet() {
+    let moves = sessions_in_a_rollout(7, 300, 8);
+
+    println!("{moves:?}");
+    assert!(moves.early <= 3 && moves.back <= 3, "{moves:?}");
+    assert!(moves.sampled * 100 <= moves.all * 14, "{moves:?}");
+}
--- a/crates/tidetrack-core/tests/support/mod.rs
+++ b/crates/tidetrack-core/tests/support/mod.rs
@@ -84,7 +84,7 @@
 }
 
 pub fn progress(state: RolloutState, elapsed: u64, has_moved: bool) -> Progress {
-    Progress { state, version: id("v2"), elapsed: Millis(elapsed), has_moved }
+    Progress { state, version: id("v2"), elapsed: Millis(elapsed), has_moved, sample: None }
 }
 
 pub fn host(n: u32) -> (HostId, SocketAddr) {
@@ -94,15 +94,21 @@
 pub fn beliefs(n: u32) -> Beliefs {
     let ((name, address), (_, seed)) = (host(n), host(1));
     let book = PeerBook::new(name.clone(), address, id("hall"), vec![seed]);
-    Beliefs::new(name, book, Millis(5_000))
+    Beliefs::new(name, book)
 }
 
-pub fn with_rollout(n: u32, fresh: &Freshness) -> Beliefs {
+/// Endpoints of two versions.
+pub fn with_endpoints(n: u32, fresh: &Freshness) -> Beliefs {
     let mut beliefs = beliefs(n);
     let endpoints =
         vec![record("o1", "v1"), record("o2", "v1"), record("n1", "v2"), record("n2", "v2")];
     beliefs.take(Millis(0), Input::Catalog(Arc::new(catalog(3))), fresh);
     beliefs.take(Millis(0), Input::EndpointList(endpoints), fresh);
+    beliefs
+}
+
+pub fn with_rollout(n: u32, fresh: &Freshness) -> Beliefs {
+    let mut beliefs = with_endpoints(n, fresh);
     beliefs.take(Millis(0), Input::RolloutList(vec![order(1, None)]), fresh);
     beliefs
 }
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -189,7 +189,7 @@
     let mut seen = Vec::new();
 
     for t in (0..20_000).step_by(100) {
-        if let Some(write) = trial.due(Millis(t), Millis(50), Millis(700)) {
+        if let Some(write) = trial.due(Millis(t), Millis(50), Millis(700), 2) {
             assert_eq!(write.revision, revision);
             revision += 1;
             seen.push((t, write.progress.state, write.progress.has_moved));
@@ -209,7 +209,7 @@
     let written = progress(RolloutState::InProgress, 15_000, true);
 
     let mut trial = Trial::new(Millis(100_000), order(7, Some(written)));
-    let write = trial.due(Millis(103_000), Millis(0), Millis(700)).expect("its end is due");
+    let write = trial.due(Millis(103_000), Millis(0), Millis(700), 2).expect("its end is due");
 
     assert_eq!(write.progress.state, RolloutState::Completed);
 }
@@ -233,12 +233,12 @@
 #[test]
 fn a_session_at_work_on_the_old_version_stays_there_also_at_another_host() {
     let (first, second) = (Exposure::default(), Exposure::default());
-    let trial = Trial::new(Millis(0), order(1, None)).view(Millis(0));
+    let trial = Trial::new(Millis(0), order(1, None)).view(Millis(0), 2);
     let who = drawn_session();
     let side = |e: &Exposure, now| e.side(Millis(now), who, Some(&trial), true, Millis(5_000));
 
     let before = first.side(Millis(0), who, None, false, Millis(5_000));
-    second.hold_told(Millis(300), &first.own_held(Millis(300)), Millis(5_000));
+    second.hold_told(Millis(300), &first.told(Millis(300), 1.0));
     let at_second = side(&second, 2_000);
     let idle_since = side(&second, 9_000);
 
@@ -248,7 +248,7 @@
 #[test]
 fn a_hosts_share_of_a_new_version_is_bounded_whatever_the_draws_are() {
     let exposure = Exposure::default();
-    let trial = Trial::new(Millis(0), order(1, None)).view(Millis(0));
+    let trial = Trial::new(Millis(0), order(1, None)).view(Millis(0), 2);
 
     // Requests without a session, all of which the draw would put on the new version.
     let who = SessionDraw { session: None, draw: 0.0 };
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -8,13 +8,17 @@
 use tidetrack_core::traffic::control::ServiceView;
 use tidetrack_core::traffic::exposure::SessionDraw;
 use tidetrack_core::traffic::trial::Side;
-use tidetrack_core::units::Tokens;
+use tidetrack_core::units::{Millis, Tokens};
 
 use crate::job::{Chosen, Job, Traffic, Tries, WorkShare};
 
 /// When to come back after a refusal for want of room, in milliseconds.
 const RETRY_FULL_MS: u64 = 300;
 
+/// How long a run takes at most, as a rule. A session is at work from a request's start until some time
+/// after its end.
+const RUN_TIME: Millis = Millis(8_000);
+
 /// Checks, right before a send, that the request may still be passed on; `is_paid` tells that the
 /// send was taken from the budget before.
 ///
@@ -56,8 +60,8 @@
     let service = view.services.get(&job.service).ok_or_else(|| full("no endpoint is listed"))?;
     let who = SessionDraw::new(job.facts.session.as_deref(), &job.id);
     let now = traffic.shared.now();
-    let session_time = traffic.shared.settings.bounds.session_time;
-    let drawn = service.side(now, who, session_time);
+    let hold_for = traffic.shared.settings.bounds.session_time + RUN_TIME;
+    let drawn = service.side(now, who, hold_for);
     let other = match drawn {
         Side::Proven => Side::New,
         Side::New => Side::Proven,
@@ -73,7 +77,7 @@
         match pick(traffic, job, tried, service, side, reread) {
             Ok(chosen) => {
                 if side == Side::Proven {
-                    service.exposure.hold(now, who, session_time);
+                    service.exposure.hold(now, who, hold_for);
                 }
                 return Ok(chosen);
             }
--- a/crates/tidetrack-plane/tests/messages.rs
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -15,6 +15,7 @@
     let tally = ToldTally {
         service: "model-service".parse().expect("a name"),
         version: "v2".parse().expect("a name"),
+        age_ms: 4_000,
         tally: Tally::default(),
     };
     PeerMessage {
