--- a/crates/tidetrack-testkit/src/proxy.rs
+++ b/crates/tidetrack-testkit/src/proxy.rs
@@ -18,6 +18,8 @@
     Delay(u64),
     /// Holds it back until told otherwise.
     Freeze,
+    /// Passes requests on and holds answers back until told otherwise.
+    FreezeAnswers,
     /// Closes connections and refuses new ones.
     Cut,
     /// Closes a connection once so many bytes came back from the target.
@@ -158,8 +160,11 @@
                     std::thread::sleep(Duration::from_millis(ms));
                     return true;
                 }
-                Fault::Freeze if self.stopped.load(Ordering::Acquire) => return false,
-                Fault::Freeze => std::thread::sleep(LOOK),
+                Fault::FreezeAnswers if !is_answer => return true,
+                Fault::Freeze | Fault::FreezeAnswers if self.stopped.load(Ordering::Acquire) => {
+                    return false
+                }
+                Fault::Freeze | Fault::FreezeAnswers => std::thread::sleep(LOOK),
                 Fault::Cut => return false,
                 Fault::CutAfter(bytes) => return !is_answer || answered <= bytes,
             }
