One constructor an error, heads decoded once, the traffic's view in a module of its own

No behaviour changes but one: a host whose proof grows too old between admission and send says 500 ms where it said 300, as at admission.

--- a/crates/tidetrack-core/src/traffic/gate.rs
+++ b/crates/tidetrack-core/src/traffic/gate.rs
@@ -12,6 +12,12 @@
 /// then a balancer sends new connections to another host, or a read of the store was answered.
 const RETRY_NOT_READY_MS: u64 = 500;
 
+/// Makes the refusal of a host whose configuration was not confirmed for too long.
+pub fn stale() -> Error {
+    Error::new(Code::Stale, "the configuration was not confirmed for too long")
+        .with_retry_after(RETRY_NOT_READY_MS)
+}
+
 /// What is asked at the gate.
 #[derive(Clone, Copy, Debug)]
 pub struct Entry<'a> {
@@ -52,10 +58,6 @@
         || Error::new(Code::NotReady, "no configuration yet").with_retry_after(RETRY_NOT_READY_MS);
     let catalog = catalog.ok_or_else(not_ready)?;
     let is_fresh = revoke_within.is_none_or(|bound| fresh.holds(now, bound));
-    let stale = || {
-        Error::new(Code::Stale, "the configuration was not confirmed for too long")
-            .with_retry_after(RETRY_NOT_READY_MS)
-    };
     let Some(route) = catalog.route(entry.hostname, entry.path) else {
         // A host with an old configuration can't tell an unknown route from a new one.
         return Err(if is_fresh {
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -17,3 +17,4 @@
 pub mod outlook;
 pub mod peers;
 pub mod trial;
+pub mod view;
--- /dev/null
+++ b/crates/tidetrack-core/src/traffic/view.rs
@@ -0,0 +1,62 @@
+//! What traffic decides on: the configuration and each service's endpoints, at one moment.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::ids::ServiceId;
+use crate::placement::PoolView;
+use crate::traffic::catalog::Catalog;
+use crate::traffic::exposure::{Exposure, SessionDraw};
+use crate::traffic::trial::{Phase, Side, TrialView};
+use crate::units::Millis;
+
+/// A service's endpoints, as traffic sees them.
+#[derive(Debug)]
+pub struct ServiceView {
+    /// Endpoints of proven versions.
+    pub proven: PoolView,
+    /// Endpoints of the version under roll-out.
+    pub new: PoolView,
+    /// The roll-out, if there is one.
+    pub trial: Option<TrialView>,
+    /// Sessions and counts for the share of a new version.
+    pub exposure: Arc<Exposure>,
+}
+
+impl ServiceView {
+    /// Decides which side a request goes to.
+    pub fn side(&self, now: Millis, who: SessionDraw, hold_for: Millis) -> Side {
+        let can_try = !self.new.endpoints().is_empty();
+        self.exposure.side(now, who, self.trial.as_ref(), can_try, hold_for)
+    }
+
+    /// Tells whether the version under roll-out is barred.
+    pub fn is_barred(&self) -> bool {
+        self.trial.as_ref().is_some_and(|t| t.phase == Phase::Barred)
+    }
+
+    /// Tells whether an endpoint belongs to the service.
+    pub fn has_endpoint(&self, id: &str) -> bool {
+        let all = self.proven.endpoints().iter().chain(self.new.endpoints());
+        all.into_iter().any(|e| e.id.as_str() == id)
+    }
+
+    /// Gets the endpoints of a side.
+    pub fn pool(&self, side: Side) -> &PoolView {
+        match side {
+            Side::Proven => &self.proven,
+            Side::New => &self.new,
+        }
+    }
+}
+
+/// What traffic decides on.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    /// The configuration in force; `None` until one is known.
+    pub catalog: Option<Arc<Catalog>>,
+    /// The services by name.
+    pub services: HashMap<ServiceId, ServiceView>,
+    /// Whether endpoints were listed at all since the start.
+    pub has_endpoints: bool,
+}
--- a/crates/tidetrack-core/tests/large_fleet.rs
+++ b/crates/tidetrack-core/tests/large_fleet.rs
@@ -10,12 +10,13 @@
 use rand::{RngExt, SeedableRng};
 
 use tidetrack_core::ids::ServiceId;
-use tidetrack_core::traffic::control::{Action, Beliefs, FleetView, Input};
+use tidetrack_core::traffic::control::{Action, Beliefs, Input};
 use tidetrack_core::traffic::exposure::SessionDraw;
 use tidetrack_core::traffic::feeds::{Catch, Kind, Source};
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::peers::PeerMessage;
 use tidetrack_core::traffic::trial::{ProgressWrite, RolloutOrder, Side};
+use tidetrack_core::traffic::view::FleetView;
 use tidetrack_core::units::Millis;
 
 use support::{host, id, order, with_endpoints};
--- a/crates/tidetrack-core/tests/support/mod.rs
+++ b/crates/tidetrack-core/tests/support/mod.rs
@@ -10,11 +10,12 @@
 use tidetrack_core::traffic::catalog::{
     Catalog, KeyHolder, PricedModel, Route, Service, Target, Work,
 };
-use tidetrack_core::traffic::control::{Action, Beliefs, FleetView, Input};
+use tidetrack_core::traffic::control::{Action, Beliefs, Input};
 use tidetrack_core::traffic::endpoints::EndpointRecord;
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::peers::PeerBook;
 use tidetrack_core::traffic::trial::{Progress, RolloutOrder, RolloutState};
+use tidetrack_core::traffic::view::FleetView;
 use tidetrack_core::units::Millis;
 
 pub fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a request goes to one endpoint, and the head of its answer comes back.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -53,7 +53,7 @@
 /// The error tells whether the request may have run.
 pub async fn send(
     attempt: &Attempt<'_>,
-    make: impl Fn(Duration) -> Request<Full<Bytes>>,
+    make: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<Answered> {
     let until = tokio::time::Instant::from_std(attempt.until);
     loop {
@@ -61,8 +61,7 @@
         let mut lease = tokio::time::timeout_at(until, taken)
             .await
             .map_err(|_| failed(Code::EndpointUnreachable, "no connection in time", Ran::No))??;
-        let left = attempt.until.saturating_duration_since(Instant::now());
-        let sent = lease.sender.try_send_request(make(left));
+        let sent = lease.sender.try_send_request(make());
         match tokio::time::timeout_at(until, sent).await {
             Err(_) => return Err(failed(Code::Deadline, "no answer in time", Ran::Unknown)),
             Ok(Ok(resp)) => return judge_head(attempt, resp, lease).await,
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -5,15 +5,16 @@
 use tidetrack_core::ids::{EndpointId, ModelId};
 use tidetrack_core::placement::{place_of, Ask};
 use tidetrack_core::traffic::budget::SendAgain;
-use tidetrack_core::traffic::control::ServiceView;
 use tidetrack_core::traffic::exposure::SessionDraw;
+use tidetrack_core::traffic::gate;
 use tidetrack_core::traffic::trial::Side;
+use tidetrack_core::traffic::view::ServiceView;
 use tidetrack_core::units::{Millis, Tokens};
 
 use crate::job::{Chosen, Job, Traffic, Tries, WorkShare};
 
 /// When to come back after a refusal for want of room, in milliseconds.
-const RETRY_FULL_MS: u64 = 300;
+pub const RETRY_FULL_MS: u64 = 300;
 
 /// How long a run takes at most, as a rule. A session is at work from a request's start until some time
 /// after its end.
@@ -34,8 +35,7 @@
     let bound = shared.settings.bounds.revoke_within;
     let needs_proof = tries.sent == 0 && job.admitted.holder.is_some();
     if needs_proof && bound.is_some_and(|bound| !shared.fresh.holds(now, bound)) {
-        let e = Error::new(Code::Stale, "the configuration was not confirmed for too long");
-        return Err(e.with_retry_after(RETRY_FULL_MS));
+        return Err(gate::stale());
     }
     if tries.sent == 0 {
         if tries.unreached == 0 {
@@ -71,10 +71,10 @@
     let reread = job.reread(weight_of(traffic, job, model));
     let mut last = full("no endpoint can be used");
     // Where all endpoints were tried, all but the last are tried again.
-    let untried = tries.tried.as_slice();
-    let but_last = &untried[untried.len().saturating_sub(1)..];
-    for (side, tried) in sides.flat_map(|side| [(side, untried), (side, but_last)]) {
-        match pick(traffic, job, tried, service, side, reread) {
+    let tried = tries.tried.as_slice();
+    let last_tried = &tried[tried.len().saturating_sub(1)..];
+    for (side, avoided) in sides.flat_map(|side| [(side, tried), (side, last_tried)]) {
+        match pick(traffic, job, avoided, service, side, reread) {
             Ok(chosen) => {
                 if side == Side::Proven {
                     service.exposure.hold(now, who, hold_for);
@@ -87,6 +87,7 @@
     Err(last)
 }
 
+/// Makes the refusal for want of an endpoint with room.
 pub fn full(text: &str) -> Error {
     Error::new(Code::Overloaded, text).with_retry_after(RETRY_FULL_MS)
 }
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -23,7 +23,8 @@
 
 use crate::attempt::{self, Answered};
 use crate::body::AnswerBody;
-use crate::choose::{check_before_send, choose, full, weight_of};
+use crate::choose::{check_before_send, choose, full, weight_of, RETRY_FULL_MS};
+use crate::dialect::RequestFacts;
 use crate::job::{Chosen, InFlight, Job, Traffic, Tries, WorkShare};
 use crate::relay;
 use crate::report::{answered_line, failed_attempt, observe};
@@ -35,17 +36,14 @@
 /// Part of the objective after which no second opinion is asked.
 const SECOND_OPINION_PART: f64 = 0.6;
 
-/// When to come back after a refusal for want of room, in milliseconds.
-const RETRY_FULL_MS: u64 = 300;
-
 /// Serves one request.
 pub async fn serve(traffic: Rc<Traffic>, req: Request<Incoming>) -> Response<AnswerBody> {
     let began = Instant::now();
     let in_flight = InFlight::new(&traffic);
-    let attempt_id = (traffic.shared.dialect.read_request)(req.headers()).map(|f| f.attempt_id);
-    let attempt_id = attempt_id.ok().flatten();
+    let facts = (traffic.shared.dialect.read_request)(req.headers());
+    let attempt_id = facts.as_ref().ok().and_then(|f| f.attempt_id.clone());
     let guard = LeaveGuard::new(&traffic, attempt_id.clone().unwrap_or_default());
-    let resp = match prepare(&traffic, req, began).await {
+    let resp = match prepare(&traffic, facts, req, began).await {
         Err(e) => refuse(&traffic, attempt_id.as_deref(), "", began, &e),
         Ok(job) => {
             let job = Rc::new(job);
@@ -121,14 +119,19 @@
 }
 
 /// Admits a request and reads its body.
-async fn prepare(traffic: &Rc<Traffic>, req: Request<Incoming>, began: Instant) -> Result<Job> {
+async fn prepare(
+    traffic: &Rc<Traffic>,
+    facts: Result<RequestFacts>,
+    req: Request<Incoming>,
+    began: Instant,
+) -> Result<Job> {
     let shared = &traffic.shared;
     if traffic.refuses.get() {
         let e = Error::new(Code::Draining, "the host is stopping; ask another");
         return Err(e.with_retry_after(RETRY_LEAVING_MS));
     }
     let (head, body) = req.into_parts();
-    let facts = (shared.dialect.read_request)(&head.headers)?;
+    let facts = facts?;
     let hostname = head.headers.get(http::header::HOST).and_then(|h| h.to_str().ok());
     let entry = gate::Entry {
         hostname: hostname.or(head.uri.host()).unwrap_or_default(),
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -14,8 +14,8 @@
 use tokio::task::LocalSet;
 
 use tidetrack_core::events::Event;
-use tidetrack_core::traffic::control::FleetView;
 use tidetrack_core::traffic::freshness::Freshness;
+use tidetrack_core::traffic::view::FleetView;
 
 use crate::control;
 use crate::dialect::Dialect;
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -72,7 +72,7 @@
         attempt_id: job.facts.attempt_id.as_deref(),
         until: job.until,
     };
-    let make = |_| make_request(traffic, job, chosen, model, last_event);
+    let make = || make_request(traffic, job, chosen, model, last_event);
     let sent = tokio::select! {
         sent = attempt::send(&attempt, make) => sent?,
         () = impatience(traffic, job, tries, chosen) => {
--- a/crates/tidetrack-plane/src/shared.rs
+++ b/crates/tidetrack-plane/src/shared.rs
@@ -6,8 +6,9 @@
 
 use arc_swap::ArcSwap;
 
-use tidetrack_core::traffic::control::{FleetView, Input};
+use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::freshness::Freshness;
+use tidetrack_core::traffic::view::FleetView;
 use tidetrack_core::units::Millis;
 
 use crate::dialect::Dialect;
