--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: a request goes to one endpoint, and the head of its answer comes back.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -40,6 +40,8 @@
     pub address: &'a str,
     /// The id that the answer must repeat.
     pub attempt_id: Option<&'a str>,
+    /// Longest rest of the connection it may go on.
+    pub most_rest: Duration,
     /// When to give up.
     pub until: Instant,
 }
@@ -57,7 +59,7 @@
 ) -> Result<Answered> {
     let until = tokio::time::Instant::from_std(attempt.until);
     loop {
-        let taken = attempt.pool.take(attempt.endpoint, attempt.address);
+        let taken = attempt.pool.take(attempt.endpoint, attempt.address, attempt.most_rest);
         let mut lease = tokio::time::timeout_at(until, taken)
             .await
             .map_err(|_| failed(Code::EndpointUnreachable, "no connection in time", Ran::No))??;
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -1,5 +1,7 @@
 //! One HTTP call on a kept connection: to the store, or to another host.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,7 +29,7 @@
     address: &str,
     mut req: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes)> {
-    let mut lease = pool.take(name, address).await.map_err(|e| down(e.message))?;
+    let mut lease = pool.take(name, address, Duration::MAX).await.map_err(|e| down(e.message))?;
     let host = http::HeaderValue::from_str(address).map_err(|e| down(e.to_string()))?;
     req.headers_mut().insert(http::header::HOST, host);
     let sent = lease.sender.send_request(req).await;
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -32,6 +32,11 @@
 /// Part of the named time after which a resting connection is not used any more.
 const USED_IDLE_PART: f64 = 0.7;
 
+/// Longest rest of a connection for a request that must not be sent twice. Endpoints may forget a
+/// connection without a word once it rested for some 300 ms; whether the request came there is then not
+/// known, and a new connection costs a millisecond.
+pub const REST_FOR_ONCE: Duration = Duration::from_millis(200);
+
 /// Largest head of an answer, in bytes.
 const MOST_HEAD_BYTES: usize = 64 << 10;
 
@@ -63,6 +68,7 @@
 
 struct Idle {
     lease: Lease,
+    since: Instant,
     until: Instant,
 }
 
@@ -73,9 +79,9 @@
 }
 
 impl Pool {
-    /// Takes a kept connection, or opens one.
-    pub async fn take(&self, name: &str, address: &str) -> Result<Lease> {
-        while let Some(mut idle) = self.pop(name) {
+    /// Takes a kept connection that rested no longer than `most_rest`, or opens one.
+    pub async fn take(&self, name: &str, address: &str, most_rest: Duration) -> Result<Lease> {
+        while let Some(mut idle) = self.pop(name, most_rest) {
             let is_usable = Instant::now() < idle.until && !idle.lease.sender.is_closed();
             if is_usable && idle.lease.sender.ready().await.is_ok() {
                 idle.lease.is_reused = true;
@@ -94,7 +100,8 @@
         let mut all = self.idle.borrow_mut();
         let of_end = all.entry(name.to_string()).or_default();
         if of_end.len() < MOST_IDLE {
-            of_end.push(Idle { lease, until: Instant::now() + rest });
+            let now = Instant::now();
+            of_end.push(Idle { lease, since: now, until: now + rest });
         }
     }
 
@@ -112,8 +119,11 @@
         });
     }
 
-    fn pop(&self, name: &str) -> Option<Idle> {
-        self.idle.borrow_mut().get_mut(name)?.pop()
+    /// Gets the connection that rested least, if it rested no longer than `most_rest`.
+    fn pop(&self, name: &str, most_rest: Duration) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let of_end = idle.get_mut(name)?;
+        of_end.pop_if(|newest| newest.since.elapsed() <= most_rest)
     }
 }
 
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -15,6 +15,7 @@
 use crate::attempt::{self, Answered, Attempt};
 use crate::dialect::Handover;
 use crate::job::{Chosen, Job, Traffic, Tries};
+use crate::pool::REST_FOR_ONCE;
 
 /// Work that one request counts as which an endpoint tells as running. An engine reads prompts one
 /// after another, but makes the tokens of all that run together, so what runs adds little.
@@ -70,6 +71,10 @@
         endpoint: chosen.id.as_str(),
         address: &chosen.address,
         attempt_id: job.facts.attempt_id.as_deref(),
+        most_rest: match job.admitted.route.work.is_repeatable() {
+            true => Duration::MAX,
+            false => REST_FOR_ONCE,
+        },
         until: job.until,
     };
     let make = || make_request(traffic, job, chosen, model, last_event);
