Show a run of changes in one view, and leave a leaving endpoint before the next view

An endpoint that leaves or is gone is now marked where all views see it, at once; a run of changes is shown when no input waits any more, after 100 ms at the latest.

--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -42,8 +42,8 @@
 /// Least time between questions for a proof.
 const ASK_AGAIN: Millis = Millis(300);
 
-/// Least time between two views for changes of endpoints. They come by hundreds when a fleet starts or a
-/// large service is replaced, and a view of thousands of endpoints takes milliseconds to make.
+/// Longest time that a view stays old while changes of endpoints come in a run. They come by hundreds when
+/// a fleet starts or a large service is replaced, and a view of thousands takes milliseconds to make.
 const VIEW_EVERY: Millis = Millis(100);
 
 /// How a change of beliefs bears on the view.
@@ -51,7 +51,7 @@
 enum Bearing {
     /// Not at all.
     None,
-    /// Others may gather before the next view.
+    /// The rest of its run may come before the next view.
     Soon,
     /// Traffic has to decide on it at once.
     Now,
@@ -206,15 +206,22 @@
         }
         self.is_view_old |= bearing > Bearing::None;
         let is_due = self.last_view.is_none_or(|at| now >= at + VIEW_EVERY);
-        if self.is_view_old && (is_due || bearing == Bearing::Now) {
-            self.is_view_old = false;
-            self.last_view = Some(now);
-            actions.push(Action::Publish(Arc::new(self.view())));
+        if is_due || bearing == Bearing::Now {
+            actions.extend(self.show(now));
         }
         self.write_progress(now, &mut actions);
         actions
     }
 
+    /// Makes the view anew if it is old. To be called when no input waits: changes come in runs.
+    pub fn show(&mut self, now: Millis) -> Option<Action> {
+        if !std::mem::take(&mut self.is_view_old) {
+            return None;
+        }
+        self.last_view = Some(now);
+        Some(Action::Publish(Arc::new(self.view())))
+    }
+
     /// Applies an input; tells how it bears on the view.
     fn apply(&mut self, now: Millis, input: Input, actions: &mut Vec<Action>) -> Bearing {
         match input {
@@ -232,12 +239,19 @@
                     record.id, record.service, record.version, record.is_leaving
                 );
                 actions.push(Action::Note(Event::EndpointChanged, text));
+                // Picks on the present view mind this at once.
+                if let Some(live) = self.live.get(&record.id) {
+                    live.set_leaving(record.is_leaving);
+                }
                 self.table.upsert(record);
                 Bearing::Soon
             }
             Input::EndpointGone(id) => {
                 actions.push(Action::Note(Event::EndpointGone, format!("endpoint={id}")));
                 self.table.remove(now, &id);
+                if let Some(live) = self.live.get(&id).filter(|_| !self.table.has(&id)) {
+                    live.set_leaving(true);
+                }
                 Bearing::Soon
             }
             Input::RolloutList(orders) => {
--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -103,6 +103,11 @@
         self.entries.len() < before
     }
 
+    /// Tells whether an endpoint is believed in.
+    pub fn has(&self, id: &EndpointId) -> bool {
+        self.entries.contains_key(id)
+    }
+
     /// Lists the records.
     pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
         self.entries.values().map(|e| &e.record)
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -49,6 +49,9 @@
             for action in beliefs.take(shared.now(), input, &shared.fresh) {
                 outlets.carry_out(action);
             }
+            if inputs.is_empty() {
+                beliefs.show(shared.now()).into_iter().for_each(|view| outlets.carry_out(view));
+            }
             let now = Duties { proves: beliefs.is_prover(), watches: beliefs.is_watcher() };
             duties.send_if_modified(|is| std::mem::replace(is, now) != now);
         }
