Wait for a large list that comes slowly, and log each kind's loss and return

A call's time now bounds its head and each pause in its body. Test failed first: a_host_waits_for_a_list_that_comes_slowly.

An older test failed once on the way (an_endpoint_whose_entry_lapsed_in_an_outage_goes_on_serving, no E211 in 30 s), traced: since the configuration is watched for 20 s, another kind's watch may be the first and only one to notice a short outage; it said so (E210) and neither told the table of endpoints nor logged its return.

--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -23,7 +23,7 @@
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::feeds::Kind;
 
-use crate::call::{call, down};
+use crate::call::{call, down, Patience};
 use crate::pool::Pool;
 use crate::server::listen;
 use crate::shared::SharedRef;
@@ -32,7 +32,7 @@
 /// of a host is priced.
 const MOST_KEPT: usize = 256 << 10;
 
-/// Longest time for an answer of another host, in which the change can still be got elsewhere.
+/// Longest time that an answer of another host stands still, in which the change can still be got elsewhere.
 const ANSWER_WITHIN: Duration = Duration::from_millis(350);
 
 /// Pause before accepting again after a connection could not be accepted.
@@ -136,8 +136,8 @@
     let path = format!("/changes/{kind:?}/{after}");
     *req.uri_mut() = path.parse().map_err(|e| down(format!("{path}: {e}")))?;
     let address = address.to_string();
-    let answer = tokio::time::timeout(ANSWER_WITHIN, call(pool, &address, &address, req));
-    let (status, bytes) = answer.await.map_err(|_| down("no answer in time"))??;
+    let patience = Patience { head: ANSWER_WITHIN, part: ANSWER_WITHIN };
+    let (status, bytes) = call(pool, &address, &address, req, patience).await?;
     if status != StatusCode::OK {
         return Err(down(format!("the host answered {status}")));
     }
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -4,7 +4,7 @@
 //! it. Whether a write whose reply was lost was done is found out by whoever reads the object next;
 //! writes are made under a revision, so one that is made again changes nothing twice.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -14,12 +14,13 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::units::Millis;
 
-use crate::call::{self, down};
+use crate::call::{self, down, Patience};
 use crate::dialect::{Age, Kind, Page, StoreCall, Stored};
 use crate::pool::Pool;
 use crate::shared::SharedRef;
 
-/// Longest time for a call; the store answers in milliseconds, and a slow one in some hundred.
+/// Longest time for the head of a reply, and between parts of its body; the store answers in milliseconds,
+/// and a slow one in some hundred.
 const CALL_WITHIN: Duration = Duration::from_millis(1_200);
 
 /// Name of the store in the pool of connections.
@@ -53,10 +54,7 @@
 
     /// Makes a call; `wait` is how long the store may hold it back.
     pub async fn call(&self, call: &StoreCall, wait: Duration) -> Result<Bytes> {
-        let until = Instant::now() + wait + CALL_WITHIN;
-        let made =
-            tokio::time::timeout_at(tokio::time::Instant::from_std(until), self.call_untimed(call));
-        let result = made.await.unwrap_or_else(|_| Err(down("no reply in time")));
+        let result = self.call_uncounted(call, wait).await;
         self.shared.metrics.store_call(match &result {
             Ok(_) => "answered",
             Err(e) if e.code == Code::PlatformDown => "failed",
@@ -65,7 +63,8 @@
         result
     }
 
-    async fn call_untimed(&self, call: &StoreCall) -> Result<Bytes> {
+    async fn call_uncounted(&self, call: &StoreCall, wait: Duration) -> Result<Bytes> {
+        let patience = Patience { head: wait + CALL_WITHIN, part: CALL_WITHIN };
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call.path.parse().map_err(|e| down(format!("{}: {e}", call.path)))?;
@@ -73,7 +72,7 @@
             let json = http::HeaderValue::from_static("application/json");
             req.headers_mut().insert(http::header::CONTENT_TYPE, json);
         }
-        let (status, body) = call::call(&self.pool, STORE, &self.address, req).await?;
+        let (status, body) = call::call(&self.pool, STORE, &self.address, req, patience).await?;
         match status {
             StatusCode::OK | StatusCode::CREATED => Ok(body),
             StatusCode::NOT_FOUND => Err(Error::new(Code::ObjectGone, "no such object")),
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -5,7 +5,7 @@
 //! A host whose proof grows old all the same reads for itself, and notices there that it has lost the
 //! store; once the store answers again, all kinds start again from a list.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -78,8 +78,8 @@
     /// Counts the returns of the store, for the other kinds to start again.
     returns: watch::Sender<u64>,
     duties: watch::Receiver<Duties>,
-    /// Whether the store did not answer the last read of the configuration.
-    is_lost: Cell<bool>,
+    /// By kind, whether the store did not answer the last read.
+    is_lost: RefCell<[bool; 3]>,
     started: Instant,
 }
 
@@ -98,7 +98,7 @@
             logs: RefCell::default(),
             returns,
             duties,
-            is_lost: Cell::new(false),
+            is_lost: RefCell::default(),
             started: Instant::now(),
         });
         tokio::task::spawn_local(watches.clone().keep_proof());
@@ -211,11 +211,10 @@
     async fn keep(self: Rc<Self>, kind: Kind) {
         let mut returns = self.returns.subscribe();
         let mut pause = FIRST_PAUSE;
-        let mut is_logged = false;
         loop {
             returns.mark_unchanged();
             let e = tokio::select! {
-                e = self.follow(kind, &mut is_logged) => e,
+                e = self.follow(kind) => e,
                 () = self.is_to_list_again(&mut returns), if kind != Kind::Catalog => continue,
             };
             if e.code == Code::HistoryGone {
@@ -223,12 +222,7 @@
                 pause = FIRST_PAUSE;
                 continue;
             }
-            if kind == Kind::Catalog {
-                self.lost(&e);
-            } else if !is_logged {
-                self.log_lost(kind, &e);
-            }
-            if !std::mem::replace(&mut is_logged, true) {
+            if self.lost(kind, &e) {
                 pause = FIRST_PAUSE;
             }
             tokio::time::sleep(jittered(pause)).await;
@@ -265,17 +259,14 @@
             let age = self.shared.fresh.age(self.shared.now());
             let Some(age) = age.filter(|_| after > 0) else { continue };
             // After a loss, a young proof of another host says that the store answers again.
-            let is_back = self.is_lost.get() && age < PROVE_EVERY;
+            let is_back = self.is_lost(Kind::Catalog) && age < PROVE_EVERY;
             if age < wanted && !is_back {
                 continue;
             }
             match self.read_store(Kind::Catalog, after).await {
-                Ok(_) => {
-                    pause = FIRST_PAUSE;
-                    self.back();
-                }
+                Ok(()) => pause = FIRST_PAUSE,
                 Err(e) => {
-                    self.lost(&e);
+                    self.lost(Kind::Catalog, &e);
                     tokio::time::sleep(jittered(pause)).await;
                     pause = (pause * 2).min(self.longest_pause(Kind::Catalog));
                 }
@@ -283,34 +274,45 @@
         }
     }
 
-    fn log_lost(&self, kind: Kind, e: &Error) {
-        let kind = format!("{kind:?}");
-        self.shared.journal.line(Event::PlatformLost, &[("kind", &kind), ("why", e)]);
+    fn is_lost(&self, kind: Kind) -> bool {
+        self.is_lost.borrow()[kind as usize]
     }
 
-    /// Takes note that the configuration could not be read.
-    fn lost(&self, e: &Error) {
-        if !self.is_lost.replace(true) {
-            self.log_lost(Kind::Catalog, e);
+    /// Takes note that a kind could not be read; tells whether that is news.
+    fn lost(&self, kind: Kind, e: &Error) -> bool {
+        let before = *self.is_lost.borrow();
+        if before[kind as usize] {
+            return false;
+        }
+        self.is_lost.borrow_mut()[kind as usize] = true;
+        let kind_name = format!("{kind:?}");
+        self.shared.journal.line(Event::PlatformLost, &[("kind", &kind_name), ("why", e)]);
+        if before == [false; 3] {
             self.shared.tell(Input::StoreLost);
         }
+        true
     }
 
-    /// Takes note that the configuration was read.
-    fn back(&self) {
-        if self.is_lost.replace(false) {
-            self.shared.journal.line(Event::PlatformBack, &[]);
+    /// Takes note that a kind was read.
+    fn back(&self, kind: Kind) {
+        if !std::mem::take(&mut self.is_lost.borrow_mut()[kind as usize]) {
+            return;
+        }
+        self.shared.journal.line(Event::PlatformBack, &[("kind", &format!("{kind:?}"))]);
+        if *self.is_lost.borrow() == [false; 3] {
             self.shared.tell(Input::StoreBack);
+        }
+        if kind == Kind::Catalog {
             self.returns.send_modify(|n| *n += 1);
         }
     }
 
     /// Lists a kind and follows its changes until a call fails.
-    async fn follow(&self, kind: Kind, is_logged: &mut bool) -> Error {
+    async fn follow(&self, kind: Kind) -> Error {
         if let Err(e) = self.read_all(kind).await {
             return e;
         }
-        *is_logged = false;
+        self.back(kind);
         let mut duties = self.duties.clone();
         tokio::time::sleep_until((self.started + self.first_watch_after()).into()).await;
         loop {
@@ -387,7 +389,7 @@
     /// Takes note of a read of the configuration.
     fn catalog_read(&self, began: Millis) {
         self.shared.fresh.proved(began);
-        self.back();
+        self.back(Kind::Catalog);
     }
 
     /// Reads the changes of a kind after a revision; the store may wait for one.
