Keep a barred version barred through the next roll-out

Hosts now remember versions whose roll-out ended without their being proven, and tell each other. Test failed first (with the one line taken out): a_version_that_was_barred_stays_so_through_the_next_rollout.

--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -3,7 +3,7 @@
 //! The state takes one input at a time and gives back actions; a new view is made whenever a belief
 //! that requests depend on has changed.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -132,6 +132,9 @@
     table: EndpointTable,
     has_endpoints: bool,
     trials: BTreeMap<ServiceId, Trial>,
+    /// Versions whose roll-out ended without their being proven. Their endpoints may run on for a while,
+    /// beside the next roll-out.
+    unproven: BTreeSet<Barred>,
     exposures: HashMap<ServiceId, Arc<Exposure>>,
     live: HashMap<EndpointId, Arc<EndpointLive>>,
     peers: PeerBook,
@@ -165,6 +168,7 @@
             table: EndpointTable::default(),
             has_endpoints: false,
             trials: BTreeMap::new(),
+            unproven: BTreeSet::new(),
             exposures: HashMap::new(),
             live: HashMap::new(),
         }
@@ -306,6 +310,14 @@
                 }
             }
         }
+        for barred in &msg.news.barred {
+            let trial = self.trials.get(&barred.service);
+            // Of the version under roll-out the trial itself is told, when it is judged.
+            if trial.is_some_and(|t| t.order.version != barred.version) {
+                let is_news = self.unproven.insert(barred.clone());
+                bearing = bearing.max(Bearing::now_if(is_news));
+            }
+        }
         let is_near = self.peers.is_near(&msg.failure_domain);
         let lacking = self.feeds.told(now, &msg.news.changed, msg.address, is_near);
         actions.extend(lacking.into_iter().map(Action::Catch));
@@ -361,6 +373,7 @@
         let mut news = News {
             proof,
             changed: self.feeds.changed(),
+            barred: self.unproven.iter().cloned().collect(),
             loads: loads
                 .filter(|(_, work)| *work > 0)
                 .map(|(key, work)| (key, u32::try_from(work).unwrap_or(u32::MAX)))
@@ -427,6 +440,13 @@
     fn take_order(&mut self, now: Millis, order: RolloutOrder, actions: &mut Vec<Action>) {
         let service = order.service.clone();
         let before = self.trials.get(&service).map(|t| (t.order.version.clone(), t.phase()));
+        let (old, new) = (before.as_ref(), &order.version);
+        if let Some((version, phase)) = old.filter(|(version, _)| version != new) {
+            if matches!(phase, Phase::Sample | Phase::Barred) {
+                self.unproven.insert(Barred { service: service.clone(), version: version.clone() });
+            }
+        }
+        self.unproven.remove(&Barred { service: service.clone(), version: order.version.clone() });
         match self.trials.get_mut(&service) {
             Some(trial) => trial.update(now, order),
             None => {
@@ -480,9 +500,11 @@
             let phase = trial.map(Trial::phase);
             let kept = self.live.get(&record.id).cloned().unwrap_or_default();
             live.insert(record.id.clone(), kept.clone());
+            let of_version =
+                Barred { service: record.service.clone(), version: record.version.clone() };
             let may_serve = match (is_new, phase) {
                 (true, Some(Phase::Barred)) | (false, Some(Phase::Done)) => false,
-                _ => !record.is_leaving,
+                _ => !record.is_leaving && !self.unproven.contains(&of_version),
             };
             if !may_serve {
                 continue;
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -7,6 +7,7 @@
 
 use tidetrack_core::codes::Code;
 use tidetrack_core::ids::{EndpointId, ModelId, RouteId, ServiceId, VersionName};
+use tidetrack_core::placement::PoolView;
 use tidetrack_core::traffic::budget::{SendAgain, SendBudget};
 use tidetrack_core::traffic::cascade::{better_model, CascadeOptions, GenerationSize, Prospect};
 use tidetrack_core::traffic::control::{Action, Beliefs, Input};
@@ -17,7 +18,7 @@
 use tidetrack_core::traffic::judge::Observed;
 use tidetrack_core::traffic::outlook::Outlook;
 use tidetrack_core::traffic::peers::{News, PeerBook, PeerMessage, ToldProof};
-use tidetrack_core::traffic::trial::{Phase, RolloutState, Side, Trial};
+use tidetrack_core::traffic::trial::{Phase, RolloutOrder, RolloutState, Side, Trial};
 use tidetrack_core::units::{Millis, Tokens};
 
 use support::{
@@ -473,3 +474,38 @@
     assert!(service.proven.endpoints().is_empty());
     assert_eq!(ids.len(), 2);
 }
+
+#[test]
+fn a_version_that_was_barred_stays_so_through_the_next_rollout() {
+    let fresh = fresh_since(0);
+    let mut beliefs = with_rollout(2, &fresh);
+    let barred = progress(RolloutState::RolledBack, 4_000, false);
+    beliefs.take(Millis(4_000), Input::Rollout(order(5, Some(barred))), &fresh);
+
+    let next = RolloutOrder { version: id("v3"), ..order(6, None) };
+    beliefs.take(Millis(4_100), Input::Endpoint(record("x1", "v3")), &fresh);
+    let actions = beliefs.take(Millis(4_200), Input::Rollout(next), &fresh);
+
+    let view = view_of(&actions).expect("a new view");
+    let service = &view.services[&id::<ServiceId>("llm")];
+    let ids = |pool: &PoolView| -> Vec<String> {
+        pool.endpoints().iter().map(|e| e.id.to_string()).collect()
+    };
+    assert_eq!(ids(&service.proven), ["o1", "o2"]);
+    assert_eq!(ids(&service.new), ["x1"]);
+}
+
+#[test]
+fn a_barred_version_may_be_ordered_again() {
+    let fresh = fresh_since(0);
+    let mut beliefs = with_rollout(2, &fresh);
+    let barred = progress(RolloutState::RolledBack, 4_000, false);
+    beliefs.take(Millis(4_000), Input::Rollout(order(5, Some(barred))), &fresh);
+    let between = RolloutOrder { version: id("v3"), ..order(6, None) };
+    beliefs.take(Millis(4_100), Input::Rollout(between), &fresh);
+
+    let actions = beliefs.take(Millis(4_200), Input::Rollout(order(7, None)), &fresh);
+
+    let view = view_of(&actions).expect("a new view");
+    assert_eq!(view.services[&id::<ServiceId>("llm")].new.endpoints().len(), 2);
+}
