Write the bills held for others before a planned stop

A planned stop now writes what is held for others too; a living origin meets its segment written and queues anew what it lacks. Test failed first: a_planned_stop_writes_what_is_held_for_others_first.

--- a/crates/tidetrack-core/src/keeper.rs
+++ b/crates/tidetrack-core/src/keeper.rs
@@ -201,10 +201,14 @@
         self.unheld = self.own.from(0).map(|b| (b.number(), b.clone())).collect();
     }
 
-    /// Writes everything; the end comes as `Flushed`.
+    /// Writes everything, what is held for others included; the end comes as `Flushed`.
+    ///
+    /// An origin may have died without this host having noticed yet, and then nobody else has its bills.
+    /// One that lives meets its segment written, and queues anew what it lacks.
     pub fn flush(&mut self) {
         self.flushing = true;
         self.write(&self.origin.clone());
+        self.held.origins().iter().for_each(|origin| self.write(origin));
     }
 
     /// Does what is due; gives back what is to be done.
@@ -225,7 +229,7 @@
             self.direct_at = now;
             self.write(&self.origin.clone());
         }
-        if self.flushing && self.own.is_empty() {
+        if self.flushing && self.own.is_empty() && self.writing.is_empty() {
             self.end_flush(true);
         }
         std::mem::take(&mut self.out)
@@ -424,6 +428,27 @@
         assert_eq!(call.bills.iter().map(Bill::number).collect::<Vec<_>>(), [1, 2]);
     }
 
+    #[test]
+    fn a_planned_stop_writes_what_is_held_for_others_first() {
+        let mut keeper = keeper();
+        let dead: Incarnation = "d~1".parse().expect("an incarnation");
+        let call = HoldCall {
+            origin: dead.clone(),
+            bills: vec![bill(7)],
+            written: vec![],
+            next_segment: 3,
+        };
+        assert!(keeper.hold_for(call));
+
+        keeper.flush();
+        let actions = keeper.pump(Millis(1));
+
+        let [KeeperAction::Write(segment)] = &actions[..] else { panic!("{actions:?}") };
+        assert_eq!((&segment.origin, segment.bills[0].number()), (&dead, 7));
+        keeper.write_done(Millis(2), &dead, Some(segment.clone()));
+        assert_eq!(keeper.pump(Millis(3)), [KeeperAction::Flushed(true)]);
+    }
+
     #[test]
     fn when_a_holder_fails_the_next_is_asked_at_once() {
         let mut keeper = keeper();
