--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -49,6 +49,8 @@
     head: Option<http::response::Parts>,
     last_event: Option<u64>,
     events: u32,
+    /// Whether the stream can go on elsewhere. If not, a silent endpoint is waited for.
+    can_move: bool,
 }
 
 /// Where the events come from.
@@ -91,11 +93,13 @@
             head: Some(head),
             last_event,
             events: 0,
+            can_move: true,
         }
     }
 
     /// Waits for the first event and makes the caller's answer; the rest is passed on by a task.
     pub async fn begin(mut self, tries: Tries) -> Result<Response<AnswerBody>> {
+        self.can_move = tries.sent < self.job.admitted.route.most_attempts;
         let first = match self.next().await {
             Ok(next) => next,
             Err(e) => return Err(e.with_ran(Ran::Yes)),
@@ -132,6 +136,7 @@
                     }
                 }
             }
+            self.can_move = tries.sent < self.job.admitted.route.most_attempts;
             next = tokio::select! {
                 next = self.next() => next,
                 () = tx.closed() => return self.caller_left(),
@@ -159,7 +164,7 @@
         let late = |text: &str| Error::new(Code::Deadline, text).with_ran(Ran::Yes);
         let next = tokio::select! {
             next = self.source.next() => next,
-            () = silence => return Err(late("the stream fell silent")),
+            () = silence, if self.can_move => return Err(late("the stream fell silent")),
             () = tokio::time::sleep_until(until) => return Err(late("the stream took too long")),
         };
         self.source.chosen.live.heard(self.traffic.shared.now());
