--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -124,6 +124,15 @@
     Note(Event, String),
 }
 
+/// What a host does for the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Duties {
+    /// It proves the configuration at short intervals.
+    pub proves: bool,
+    /// It watches the store.
+    pub watches: bool,
+}
+
 /// The beliefs of a host.
 #[derive(Debug)]
 pub struct Beliefs {
@@ -145,8 +154,8 @@
     last_view: Option<Millis>,
     /// Whether something changed that the last view does not show.
     is_view_old: bool,
-    /// Whether this host proves the configuration, and watches the store, as of the last round.
-    duties: (bool, bool),
+    /// As of the last round.
+    duties: Duties,
     /// What was told in the last round.
     told: News,
 }
@@ -162,7 +171,7 @@
             last_asked: Millis(0),
             last_view: None,
             is_view_old: false,
-            duties: (true, true),
+            duties: Duties { proves: true, watches: true },
             told: News::default(),
             catalog: None,
             table: EndpointTable::default(),
@@ -176,7 +185,17 @@
 
     /// Tells whether this host is to watch the store for others.
     pub fn is_watcher(&self) -> bool {
-        self.duties.1
+        self.duties.watches
+    }
+
+    /// Gets what this host does for the others.
+    pub fn duties(&self) -> Duties {
+        self.duties
+    }
+
+    /// Counts the hosts of the fleet, this one included.
+    fn hosts(&self) -> usize {
+        self.peers.len() + 1
     }
 
     /// Gets the other hosts that are heard.
@@ -186,7 +205,7 @@
 
     /// Tells whether this host is to prove the configuration itself at short intervals.
     pub fn is_prover(&self) -> bool {
-        self.duties.0
+        self.duties.proves
     }
 
     /// Takes an input; `fresh` is what this host can pass on to others.
@@ -335,7 +354,7 @@
     /// Tells other hosts what this one knows, and takes in what they told; tells whether the view
     /// changed.
     fn do_round(&mut self, now: Millis, fresh: &Freshness, actions: &mut Vec<Action>) -> bool {
-        self.duties = (self.peers.is_prover(), self.peers.is_watcher());
+        self.duties = Duties { proves: self.peers.is_prover(), watches: self.peers.is_watcher() };
         for host in self.peers.sweep(now) {
             actions.push(Action::Note(Event::PeerDead, format!("peer={host}")));
         }
@@ -380,7 +399,7 @@
                 .collect(),
             ..News::default()
         };
-        let hosts = self.peers.len() + 1;
+        let hosts = self.hosts();
         for (service, trial) in &mut self.trials {
             let (service, version) = (service.clone(), trial.order.version.clone());
             match trial.phase() {
@@ -481,7 +500,7 @@
             (false, true) => (WRITE_TURNS_MS, Millis(0)),
             (false, false) => (WRITE_TURNS_MS, WATCHERS_WRITE_FOR),
         };
-        let hosts = self.peers.len() + 1;
+        let hosts = self.hosts();
         for (service, trial) in &mut self.trials {
             let job = format!("{service}/{}", trial.order.version);
             let turn = draw(&job, self.host.as_str()) * turns_ms;
@@ -531,7 +550,7 @@
         new: Vec<PoolEndpoint>,
     ) -> ServiceView {
         let spread = self.peers.spread();
-        let hosts = self.peers.len() + 1;
+        let hosts = self.hosts();
         let trial = self.trials.get_mut(service).map(|t| t.view(spread, hosts));
         let exposure = self.exposures.entry(service.clone()).or_default().clone();
         let pool = |endpoints| PoolView::new(endpoints, 0);
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -10,14 +10,14 @@
 
 use tidetrack_core::codes::Code;
 use tidetrack_core::events::Event;
-use tidetrack_core::traffic::control::{Action, Beliefs, Input};
+use tidetrack_core::traffic::control::{Action, Beliefs, Duties, Input};
 use tidetrack_core::traffic::peers::PeerBook;
 use tidetrack_core::traffic::trial::ProgressWrite;
 
 use crate::peers::Peers;
 use crate::shared::SharedRef;
 use crate::store::Store;
-use crate::watch::{Duties, Watches};
+use crate::watch::Watches;
 
 /// How often the beliefs are told that time has passed.
 const TICK: Duration = Duration::from_millis(100);
@@ -52,7 +52,7 @@
             if inputs.is_empty() {
                 beliefs.show(shared.now()).into_iter().for_each(|view| outlets.carry_out(view));
             }
-            let now = Duties { proves: beliefs.is_prover(), watches: beliefs.is_watcher() };
+            let now = beliefs.duties();
             duties.send_if_modified(|is| std::mem::replace(is, now) != now);
         }
     });
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -16,7 +16,7 @@
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
-use tidetrack_core::traffic::control::Input;
+use tidetrack_core::traffic::control::{Duties, Input};
 use tidetrack_core::traffic::feeds::{Catch, Source};
 use tidetrack_core::units::Millis;
 
@@ -58,15 +58,6 @@
 /// Pause between sweeps of connections to other hosts.
 const SWEEP: Duration = Duration::from_secs(5);
 
-/// What a host does for the others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Duties {
-    /// It proves the configuration at short intervals.
-    pub proves: bool,
-    /// It watches the store.
-    pub watches: bool,
-}
-
 /// What the watches of a host share.
 pub struct Watches {
     shared: SharedRef,
