Hosts find failing endpoints together and avoid them

Cause: each host judged an endpoint by three failures in a row of its own.

Change: hosts tell each other how requests went at the endpoints that any of them saw fail, fading with a half-life of 3 s. An endpoint whose share of failures lies 0.12 and three standard errors over its pool's median is avoided for 3 to 12 s, a third of a pool at most; one host's word alone is not enough.

Shown by core/tests/outliers.rs (two tests failed without the mend: 0.34 and 0.11 of the requests went to failing endpoints; bounds 0.15 and 0.06). The virtual fleet moved into tests/support/fleet.rs unchanged.

--- a/crates/tidetrack-core/src/placement.rs
+++ b/crates/tidetrack-core/src/placement.rs
@@ -117,6 +117,21 @@
     hosts_work: AtomicU64,
     /// When that was summed; 0 if never.
     hosts_told_at: AtomicU64,
+    /// Requests that went well and that failed since this host knows the endpoint; given up ones are
+    /// not counted.
+    good: AtomicU32,
+    failed: AtomicU32,
+    /// Until when it is avoided because it fails more than its pool.
+    outlier_until: AtomicU64,
+}
+
+/// How many requests at an endpoint went well, and how many failed. Both wrap around.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outcomes {
+    /// Those that went well.
+    pub good: u32,
+    /// Those that failed.
+    pub failed: u32,
 }
 
 impl EndpointLive {
@@ -214,10 +229,22 @@
     /// Records how an attempt went.
     pub fn note(&self, now: Millis, went_well: bool) {
         if went_well {
+            self.good.fetch_add(1, Ordering::Relaxed);
             self.failures.store(0, Ordering::Relaxed);
             self.ejected_until.store(0, Ordering::Relaxed);
             return;
         }
+        self.failed.fetch_add(1, Ordering::Relaxed);
+        self.eject_after_failures(now);
+    }
+
+    /// Records that an attempt was given up because the endpoint kept silent. That may be the work's
+    /// doing, so other hosts are not told of it.
+    pub fn note_silent(&self, now: Millis) {
+        self.eject_after_failures(now);
+    }
+
+    fn eject_after_failures(&self, now: Millis) {
         let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
         if failures >= FAILURES_TO_EJECT {
             let doublings = (failures - FAILURES_TO_EJECT).min(MOST_DOUBLINGS);
@@ -232,9 +259,22 @@
         self.note(now, false);
     }
 
+    /// Gets how the requests went so far.
+    pub fn outcomes(&self) -> Outcomes {
+        let (good, failed) = (&self.good, &self.failed);
+        Outcomes { good: good.load(Ordering::Relaxed), failed: failed.load(Ordering::Relaxed) }
+    }
+
+    /// Avoids the endpoint for a while because it fails more than its pool, by all hosts' counts. One
+    /// answer of its that goes well does not end that.
+    pub fn avoid_until(&self, until: Millis) {
+        self.outlier_until.fetch_max(until.0, Ordering::Relaxed);
+    }
+
     /// Tells whether the endpoint is ejected for its failures.
     pub fn is_ejected(&self, now: Millis) -> bool {
-        self.ejected_until.load(Ordering::Relaxed) > now.0
+        let until = |at: &AtomicU64| at.load(Ordering::Relaxed);
+        until(&self.ejected_until).max(until(&self.outlier_until)) > now.0
     }
 
     /// Marks the endpoint as leaving or not.
--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use crate::events::Event;
-use crate::ids::{EndpointId, HostId, ServiceId};
+use crate::ids::{EndpointId, HostId, ServiceId, VersionName};
 use crate::placement::{draw, EndpointLive, PoolEndpoint, PoolView};
 use crate::traffic::catalog::Catalog;
 use crate::traffic::endpoints::{EndpointRecord, EndpointTable};
@@ -16,6 +16,7 @@
 use crate::traffic::feeds::{Catch, Feeds, Kind};
 use crate::traffic::freshness::Freshness;
 use crate::traffic::judge::Observed;
+use crate::traffic::outliers::Outliers;
 use crate::traffic::peers::{
     Barred, EndpointKey, News, PeerBook, PeerMessage, Question, ToldProof, ToldTally, ROUND_EVERY,
 };
@@ -146,6 +147,7 @@
     unproven: BTreeSet<Barred>,
     exposures: HashMap<ServiceId, Arc<Exposure>>,
     live: HashMap<EndpointId, Arc<EndpointLive>>,
+    outliers: Outliers,
     peers: PeerBook,
     feeds: Feeds,
     last_round: Millis,
@@ -180,6 +182,7 @@
             unproven: BTreeSet::new(),
             exposures: HashMap::new(),
             live: HashMap::new(),
+            outliers: Outliers::default(),
         }
     }
 
@@ -358,6 +361,7 @@
         for host in self.peers.sweep(now) {
             actions.push(Action::Note(Event::PeerDead, format!("peer={host}")));
         }
+        self.judge_endpoints(now, actions);
         self.told = self.news(now, fresh);
         actions.push(Action::Send(self.peers.round(now, &self.told)));
         if !self.peers.is_empty() {
@@ -371,6 +375,22 @@
         services.iter().map(|s| self.judge(now, s, actions)).fold(false, |a, b| a | b)
     }
 
+    /// Finds endpoints that fail much more than their pools, and avoids them.
+    fn judge_endpoints(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let live = self.live.iter().map(|(id, live)| (id, live.as_ref()));
+        self.outliers.count(now, live, &self.peers.results(now));
+        let mut pools: BTreeMap<(&ServiceId, &VersionName), Vec<&EndpointId>> = BTreeMap::new();
+        for record in self.table.records().filter(|r| !r.is_leaving) {
+            pools.entry((&record.service, &record.version)).or_default().push(&record.id);
+        }
+        for outlier in pools.values().flat_map(|pool| self.outliers.judge(now, pool)) {
+            if let Some(live) = self.live.get(&outlier.endpoint) {
+                live.avoid_until(outlier.until);
+            }
+            actions.push(Action::Note(Event::EndpointAvoided, outlier.to_string()));
+        }
+    }
+
     /// Asks a host that proves the configuration, when this one's proof grows old.
     fn ask_for_proof(&mut self, now: Millis, fresh: &Freshness, actions: &mut Vec<Action>) {
         let is_old = fresh.age(now).is_some_and(|age| age >= ASK_FOR_PROOF);
@@ -391,6 +411,7 @@
         let loads = self.live.iter().map(|(id, live)| (EndpointKey::from(id), live.own_work()));
         let mut news = News {
             proof,
+            results: self.outliers.told(),
             changed: self.feeds.changed(),
             barred: self.unproven.iter().cloned().collect(),
             loads: loads
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -24,6 +24,7 @@
 use crate::traffic::exposure::ToldSession;
 use crate::traffic::feeds::Revisions;
 use crate::traffic::judge::Tally;
+use crate::traffic::outliers::Results;
 use crate::units::Millis;
 
 /// Hosts that one round of messages goes to.
@@ -104,6 +105,8 @@
     pub proof: Option<ToldProof>,
     /// Work it has at endpoints.
     pub loads: Vec<(EndpointKey, u32)>,
+    /// How its requests went at endpoints that some host saw fail.
+    pub results: Vec<(EndpointKey, Results)>,
     /// Its counts of roll-outs.
     pub tallies: Vec<ToldTally>,
     /// Versions it holds bad.
@@ -331,6 +334,18 @@
         loads
     }
 
+    /// Sums how the other hosts' requests went at endpoints that some host saw fail.
+    pub fn results(&self, now: Millis) -> HashMap<EndpointKey, Results> {
+        let mut results: HashMap<EndpointKey, Results> = HashMap::new();
+        for peer in self.peers.values() {
+            for (key, told) in &peer.news.results {
+                let sum = results.entry(*key).or_default();
+                *sum = sum.plus(told.as_told(now - peer.heard_at));
+            }
+        }
+        results
+    }
+
     /// Lists the other hosts' counts of a roll-out, with their ages.
     pub fn tallies<'a>(
         &'a self,
--- /dev/null
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -0,0 +1,255 @@
+//! Hosts of a fleet together, on virtual time: messages are lost, changes of the store come late.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use tidetrack_core::ids::ServiceId;
+use tidetrack_core::traffic::control::{Action, Beliefs, Input};
+use tidetrack_core::traffic::exposure::SessionDraw;
+use tidetrack_core::traffic::feeds::{Catch, Kind, Source};
+use tidetrack_core::traffic::freshness::Freshness;
+use tidetrack_core::traffic::peers::PeerMessage;
+use tidetrack_core::traffic::trial::{ProgressWrite, RolloutOrder, Side};
+use tidetrack_core::traffic::view::FleetView;
+use tidetrack_core::units::Millis;
+
+use super::{host, id, with_endpoints};
+
+/// Time between the reads of a host that proves the configuration.
+pub const PROVE_EVERY: u64 = 1_500;
+
+/// Time on the way of a message.
+pub const ON_THE_WAY: u64 = 2;
+
+/// Share of the messages that are lost.
+pub const LOST: f64 = 0.03;
+
+/// Step of the virtual clock.
+pub const STEP: usize = 50;
+
+/// Time that getting changes from a host or the store takes.
+pub const CATCH_TIME: u64 = 10;
+
+/// Latest that a host hears of a change of a roll-out.
+pub const LATEST_WORD: u64 = 600;
+
+/// Time for which a session is held after a request's start.
+pub const HOLD_FOR: Millis = Millis(13_000);
+
+pub struct FleetHost {
+    pub beliefs: Beliefs,
+    pub fresh: Freshness,
+    /// When it proves the configuration next, if it does.
+    pub proves_at: u64,
+    pub view: Option<Arc<FleetView>>,
+}
+
+pub struct Fleet {
+    pub hosts: Vec<FleetHost>,
+    pub seed: StdRng,
+    pub now: u64,
+    /// The store's newest revision; all its changes are endpoints'.
+    pub revision: u64,
+    /// What the hosts know of it.
+    pub known: Vec<u64>,
+    /// Changes that are being got: when they come, by which host, up to where; `None` if that fails.
+    pub catching: Vec<(u64, usize, Catch, Option<u64>)>,
+    /// Hosts that do not answer others.
+    pub deaf: Vec<usize>,
+    /// Whether the store fails the calls of hosts that do not watch it.
+    pub store_is_down: bool,
+    /// Calls to the store by hosts that do not watch it.
+    pub calls: usize,
+    /// The roll-out as it stands in the store.
+    pub rollout: Option<RolloutOrder>,
+    /// When hosts hear of the roll-out's states.
+    pub told: Vec<(u64, usize, RolloutOrder)>,
+    /// Messages sent in the last step.
+    pub on_the_way: Vec<(SocketAddr, PeerMessage)>,
+    pub sent: usize,
+}
+
+impl Fleet {
+    /// Starts hosts that each have read the store.
+    pub fn start(hosts: u32, seed: u64) -> Fleet {
+        let start = |n| {
+            let fresh = Freshness::default();
+            fresh.proved(Millis(0));
+            let proves_at = u64::from(n) * 17 % PROVE_EVERY;
+            FleetHost { beliefs: with_endpoints(n, &fresh), fresh, proves_at, view: None }
+        };
+        let mut fleet = Fleet {
+            hosts: (1..=hosts).map(start).collect(),
+            seed: StdRng::seed_from_u64(seed),
+            now: 0,
+            revision: 10,
+            known: vec![10; hosts as usize],
+            catching: Vec::new(),
+            deaf: Vec::new(),
+            store_is_down: false,
+            calls: 0,
+            rollout: None,
+            told: Vec::new(),
+            on_the_way: Vec::new(),
+            sent: 0,
+        };
+        for i in 0..fleet.hosts.len() {
+            let listed = Input::CaughtUp { kind: Kind::Endpoints, complete: 10, changed: None };
+            fleet.take(i, listed);
+            fleet.take(i, Input::RolloutList(Vec::new()));
+        }
+        fleet
+    }
+
+    /// Lets time pass to `until`; `look` is shown each host at each step.
+    pub fn run(&mut self, until: u64, mut look: impl FnMut(u64, &FleetHost)) {
+        while self.now < until {
+            self.now += STEP as u64;
+            self.deliver();
+            self.catch();
+            self.tell_rollout();
+            for i in 0..self.hosts.len() {
+                self.prove(i);
+                self.watch(i);
+                self.take(i, Input::Tick);
+                look(self.now, &self.hosts[i]);
+            }
+        }
+    }
+
+    /// Lets a host read the configuration, if it proves it and the time has come.
+    pub fn prove(&mut self, i: usize) {
+        let host = &mut self.hosts[i];
+        if host.beliefs.is_prover() && self.now >= host.proves_at {
+            host.fresh.proved(Millis(self.now));
+            host.proves_at = self.now + PROVE_EVERY;
+        }
+    }
+
+    /// Lets a host that watches the store see its changes.
+    pub fn watch(&mut self, i: usize) {
+        if self.hosts[i].beliefs.is_watcher() && self.known[i] < self.revision {
+            self.caught_up(i, self.revision);
+        }
+    }
+
+    pub fn caught_up(&mut self, i: usize, to: u64) {
+        self.known[i] = self.known[i].max(to);
+        let changed = Some(to);
+        self.take(i, Input::CaughtUp { kind: Kind::Endpoints, complete: to, changed });
+    }
+
+    /// Gives hosts what they asked for.
+    pub fn catch(&mut self) {
+        let now = self.now;
+        let (ready, later) =
+            std::mem::take(&mut self.catching).into_iter().partition(|c| c.0 <= now);
+        self.catching = later;
+        for (_, i, catch, to) in ready {
+            match to {
+                Some(to) => self.caught_up(i, to),
+                None => self.take(i, Input::CatchFailed(catch)),
+            }
+        }
+    }
+
+    pub fn begin_to_catch(&mut self, i: usize, catch: Catch) {
+        assert_eq!(catch.kind, Kind::Endpoints);
+        let to = match catch.source {
+            Source::Store => {
+                self.calls += 1;
+                (!self.store_is_down).then_some(self.revision)
+            }
+            Source::Host(address) => {
+                let from = (0..self.hosts.len()).find(|i| host(*i as u32 + 1).1 == address);
+                from.filter(|from| !self.deaf.contains(from)).map(|from| self.known[from])
+            }
+        };
+        self.catching.push((self.now + CATCH_TIME, i, catch, to));
+    }
+
+    pub fn deliver(&mut self) {
+        // A message is answered at once, so there is one more way within a step.
+        for _ in 0..2 {
+            for (address, message) in std::mem::take(&mut self.on_the_way) {
+                let to = (0..self.hosts.len()).find(|i| host(*i as u32 + 1).1 == address);
+                if let Some(to) = to.filter(|_| self.seed.random::<f64>() >= LOST) {
+                    self.take(to, Input::Heard(message));
+                }
+            }
+        }
+    }
+
+    pub fn take(&mut self, i: usize, input: Input) {
+        let (mut wanted, mut written) = (Vec::new(), Vec::new());
+        let host = &mut self.hosts[i];
+        for action in host.beliefs.take(Millis(self.now + ON_THE_WAY), input, &host.fresh) {
+            match action {
+                Action::Send(messages) => {
+                    self.sent += messages.len();
+                    self.on_the_way.extend(messages);
+                }
+                Action::Proved(began) => host.fresh.proved(began),
+                Action::Catch(catch) => wanted.push(catch),
+                Action::Publish(view) => host.view = Some(view),
+                Action::Write(write) => written.push(write),
+                _ => {}
+            }
+        }
+        wanted.into_iter().for_each(|catch| self.begin_to_catch(i, catch));
+        written.into_iter().for_each(|write| self.write(write));
+    }
+
+    /// Takes a write of the roll-out's progress, if it is based on the newest state.
+    pub fn write(&mut self, write: ProgressWrite) {
+        let Some(order) = self.rollout.clone().filter(|o| o.revision == write.revision) else {
+            return;
+        };
+        let (revision, progress) = (order.revision + 1, Some(write.progress));
+        self.order(RolloutOrder { revision, progress, ..order });
+    }
+
+    /// Changes the roll-out; hosts hear of it at different times.
+    pub fn order(&mut self, order: RolloutOrder) {
+        for i in 0..self.hosts.len() {
+            let at = self.now + self.seed.random_range(20..LATEST_WORD);
+            self.told.push((at, i, order.clone()));
+        }
+        self.rollout = Some(order);
+    }
+
+    pub fn tell_rollout(&mut self) {
+        let now = self.now;
+        let (ready, later) = std::mem::take(&mut self.told).into_iter().partition(|t| t.0 <= now);
+        self.told = later;
+        for (_, i, order) in ready {
+            self.take(i, Input::Rollout(order));
+        }
+    }
+
+    /// Sends a request of a session to a host; gets the side it goes to.
+    pub fn request(&mut self, i: usize, session: &str) -> Side {
+        let host = &self.hosts[i];
+        let view = host.view.as_ref().expect("a view");
+        let service = &view.services[&id::<ServiceId>("llm")];
+        let side = service.side(Millis(self.now), SessionDraw::new(Some(session), "r"), HOLD_FOR);
+        if side == Side::New {
+            service.exposure.sent_to_new();
+        }
+        side
+    }
+
+    /// Changes the store and lets time pass until all hosts know; gets how long that took.
+    pub fn change(&mut self) -> u64 {
+        self.revision += 1;
+        let began = self.now;
+        while self.known.iter().any(|k| *k < self.revision) {
+            self.run(self.now + STEP as u64, |_, _| {});
+            assert!(self.now < began + 10_000, "{:?}", self.known);
+        }
+        self.now - began
+    }
+}
--- a/crates/tidetrack-core/tests/support/mod.rs
+++ b/crates/tidetrack-core/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses a part of it.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -217,6 +217,7 @@
             if let Some(larger) = larger_model(traffic, job, &tries, model.as_ref(), &answered) {
                 is_paid = true;
                 tries.note_ran(Ran::Yes);
+                chosen.live.note(traffic.shared.now(), true);
                 model = Some(larger);
                 // Dropping the answer closes its connection, and the endpoint stops.
                 continue;
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -43,7 +43,7 @@
             if chosen.live.was_heard_since(since) {
                 observe(traffic, job, chosen, model, false, Some(took), None);
             } else {
-                chosen.live.note(shared.now(), false);
+                chosen.live.note_silent(shared.now());
             }
         }
         Code::EndpointUnreachable | Code::EndpointMoved => {
