Forget unproven versions that nothing runs any more

Cause: a version whose roll-out ended without proof was kept and told to other hosts for the life of the process, and hosts handed it back to each other. Now it goes 60 s after its last endpoint was listed, and another host's word on it counts only while an endpoint that runs it is listed. Ruled out: forgetting with the last endpoint, for entries lapse in an outage of the store. Test in core/tests/traffic.rs; it did not hold before (told 1 for ever).

--- a/crates/tidetrack-core/src/traffic/control.rs
+++ b/crates/tidetrack-core/src/traffic/control.rs
@@ -3,7 +3,7 @@
 //! The state takes one input at a time and gives back actions; a new view is made whenever a belief
 //! that requests depend on has changed.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -43,6 +43,10 @@
 /// Least time between questions for a proof.
 const ASK_AGAIN: Millis = Millis(300);
 
+/// How long an unproven version is kept in mind after its last endpoint was listed: longer than endpoints
+/// stay away through an outage of the store.
+const UNPROVEN_KEPT: Millis = Millis(60_000);
+
 /// Longest time that a view stays old while changes of endpoints come in a run. They come by hundreds when
 /// a fleet starts or a large service is replaced, and a view of thousands takes milliseconds to make.
 const VIEW_EVERY: Millis = Millis(100);
@@ -143,8 +147,8 @@
     has_endpoints: bool,
     trials: BTreeMap<ServiceId, Trial>,
     /// Versions whose roll-out ended without their being proven. Their endpoints may run on for a while,
-    /// beside the next roll-out.
-    unproven: BTreeSet<Barred>,
+    /// beside the next roll-out. With the time at which one was listed last.
+    unproven: BTreeMap<Barred, Millis>,
     exposures: HashMap<ServiceId, Arc<Exposure>>,
     live: HashMap<EndpointId, Arc<EndpointLive>>,
     outliers: Outliers,
@@ -179,7 +183,7 @@
             table: EndpointTable::default(),
             has_endpoints: false,
             trials: BTreeMap::new(),
-            unproven: BTreeSet::new(),
+            unproven: BTreeMap::new(),
             exposures: HashMap::new(),
             live: HashMap::new(),
             outliers: Outliers::default(),
@@ -335,8 +339,9 @@
         for barred in &msg.news.barred {
             let trial = self.trials.get(&barred.service);
             // Of the version under roll-out the trial itself is told, when it is judged.
-            if trial.is_some_and(|t| t.order.version != barred.version) {
-                let is_news = self.unproven.insert(barred.clone());
+            let is_over = trial.is_some_and(|t| t.order.version != barred.version);
+            if is_over && self.table.runs(&barred.service, &barred.version) {
+                let is_news = self.unproven.insert(barred.clone(), now).is_none();
                 bearing = bearing.max(Bearing::now_if(is_news));
             }
         }
@@ -362,6 +367,7 @@
             actions.push(Action::Note(Event::PeerDead, format!("peer={host}")));
         }
         self.judge_endpoints(now, actions);
+        self.forget_unproven(now);
         self.told = self.news(now, fresh);
         actions.push(Action::Send(self.peers.round(now, &self.told)));
         if !self.peers.is_empty() {
@@ -375,6 +381,17 @@
         services.iter().map(|s| self.judge(now, s, actions)).fold(false, |a, b| a | b)
     }
 
+    /// Forgets unproven versions that nothing has run for a while.
+    fn forget_unproven(&mut self, now: Millis) {
+        let table = &self.table;
+        self.unproven.retain(|unproven, seen_at| {
+            if table.runs(&unproven.service, &unproven.version) {
+                *seen_at = now;
+            }
+            now < *seen_at + UNPROVEN_KEPT
+        });
+    }
+
     /// Finds endpoints that fail much more than their pools, and avoids them.
     fn judge_endpoints(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let live = self.live.iter().map(|(id, live)| (id, live.as_ref()));
@@ -413,7 +430,7 @@
             proof,
             results: self.outliers.told(),
             changed: self.feeds.changed(),
-            barred: self.unproven.iter().cloned().collect(),
+            barred: self.unproven.keys().cloned().collect(),
             loads: loads
                 .filter(|(_, work)| *work > 0)
                 .map(|(key, work)| (key, u32::try_from(work).unwrap_or(u32::MAX)))
@@ -483,7 +500,8 @@
         let (old, new) = (before.as_ref(), &order.version);
         if let Some((version, phase)) = old.filter(|(version, _)| version != new) {
             if matches!(phase, Phase::Sample | Phase::Barred) {
-                self.unproven.insert(Barred { service: service.clone(), version: version.clone() });
+                let unproven = Barred { service: service.clone(), version: version.clone() };
+                self.unproven.insert(unproven, now);
             }
         }
         self.unproven.remove(&Barred { service: service.clone(), version: order.version.clone() });
@@ -544,7 +562,7 @@
                 Barred { service: record.service.clone(), version: record.version.clone() };
             let may_serve = match (is_new, phase) {
                 (true, Some(Phase::Barred)) | (false, Some(Phase::Done)) => false,
-                _ => !record.is_leaving && !self.unproven.contains(&of_version),
+                _ => !record.is_leaving && !self.unproven.contains_key(&of_version),
             };
             if !may_serve {
                 continue;
--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -108,6 +108,11 @@
         self.entries.contains_key(id)
     }
 
+    /// Tells whether any endpoint of a service runs a version.
+    pub fn runs(&self, service: &ServiceId, version: &VersionName) -> bool {
+        self.records().any(|r| r.service == *service && r.version == *version)
+    }
+
     /// Lists the records.
     pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
         self.entries.values().map(|e| &e.record)
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -509,3 +509,27 @@
     let view = view_of(&actions).expect("a new view");
     assert_eq!(view.services[&id::<ServiceId>("llm")].new.endpoints().len(), 2);
 }
+
+#[test]
+fn an_unproven_version_is_forgotten_once_nothing_has_run_it_for_a_while() {
+    let fresh = fresh_since(0);
+    let mut beliefs = with_rollout(2, &fresh);
+    let next = RolloutOrder { version: id("v3"), ..order(6, None) };
+    beliefs.take(Millis(4_200), Input::Rollout(next), &fresh);
+    let told = |beliefs: &mut Beliefs, at: u64| {
+        let actions = beliefs.take(Millis(at), Input::Tick, &fresh);
+        let sent = actions.iter().find_map(|a| match a {
+            Action::Send(messages) => messages.first(),
+            _ => None,
+        });
+        sent.expect("a message to another host").1.news.barred.len()
+    };
+
+    let while_they_run = told(&mut beliefs, 70_000);
+    beliefs.take(Millis(70_100), Input::EndpointGone(id("n1")), &fresh);
+    beliefs.take(Millis(70_100), Input::EndpointGone(id("n2")), &fresh);
+    let soon_after = told(&mut beliefs, 75_000);
+    let later = told(&mut beliefs, 131_000);
+
+    assert_eq!((while_they_run, soon_after, later), (1, 1, 0));
+}
