One accept loop for pages made at once

feed::serve and server::serve_small were the same loop with two pauses (100 and 50 ms); serve_pages takes their place, with 50 ms. No behaviour is meant to change otherwise; plane and platform tests pass.

--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -5,18 +5,13 @@
 //! which a remote procedure call would only wrap once more.
 
 use std::collections::VecDeque;
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1::Builder;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 
 use tidetrack_core::errors::Result;
@@ -25,7 +20,7 @@
 
 use crate::call::{call, down, Patience};
 use crate::pool::Pool;
-use crate::server::listen;
+use crate::server::{listen, serve_pages};
 use crate::shared::SharedRef;
 
 /// Bytes of changes kept of a kind. A configuration of some hundred routes is about 100 KB; the memory
@@ -35,9 +30,6 @@
 /// Longest time that an answer of another host stands still, in which the change can still be got elsewhere.
 const ANSWER_WITHIN: Duration = Duration::from_millis(350);
 
-/// Pause before accepting again after a connection could not be accepted.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(100);
-
 /// Some changes, as the store told them at one time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chunk {
@@ -148,7 +140,7 @@
 pub async fn serve(
     shared: SharedRef,
     address: SocketAddr,
-    told: Rc<dyn Fn(Kind, u64) -> Option<Told>>,
+    told: impl Fn(Kind, u64) -> Option<Told> + 'static,
 ) {
     let listener = match listen(address) {
         Ok(listener) => listener,
@@ -157,30 +149,12 @@
             return;
         }
     };
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                shared.journal.line(Event::AcceptFailed, &[("why", &e)]);
-                tokio::time::sleep(ACCEPT_AGAIN).await;
-                continue;
-            }
-        };
-        let told = told.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|req| {
-                let resp = answer(&req, told.as_ref());
-                async move { Ok::<_, Infallible>(resp) }
-            });
-            // A host that leaves in the middle asks elsewhere.
-            drop(Builder::new().serve_connection(TokioIo::new(stream), service).await);
-        });
-    }
+    serve_pages(shared, listener, move |req| answer(req, &told)).await;
 }
 
 fn answer(
     req: &Request<Incoming>,
-    told: &dyn Fn(Kind, u64) -> Option<Told>,
+    told: &impl Fn(Kind, u64) -> Option<Told>,
 ) -> Response<Full<Bytes>> {
     let found = question(req.uri().path()).and_then(|(kind, after)| told(kind, after));
     let bytes = found.and_then(|told| postcard::to_allocvec(&told).ok());
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -110,9 +110,9 @@
         let readiness = listen(settings.readiness_address)?;
         let opts = server_options(&traffic);
         tokio::task::spawn_local(accept_loop(callers, opts, connections.clone(), stage_seen));
-        tokio::task::spawn_local(serve_small(traffic.clone(), readiness));
+        tokio::task::spawn_local(serve_small(self.shared.clone(), readiness));
         if let Some(address) = settings.metrics_address {
-            tokio::task::spawn_local(serve_small(traffic.clone(), listen(address)?));
+            tokio::task::spawn_local(serve_small(self.shared.clone(), listen(address)?));
         }
         tokio::task::spawn_local(sweep(traffic.clone()));
         let address = settings.caller_address;
--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -24,7 +24,7 @@
 use tidetrack_core::traffic::catalog::CallerLimits;
 
 use crate::body::AnswerBody;
-use crate::job::Traffic;
+use crate::shared::{Shared, SharedRef};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -279,32 +279,45 @@
     resp
 }
 
-/// Serves readiness and metrics on an address of their own.
-pub async fn serve_small(traffic: Rc<Traffic>, listener: TcpListener) {
+/// Serves pages that are made at once, on an address of their own, until the process ends.
+pub async fn serve_pages<B>(
+    shared: SharedRef,
+    listener: TcpListener,
+    page: impl Fn(&Request<Incoming>) -> Response<B> + 'static,
+) where
+    B: Body + 'static,
+    B::Error: std::error::Error + Send + Sync,
+{
+    let page = Rc::new(page);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                traffic.shared.journal.line(Event::AcceptFailed, &[("why", &e)]);
+                shared.journal.line(Event::AcceptFailed, &[("why", &e)]);
                 tokio::time::sleep(ACCEPT_AGAIN).await;
                 continue;
             }
         };
-        let traffic = traffic.clone();
+        let page = page.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(|req| small_answer(traffic.clone(), req));
+            let service = service_fn(|req| {
+                let resp = page(&req);
+                async move { Ok::<_, Infallible>(resp) }
+            });
             // Whoever asks and leaves asks again.
             drop(Builder::new().serve_connection(TokioIo::new(stream), service).await);
         });
     }
 }
 
-async fn small_answer(
-    traffic: Rc<Traffic>,
-    req: Request<Incoming>,
-) -> Result<Response<AnswerBody>, Infallible> {
-    let shared = &traffic.shared;
-    let resp = match req.uri().path() {
+/// Serves readiness and metrics on an address of their own.
+pub async fn serve_small(shared: SharedRef, listener: TcpListener) {
+    let of_page = shared.clone();
+    serve_pages(shared, listener, move |req| small_page(&of_page, req)).await;
+}
+
+fn small_page(shared: &Shared, req: &Request<Incoming>) -> Response<AnswerBody> {
+    match req.uri().path() {
         path if path == shared.dialect.readiness_path => match shared.is_ready() {
             true => plain(StatusCode::OK, "ready\n"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
@@ -314,8 +327,7 @@
             Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
         },
         _ => plain(StatusCode::NOT_FOUND, "no such page\n"),
-    };
-    Ok(resp)
+    }
 }
 
 /// Where metrics are told.
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -97,7 +97,7 @@
             tokio::task::spawn_local(watches.clone().keep(kind));
         }
         let told = watches.clone();
-        let told = Rc::new(move |kind, after| told.log(kind, |log| log.after(after)));
+        let told = move |kind, after| told.log(kind, |log| log.after(after));
         let address = shared.settings.peer_address;
         tokio::task::spawn_local(feed::serve(shared, address, told));
         tokio::task::spawn_local(watches.clone().sweep());
