Ask endpoints through the plane's client also for the product's own callers

Change: a request's thread hands an errand to the event loop that serves callers (errands.rs); the plane's attempt and pool carry it out, and parts of the body come back over a bounded channel. Timers and the hang-up by cancel that ended a blocked read are gone. An answer of a service over 16 MiB, which was passed on cut short as if whole, is an error now; an answer for another attempt counts as possibly run.

Ruled out: a runtime on each of the threads (three files each; the host may have few), kept connections (the stand-ins' tiny_http cannot break off a kept connection: the resume test hung; endpoints are asked to close, as before).

Not moved yet: the loop of attempts and retries (chat, services).

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -3,14 +3,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
 
-use crate::dialect::{AnswerFacts, Dialect};
+use crate::dialect::AnswerFacts;
 use crate::pool::{Lease, Pool};
 
 /// Largest answer that is collected before it is passed on, in bytes.
@@ -28,18 +28,29 @@
     pub lease: Lease,
 }
 
+/// Whether an endpoint repeats the attempt's id with its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Echo {
+    /// Each answer does.
+    Always,
+    /// Some endpoints do not know of it; an answer with another id is another's all the same.
+    IfKnown,
+}
+
 /// An attempt to be made.
 pub struct Attempt<'a> {
     /// The pool of connections.
     pub pool: &'a Pool,
-    /// How endpoints are spoken to.
-    pub dialect: &'a Dialect,
+    /// Reads the head of an answer.
+    pub read_answer: fn(&HeaderMap) -> AnswerFacts,
     /// Name of the endpoint.
     pub endpoint: &'a str,
     /// Its address.
     pub address: &'a str,
-    /// The id that the answer must repeat.
+    /// The attempt's id.
     pub attempt_id: Option<&'a str>,
+    /// Whether the answer must repeat it.
+    pub echo: Echo,
     /// Longest rest of the connection it may go on.
     pub most_rest: Duration,
     /// When to give up.
@@ -89,8 +100,9 @@
     lease: Lease,
 ) -> Result<Answered> {
     let (head, body) = resp.into_parts();
-    let facts = (attempt.dialect.read_answer)(&head.headers);
-    if facts.attempt_id.as_deref() != attempt.attempt_id {
+    let facts = (attempt.read_answer)(&head.headers);
+    let may_lack = attempt.echo == Echo::IfKnown && facts.attempt_id.is_none();
+    if !may_lack && facts.attempt_id.as_deref() != attempt.attempt_id {
         let text = format!("the answer is for {:?}", facts.attempt_id);
         return Err(failed(Code::WrongAnswer, text, Ran::Unknown));
     }
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -35,7 +35,16 @@
 /// Longest rest of a connection for a request that must not be sent twice. Endpoints may forget a
 /// connection without a word once it rested for some 300 ms; whether the request came there is then not
 /// known, and a new connection costs a millisecond.
-pub const REST_FOR_ONCE: Duration = Duration::from_millis(200);
+const REST_FOR_ONCE: Duration = Duration::from_millis(200);
+
+/// Gets the longest rest of a connection on which a request may go.
+pub fn most_rest(is_repeatable: bool) -> Duration {
+    if is_repeatable {
+        Duration::MAX
+    } else {
+        REST_FOR_ONCE
+    }
+}
 
 /// Largest head of an answer, in bytes.
 const MOST_HEAD_BYTES: usize = 64 << 10;
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -12,10 +12,10 @@
 use tidetrack_core::ids::{ModelId, VersionName};
 use tidetrack_core::units::{Millis, Tokens};
 
-use crate::attempt::{self, Answered, Attempt};
+use crate::attempt::{self, Answered, Attempt, Echo};
 use crate::dialect::Handover;
 use crate::job::{Chosen, Job, Traffic, Tries};
-use crate::pool::REST_FOR_ONCE;
+use crate::pool::most_rest;
 
 /// Work that one request counts as which an endpoint tells as running. An engine reads prompts one
 /// after another, but makes the tokens of all that run together, so what runs adds little.
@@ -67,14 +67,12 @@
     );
     let attempt = Attempt {
         pool: &traffic.pool,
-        dialect: &shared.dialect,
+        read_answer: shared.dialect.read_answer,
         endpoint: chosen.id.as_str(),
         address: &chosen.address,
         attempt_id: job.facts.attempt_id.as_deref(),
-        most_rest: match job.admitted.route.work.is_repeatable() {
-            true => Duration::MAX,
-            false => REST_FOR_ONCE,
-        },
+        echo: Echo::Always,
+        most_rest: most_rest(job.admitted.route.work.is_repeatable()),
         until: job.until,
     };
     let make = || make_request(traffic, job, chosen, model, last_event);
--- a/crates/tidetrack-router/src/chat/flow.rs
+++ b/crates/tidetrack-router/src/chat/flow.rs
@@ -55,7 +55,7 @@
         out: &mut Out,
     ) -> Result<()> {
         loop {
-            let data = events.next_data().map_err(|e| attempt.cut(&e.to_string()))?;
+            let data = events.next_data(attempt)?;
             let Some(data) = data else { return Err(attempt.cut("the stream was cut")) };
             if data == DONE {
                 return Ok(());
--- a/crates/tidetrack-router/src/chat/mod.rs
+++ b/crates/tidetrack-router/src/chat/mod.rs
@@ -6,8 +6,6 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use flume::Sender;
-
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::config::Workspace;
 use tidetrack_core::errors::{Error, Result};
@@ -30,7 +28,7 @@
 use crate::outcome::{self, header_of, AnswerHeaders};
 use crate::rating::{self, RateJob};
 use crate::shared::Shared;
-use crate::upstream::{Attempt, Begin, Cancel, Events};
+use crate::upstream::{Attempt, Begin, Events, Upstream};
 
 mod flow;
 
@@ -45,6 +43,9 @@
 /// Characters of a prompt that decide its place on the ring.
 const PREFIX_CHARS: usize = 512;
 
+/// Largest whole answer, in bytes: some hundred thousand tokens.
+const LARGEST_ANSWER: usize = 4 << 20;
+
 /// Seconds that a judgement inside a cascade may take.
 const JUDGE_SECONDS: u64 = 1;
 
@@ -52,8 +53,8 @@
 pub struct Caller<'a> {
     /// The router's shared state.
     pub shared: &'a Shared,
-    /// Takes attempts to cancel.
-    pub cancels: &'a Sender<Cancel>,
+    /// The way to endpoints.
+    pub upstream: &'a Upstream,
     /// The request's id.
     pub id: RequestId,
     /// The workspace.
@@ -323,12 +324,13 @@
         view.still_good(self.workspace(&view)?, &chosen)?;
         let begin = Begin {
             shared: self.shared(),
-            cancels: self.caller.cancels,
+            upstream: self.caller.upstream,
             endpoint,
             work: work_of(Tokens(self.chat.prompt_tokens()), Tokens(self.answer_tokens())),
             id: attempt,
             deadline: self.deadline,
             any_status: false,
+            is_repeatable: true,
         };
         let result = match judged {
             None if self.chat.stream => self.streamed(begin, &view, &chosen, out),
@@ -390,30 +392,30 @@
         place_of(prefix.as_bytes())
     }
 
-    fn upstream_request(&self, chosen: &Chosen, address: &str, stream: bool) -> minreq::Request {
+    /// Makes the request that an endpoint gets.
+    fn upstream_request(&self, chosen: &Chosen, stream: bool) -> (http::request::Builder, Vec<u8>) {
         let mut chat = self.chat.clone();
         chat.model = chosen.version.model.to_string();
         chat.stream = stream;
         chat.stream_options = stream.then_some(StreamOptions { include_usage: true });
         let body = serde_json::to_vec(&chat).expect("a request that was read can be written");
-        minreq::post(format!("http://{address}/v1/chat/completions"))
-            .with_header("Content-Type", "application/json")
-            .with_header(headers::PRIORITY, self.priority.to_string())
-            .with_header(headers::VERSION, chosen.version.to_string())
-            .with_body(body)
+        let request = http::Request::post("/v1/chat/completions")
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header(headers::PRIORITY, self.priority)
+            .header(headers::VERSION, chosen.version.to_string());
+        (request, body)
     }
 
     /// Gets a whole answer.
     fn whole(&self, begin: Begin<'_>, chosen: &Chosen) -> Result<Answer> {
-        let request = self.upstream_request(chosen, &begin.endpoint.address, false);
-        let (mut attempt, mut response) = Attempt::send(begin, request)?;
-        let mut body = Vec::new();
-        let read = std::io::Read::read_to_end(&mut response, &mut body);
-        let parsed = read.map_err(|e| attempt.cut(&e.to_string())).and_then(|_| {
-            serde_json::from_slice::<AnswerPart>(&body).map_err(|e| attempt.cut(&e.to_string()))
+        let (request, body) = self.upstream_request(chosen, false);
+        let (mut attempt, mut reply) = Attempt::send(begin, request, body)?;
+        let parsed = attempt.read_body(&mut reply, LARGEST_ANSWER).and_then(|body| {
+            let part = serde_json::from_slice::<AnswerPart>(&body);
+            part.map(|part| (part, body)).map_err(|e| attempt.cut(&e.to_string()))
         });
         match parsed {
-            Ok(part) => {
+            Ok((part, body)) => {
                 attempt.succeeded();
                 let text = part.text().to_string();
                 let usage = part.usage.unwrap_or_else(|| self.assumed_usage(&text));
@@ -530,11 +532,11 @@
         chosen: &Chosen,
         out: &mut Out,
     ) -> Result<bool> {
-        let request = self.upstream_request(chosen, &begin.endpoint.address, true);
-        let (mut attempt, response) = Attempt::send(begin, request)?;
+        let (request, body) = self.upstream_request(chosen, true);
+        let (mut attempt, reply) = Attempt::send(begin, request, body)?;
         let mut flow = Flow::default();
         self.set_headers(view, chosen, attempt.endpoint(), out);
-        let passed = flow.pass(&mut Events::new(response), &attempt, self, out);
+        let passed = flow.pass(&mut Events::new(reply), &attempt, self, out);
         let passed = match passed {
             Err(e) if e.code == Code::EndpointFailed && out.has_begun() => {
                 flow.resume(&attempt, out).map_err(|_| e)
--- a/crates/tidetrack-router/src/lib.rs
+++ b/crates/tidetrack-router/src/lib.rs
@@ -2,7 +2,8 @@
 //! endpoints, the platform and other hosts.
 //!
 //! One thread owns the control state (`control`); a pool of threads carries traffic (`server`,
-//! `chat`, `services`); one thread runs the calls between hosts (`peers`); one keeps the bills
+//! `chat`, `services`), and one event loop serves callers' connections (`server`) and asks endpoints for
+//! them (`errands`); one thread runs the calls between hosts (`peers`); one keeps the bills
 //! (`billing`). They meet in `shared` and by `flume` channels.
 
 #![forbid(unsafe_code)]
@@ -13,6 +14,7 @@
 pub mod callers;
 pub mod chat;
 pub mod control;
+pub mod errands;
 pub mod loads;
 pub mod logging;
 pub mod metrics;
--- a/crates/tidetrack-router/src/router.rs
+++ b/crates/tidetrack-router/src/router.rs
@@ -28,6 +28,7 @@
 use crate::settings::Settings;
 use crate::shared::{Clock, Gate, Shared};
 use crate::timers::Timers;
+use crate::upstream::Upstream;
 use crate::{loads, platform_io, rating, server, upstream};
 
 /// The control thread looks around this often.
@@ -167,15 +168,17 @@
             let cancels = cancels_rx.clone();
             spawn("cancels", SMALL_STACK, move || upstream::cancel_loop(cancels))?;
         }
+        let (errands_tx, errands_rx) = flume::unbounded();
+        let upstream = Upstream { errands: errands_tx, cancels: cancels_tx };
         let (taken_tx, taken_rx) = flume::bounded(settings.limits.waiting);
         for _ in 0..settings.limits.threads {
-            let (s, taken, cancels) = (shared.clone(), taken_rx.clone(), cancels_tx.clone());
-            spawn("traffic", TRAFFIC_STACK, move || server::traffic_loop(s, taken, cancels))?;
+            let (s, taken, upstream) = (shared.clone(), taken_rx.clone(), upstream.clone());
+            spawn("traffic", TRAFFIC_STACK, move || server::traffic_loop(s, taken, upstream))?;
         }
         let (listening, end) = Listening::new();
         let s = shared.clone();
         spawn("callers", SMALL_STACK * 2, move || {
-            if let Err(e) = server::serve_callers(s.clone(), callers, end, taken_tx) {
+            if let Err(e) = server::serve_callers(s.clone(), callers, end, taken_tx, errands_rx) {
                 s.log(Event::AcceptFailed, &e.to_string());
             }
         })?;
--- a/crates/tidetrack-router/src/server.rs
+++ b/crates/tidetrack-router/src/server.rs
@@ -40,11 +40,12 @@
 use crate::admin;
 use crate::callers::{self, ReplyBody, Request};
 use crate::chat::{self, Caller};
+use crate::errands::{self, Errand};
 use crate::metrics::Labels;
 use crate::outcome::{self, AnswerHeaders};
 use crate::services::{self, SERVICES_PATH};
 use crate::shared::Shared;
-use crate::upstream::Cancel;
+use crate::upstream::Upstream;
 
 /// Bodies up to this size have arrived with the head.
 const SMALL_BODY: usize = 1024;
@@ -96,12 +97,13 @@
     done: flume::Sender<()>,
 }
 
-/// Serves callers' connections on the present thread until the listening side is stopped.
+/// Serves callers' connections, and asks endpoints for them, on the present thread until the listening side is stopped.
 pub fn serve_callers(
     shared: Arc<Shared>,
     listener: TcpListener,
     end: ListeningEnd,
     threads: Sender<Taken>,
+    errands: Receiver<Errand>,
 ) -> std::io::Result<()> {
     let runtime = Builder::new_current_thread().enable_io().enable_time().build()?;
     listener.set_nonblocking(true)?;
@@ -110,6 +112,7 @@
         let listener = tokio::net::TcpListener::from_std(listener)?;
         let (_stage, stage_seen) = watch::channel(StopStage::Serving);
         let opts = server_options(shared, threads);
+        tokio::task::spawn_local(errands::run(errands));
         tokio::task::spawn_local(accept_loop(listener, opts, Rc::default(), stage_seen));
         // The other end is gone when the process ends.
         let _ = end.asked.recv_async().await;
@@ -217,9 +220,9 @@
 }
 
 /// Carries requests until the accept loop is gone.
-pub fn traffic_loop(shared: Arc<Shared>, requests: Receiver<Taken>, cancels: Sender<Cancel>) {
+pub fn traffic_loop(shared: Arc<Shared>, requests: Receiver<Taken>, upstream: Upstream) {
     for taken in requests {
-        let handled = catch_unwind(AssertUnwindSafe(|| handle(&shared, taken, &cancels)));
+        let handled = catch_unwind(AssertUnwindSafe(|| handle(&shared, taken, &upstream)));
         if handled.is_err() {
             shared.metrics.event("thread_panicked");
             shared.log(Event::ThreadPanicked, "");
@@ -300,7 +303,7 @@
     }
 }
 
-fn handle(shared: &Shared, taken: Taken, cancels: &Sender<Cancel>) {
+fn handle(shared: &Shared, taken: Taken, upstream: &Upstream) {
     let page = match page_of(&taken.request) {
         Ok(page) => page,
         Err(e) => return refuse(shared, taken.request, &e),
@@ -310,7 +313,7 @@
         Page::Ready => admin::send(taken.request, admin::readiness(shared)),
         Page::Metrics => admin::send(taken.request, admin::metrics(shared)),
         Page::Status | Page::Facts => operator(shared, taken.request, &page),
-        other => caller(shared, taken, cancels, &other),
+        other => caller(shared, taken, upstream, &other),
     }
 }
 
@@ -343,7 +346,7 @@
     Ok(view.workspace_of(&digest(key.as_bytes()))?.0.clone())
 }
 
-fn caller(shared: &Shared, mut taken: Taken, cancels: &Sender<Cancel>, page: &Page) {
+fn caller(shared: &Shared, mut taken: Taken, upstream: &Upstream, page: &Page) {
     let id = shared.next_id();
     let admitted = admit(shared, &mut taken.request, page);
     let (labels, result) = match admitted {
@@ -353,7 +356,7 @@
             (Labels::default(), Err(e))
         }
         Ok(Admitted { workspace, body, room }) => {
-            let caller = Caller { shared, cancels, id: id.clone(), workspace, began: taken.began };
+            let caller = Caller { shared, upstream, id: id.clone(), workspace, began: taken.began };
             let done = match page {
                 Page::Chat => chat::run(&caller, taken.request, &body),
                 Page::Service => services::run(&caller, taken.request, body),
--- a/crates/tidetrack-router/src/services.rs
+++ b/crates/tidetrack-router/src/services.rs
@@ -1,6 +1,5 @@
 //! Calls to plain services, and the tickets and claims that keep some of them to one run.
 
-use std::io::Read;
 use std::time::{Duration, Instant};
 
 use http::Method;
@@ -37,7 +36,7 @@
 const FORWARD_SECONDS: u64 = 15;
 
 /// Largest answer of a service.
-const LARGEST_ANSWER: u64 = 16 << 20;
+const LARGEST_ANSWER: usize = 16 << 20;
 
 /// An answer of a service.
 struct ServiceAnswer {
@@ -203,7 +202,7 @@
         let mut tried = Vec::new();
         let mut may_have_run = false;
         loop {
-            let e = match self.attempt(&mut tried) {
+            let e = match self.attempt(&mut tried, repeatable) {
                 Ok(answer) => return Ok(answer),
                 Err(e) => e,
             };
@@ -227,7 +226,11 @@
         }
     }
 
-    fn attempt(&mut self, tried: &mut Vec<EndpointId>) -> Result<ServiceAnswer> {
+    fn attempt(
+        &mut self,
+        tried: &mut Vec<EndpointId>,
+        is_repeatable: bool,
+    ) -> Result<ServiceAnswer> {
         let shared = self.caller.shared;
         shared.confirm();
         let salt = rendezvous("endpoint", &self.caller.id.to_string());
@@ -235,34 +238,33 @@
         let endpoint = self.service.pool.pick(shared.now(), &ask)?.clone();
         tried.push(endpoint.id.clone());
         self.labels.failure_domain = endpoint.failure_domain.to_string();
-        let url = format!("http://{}{}", endpoint.address, self.path);
-        let method = minreq::Method::Custom(self.method.as_str().to_string());
-        let request = minreq::Request::new(method, url)
-            .with_header("Content-Type", &self.content_type)
-            .with_header(headers::REQUEST_ID, self.caller.id.to_string())
-            .with_body(self.body.clone());
+        let request = http::Request::builder()
+            .method(self.method.clone())
+            .uri(&self.path)
+            .header(http::header::CONTENT_TYPE, &self.content_type)
+            .header(headers::REQUEST_ID, self.caller.id.to_string());
         let begin = Begin {
             shared,
-            cancels: self.caller.cancels,
+            upstream: self.caller.upstream,
             endpoint,
             work: CALL_WORK,
             id: format!("{}/{}-{}", self.caller.id, self.name, tried.len()),
             deadline: self.deadline,
             any_status: true,
+            is_repeatable,
         };
-        let (mut attempt, response) = Attempt::send(begin, request)?;
-        let status = response.status_code;
-        let content_type = headers::find(&response.headers, "Content-Type");
+        let (mut attempt, mut reply) = Attempt::send(begin, request, self.body.clone())?;
+        let content_type = reply.head.headers.get(http::header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|v| v.to_str().ok());
         let content_type = content_type.unwrap_or("application/octet-stream").to_string();
-        let mut body = Vec::new();
-        match response.take(LARGEST_ANSWER).read_to_end(&mut body) {
-            Ok(_) => {
+        match attempt.read_body(&mut reply, LARGEST_ANSWER) {
+            Ok(body) => {
                 attempt.succeeded();
                 let endpoint = attempt.endpoint().id.to_string();
+                let status = reply.head.status.as_u16();
                 Ok(ServiceAnswer { status, content_type, endpoint, body })
             }
             Err(e) => {
-                let e = attempt.cut(&e.to_string());
                 attempt.failed(&e);
                 Err(e)
             }
--- a/crates/tidetrack-router/src/upstream.rs
+++ b/crates/tidetrack-router/src/upstream.rs
@@ -1,40 +1,48 @@
-//! Attempts at endpoints, through `minreq`.
+//! Attempts at endpoints: what a thread holds of one, and what its end means.
 //!
-//! Every attempt has an id that the endpoint echoes; an answer with another id is dropped. A
-//! connection serves one attempt, so a cancelled attempt's bytes can reach no other. What is known
-//! of a failed attempt, above all whether it ran, is told by its error.
+//! The request itself is carried out on the event loop (`errands`), by the same client as on the users'
+//! platform: it checks the attempt's id, keeps connections and holds the deadline. What is known of a
+//! failed attempt, above all whether it ran, is told by its error.
 
-use std::io::{BufRead, BufReader};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::collections::VecDeque;
+use std::time::Instant;
 
+use bytes::Bytes;
 use flume::{Receiver, Sender};
-use minreq::ResponseLazy;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use tokio::sync::oneshot;
 
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::placement::PoolEndpoint;
+use tidetrack_plane::events::EventSplitter;
 use tidetrack_wire::endpoint::{read_load_header, AttemptAsk};
 use tidetrack_wire::headers;
 
 use crate::control::Msg;
+use crate::errands::{BodyPart, Errand, Reply};
 use crate::shared::Shared;
-use crate::timers::TimerId;
-
-/// Seconds past the deadline at which a read gives up by itself.
-const BACKSTOP_SECONDS: u64 = 2;
 
 /// Seconds that a call to cancel may take.
 const CANCEL_SECONDS: u64 = 1;
 
-/// Largest line of a stream.
-const LARGEST_LINE: usize = 1 << 20;
+/// When to come back to a pool whose endpoint refused, in milliseconds.
+const RETRY_REFUSED_MS: u64 = 1_000;
 
 /// An attempt to cancel: the endpoint's address and the attempt's id.
 pub type Cancel = (String, String);
 
+/// What the threads of requests reach endpoints through.
+#[derive(Clone)]
+pub struct Upstream {
+    /// Takes requests to endpoints.
+    pub errands: Sender<Errand>,
+    /// Takes attempts to cancel.
+    pub cancels: Sender<Cancel>,
+}
+
 /// Cancels attempts until all senders are gone.
 pub fn cancel_loop(cancels: Receiver<Cancel>) {
     for (address, attempt) in cancels {
@@ -46,16 +54,14 @@
     }
 }
 
-/// One attempt under way; it cancels itself at its deadline and when dropped unfinished.
+/// One attempt under way; it cancels itself when dropped unfinished.
 pub struct Attempt<'a> {
     shared: &'a Shared,
-    cancels: &'a Sender<Cancel>,
+    upstream: &'a Upstream,
     endpoint: PoolEndpoint,
     work: u64,
     began: Instant,
     id: String,
-    expired: Arc<AtomicBool>,
-    timer: TimerId,
     finished: bool,
 }
 
@@ -63,8 +69,8 @@
 pub struct Begin<'a> {
     /// The router's shared state.
     pub shared: &'a Shared,
-    /// Takes attempts to cancel.
-    pub cancels: &'a Sender<Cancel>,
+    /// The way to endpoints.
+    pub upstream: &'a Upstream,
     /// The endpoint.
     pub endpoint: PoolEndpoint,
     /// Work of the request in answer tokens.
@@ -75,56 +81,75 @@
     pub deadline: Instant,
     /// Whether any status is an answer, as with plain services.
     pub any_status: bool,
+    /// Whether the request may run twice.
+    pub is_repeatable: bool,
 }
 
 impl<'a> Attempt<'a> {
     /// Sends a request to the endpoint and reads the head of the answer.
-    pub fn send(begin: Begin<'a>, request: minreq::Request) -> Result<(Attempt<'a>, ResponseLazy)> {
-        let left = begin.deadline.saturating_duration_since(Instant::now());
-        let any_status = begin.any_status;
-        let mut attempt = Attempt::start(begin, left);
-        let seconds = left.as_secs() + BACKSTOP_SECONDS;
-        // A connection serves one attempt; the endpoint need not keep it.
+    pub fn send(
+        begin: Begin<'a>,
+        request: http::request::Builder,
+        body: impl Into<Bytes>,
+    ) -> Result<(Attempt<'a>, Reply)> {
+        let Begin { any_status, is_repeatable, deadline, .. } = begin;
+        let mut attempt = Attempt::start(begin);
+        let host = &attempt.endpoint.address;
+        // An endpoint that breaks off closes the connection only if it was told not to keep it.
         let request = request
-            .with_header(headers::ATTEMPT, &attempt.id)
-            .with_header("Connection", "close")
-            .with_timeout(seconds);
-        match request.send_lazy() {
-            Ok(response) => {
-                attempt.read_head(&response, any_status)?;
-                Ok((attempt, response))
-            }
+            .header(http::header::HOST, host)
+            .header(http::header::CONNECTION, "close")
+            .header(headers::ATTEMPT, &attempt.id)
+            .body(Full::new(body.into()));
+        let sent = request
+            .map_err(|e| Error::new(Code::BadBody, e.to_string()))
+            .and_then(|request| attempt.exchange(request, is_repeatable, deadline))
+            .and_then(|reply| attempt.read_head(&reply, any_status).map(|()| reply));
+        match sent {
+            Ok(reply) => Ok((attempt, reply)),
             Err(e) => {
-                let e = attempt.send_error(e);
                 attempt.failed(&e);
                 Err(e)
             }
         }
     }
 
-    fn start(begin: Begin<'a>, left: Duration) -> Attempt<'a> {
+    fn start(begin: Begin<'a>) -> Attempt<'a> {
         begin.endpoint.live.begin(begin.work);
-        let expired = Arc::new(AtomicBool::new(false));
-        let (flag, cancels) = (expired.clone(), begin.cancels.clone());
-        let cancel = (begin.endpoint.address.clone(), begin.id.clone());
-        let timer = begin.shared.timers.after(left, move || {
-            flag.store(true, Ordering::Release);
-            // A thread blocked in a read is woken by the endpoint hanging up.
-            let _ = cancels.send(cancel);
-        });
         Attempt {
             shared: begin.shared,
-            cancels: begin.cancels,
+            upstream: begin.upstream,
             endpoint: begin.endpoint,
             work: begin.work,
             began: Instant::now(),
             id: begin.id,
-            expired,
-            timer,
             finished: false,
         }
     }
 
+    /// Has the request carried out on the event loop.
+    fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        is_repeatable: bool,
+        until: Instant,
+    ) -> Result<Reply> {
+        let (reply, answer) = oneshot::channel();
+        let errand = Errand {
+            endpoint: self.endpoint.id.clone(),
+            address: self.endpoint.address.clone(),
+            attempt_id: self.id.clone(),
+            request,
+            is_repeatable,
+            until,
+            reply,
+        };
+        let ends = || Error::new(Code::Draining, "the host ends");
+        self.upstream.errands.send(errand).map_err(|_| ends())?;
+        let answer = answer.blocking_recv().map_err(|_| ends().with_ran(Ran::Unknown))?;
+        answer.map_err(|e| self.named(e))
+    }
+
     /// Gets the endpoint.
     pub fn endpoint(&self) -> &PoolEndpoint {
         &self.endpoint
@@ -135,30 +160,41 @@
         &self.id
     }
 
-    fn send_error(&self, e: minreq::Error) -> Error {
-        let name = &self.endpoint.id;
-        let before_sending = match &e {
-            minreq::Error::AddressNotFound => true,
-            minreq::Error::IoError(io) => io.kind() == std::io::ErrorKind::ConnectionRefused,
-            _ => false,
-        };
-        match before_sending {
-            true => Error::new(Code::EndpointUnreachable, format!("{name}: {e}")),
-            false => self.cut(&e.to_string()),
-        }
+    /// Adds the endpoint's name to an error.
+    fn named(&self, e: Error) -> Error {
+        Error { message: format!("{}: {}", self.endpoint.id, e.message), ..e }
     }
 
     /// Makes the error of an answer that broke off.
     pub fn cut(&self, why: &str) -> Error {
-        let code = match self.expired.load(Ordering::Acquire) {
-            true => Code::Deadline,
-            false => Code::EndpointFailed,
-        };
-        Error::new(code, format!("{}: {why}", self.endpoint.id)).with_ran(Ran::Unknown)
+        let message = format!("{}: {why}", self.endpoint.id);
+        Error::new(Code::EndpointFailed, message).with_ran(Ran::Unknown)
+    }
+
+    /// Gets the next part of a body; `None` at its end.
+    pub fn next_part(&self, reply: &mut Reply) -> Result<Option<Bytes>> {
+        match reply.body.blocking_recv() {
+            Some(Ok(BodyPart::Bytes(bytes))) => Ok(Some(bytes)),
+            Some(Ok(BodyPart::End)) => Ok(None),
+            Some(Err(e)) => Err(self.named(e)),
+            None => Err(self.cut("the answer broke off")),
+        }
+    }
+
+    /// Reads a whole body of at most so many bytes.
+    pub fn read_body(&self, reply: &mut Reply, most: usize) -> Result<Vec<u8>> {
+        let mut body = Vec::new();
+        while let Some(part) = self.next_part(reply)? {
+            body.extend_from_slice(&part);
+            if body.len() > most {
+                return Err(self.cut(&format!("the answer is larger than {most} bytes")));
+            }
+        }
+        Ok(body)
     }
 
-    fn read_head(&mut self, response: &ResponseLazy, any_status: bool) -> Result<()> {
-        let find = |name| headers::find(&response.headers, name);
+    fn read_head(&self, reply: &Reply, any_status: bool) -> Result<()> {
+        let find = |name| reply.head.headers.get(name).and_then(|v| v.to_str().ok());
         if let Some((work, capacity)) = find(headers::LOAD).and_then(read_load_header) {
             self.endpoint.live.report(self.shared.now(), work, capacity);
         }
@@ -166,39 +202,24 @@
             self.endpoint.live.set_leaving(true);
             let _ = self.shared.control.send(Msg::EndpointLeaving(self.endpoint.id.to_string()));
         }
-        let echoed = find(headers::ATTEMPT);
-        if echoed.is_some_and(|e| e != self.id) {
-            self.shared.metrics.event("answer_mismatch");
-            self.shared.log(Event::AnswerMismatch, &self.id);
-            let e =
-                Error::new(Code::WrongAnswer, format!("{}: another's answer", self.endpoint.id));
-            self.failed(&e);
-            return Err(e);
-        }
-        if headers::is_no_answer(response.status_code, &response.headers) {
-            let e = self.cut("no answer came");
-            self.failed(&e);
-            return Err(e);
-        }
-        match response.status_code {
-            200..=299 => Ok(()),
-            503 if echoed.is_some() && find(headers::NOT_RUN).is_some() => {
+        let is_own = find(headers::ATTEMPT).is_some();
+        match reply.head.status {
+            status if status.is_success() => Ok(()),
+            StatusCode::SERVICE_UNAVAILABLE if is_own && find(headers::NOT_RUN).is_some() => {
                 let message = format!("{} refused", self.endpoint.id);
-                let e = Error::new(Code::EndpointRefused, message).with_retry_after(1_000);
-                self.failed(&e);
-                Err(e)
+                Err(Error::new(Code::EndpointRefused, message).with_retry_after(RETRY_REFUSED_MS))
             }
             _ if any_status => Ok(()),
-            status => {
-                let e = self.cut(&format!("answered {status}"));
-                self.failed(&e);
-                Err(e)
-            }
+            status => Err(self.cut(&format!("answered {}", status.as_u16()))),
         }
     }
 
     /// Takes note that the attempt failed; cancels what may still run.
     pub fn failed(&mut self, e: &Error) {
+        if e.code == Code::WrongAnswer {
+            self.shared.metrics.event("answer_mismatch");
+            self.shared.log(Event::AnswerMismatch, &self.id);
+        }
         // A refusal is no sign of ill health, and a deadline may be the caller's own.
         let ill = !matches!(e.code, Code::EndpointRefused | Code::Deadline | Code::CallerLeft);
         if ill {
@@ -221,10 +242,9 @@
             return;
         }
         self.finished = true;
-        self.shared.timers.cancel(self.timer);
         self.endpoint.live.end(self.work);
         if cancel {
-            let _ = self.cancels.send((self.endpoint.address.clone(), self.id.clone()));
+            let _ = self.upstream.cancels.send((self.endpoint.address.clone(), self.id.clone()));
         }
     }
 }
@@ -237,31 +257,40 @@
 
 /// Reads the data of a stream's events, one by one.
 pub struct Events {
-    lines: BufReader<ResponseLazy>,
-    line: Vec<u8>,
+    reply: Reply,
+    splitter: EventSplitter,
+    waiting: VecDeque<String>,
 }
 
 impl Events {
     /// Begins to read.
-    pub fn new(response: ResponseLazy) -> Events {
-        Events { lines: BufReader::new(response), line: Vec::new() }
+    pub fn new(reply: Reply) -> Events {
+        Events { reply, splitter: EventSplitter::default(), waiting: VecDeque::new() }
     }
 
     /// Gets the next event's data; `None` at the end of the body.
-    pub fn next_data(&mut self) -> std::io::Result<Option<String>> {
+    pub fn next_data(&mut self, attempt: &Attempt<'_>) -> Result<Option<String>> {
         loop {
-            self.line.clear();
-            let n = self.lines.read_until(b'\n', &mut self.line)?;
-            if n == 0 {
-                return Ok(None);
-            }
-            if n > LARGEST_LINE {
-                return Err(std::io::Error::other("a line of the stream is too long"));
+            if let Some(data) = self.waiting.pop_front() {
+                return Ok(Some(data));
             }
-            let line = String::from_utf8_lossy(&self.line);
-            if let Some(data) = line.trim_end().strip_prefix("data:") {
-                return Ok(Some(data.trim_start().to_string()));
+            if let Some(event) = self.splitter.next_event() {
+                self.waiting.extend(data_of(&event.bytes));
+            } else if self.splitter.is_overlong() {
+                return Err(attempt.cut("an event without an end"));
+            } else {
+                match attempt.next_part(&mut self.reply)? {
+                    Some(part) => self.splitter.push(&part),
+                    None => return Ok(None),
+                }
             }
         }
     }
 }
+
+/// Gets the data lines of an event.
+fn data_of(event: &[u8]) -> Vec<String> {
+    let text = String::from_utf8_lossy(event);
+    let lines = text.lines().filter_map(|line| line.trim_end().strip_prefix("data:"));
+    lines.map(|data| data.trim_start().to_string()).collect()
+}
--- a/crates/tidetrack-router/tests/path.rs
+++ b/crates/tidetrack-router/tests/path.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tidetrack_core::codes::Ran;
 use tidetrack_standin::engine::EngineFaults;
@@ -64,6 +64,19 @@
     assert_eq!(reply.text(), format!("[model@1 q=0.850] again {}", words.join(" ")));
 }
 
+#[test]
+fn a_silent_endpoint_is_given_up_at_the_deadline() {
+    let fleet = fleet(1);
+    let chat = fleet.hosts[0].caller().chat("chat", "deadline", false, 5);
+    fleet.to_old.set(Fault::FreezeAnswers);
+    let began = Instant::now();
+
+    let reply = send(chat.with_header(headers::DEADLINE, "400"));
+
+    assert_eq!(reply.code(), "TT-3004", "{}", reply.body);
+    assert!(began.elapsed() < Duration::from_millis(1_200), "{:?}", began.elapsed());
+}
+
 #[test]
 fn another_attempts_answer_is_dropped() {
     let fleet = fleet(1);
