--- /dev/null
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -0,0 +1,195 @@
+//! What a host does again and again: it tells others what it knows, judges new versions and endpoints by
+//! all hosts' counts, and writes a roll-out's progress.
+
+use std::collections::BTreeMap;
+
+use crate::events::Event;
+use crate::ids::{EndpointId, ServiceId, VersionName};
+use crate::placement::draw;
+use crate::traffic::endpoints::EndpointRecord;
+use crate::traffic::freshness::Freshness;
+use crate::traffic::peers::{Barred, EndpointKey, News, ToldProof, ToldTally};
+use crate::traffic::trial::Phase;
+use crate::units::Millis;
+
+use super::{Action, Beliefs, Duties};
+
+/// Longest that a host leaves a write about a roll-out to others, in milliseconds; hosts draw their
+/// turn within it.
+const WRITE_TURNS_MS: f64 = 400.0;
+
+/// How long a host that does not watch the store leaves a write to those that do: some rounds more than
+/// a write needs to be known everywhere.
+const WATCHERS_WRITE_FOR: Millis = Millis(1_500);
+
+/// A write that brought no news is tried again after this time.
+const WRITE_AGAIN: Millis = Millis(700);
+
+/// Age of the proof of the configuration at which a host asks another for a younger one. A prover's is
+/// up to 1.5 s old, so this asks about once a second; three questions more fit in before the host reads
+/// the configuration itself.
+const ASK_FOR_PROOF: Millis = Millis(1_600);
+
+/// Least time between questions for a proof.
+const ASK_AGAIN: Millis = Millis(300);
+
+/// How long an unproven version is kept in mind after its last endpoint was listed: longer than endpoints
+/// stay away through an outage of the store.
+const UNPROVEN_KEPT: Millis = Millis(60_000);
+
+impl Beliefs {
+    /// Tells other hosts what this one knows, and takes in what they told; tells whether the view
+    /// changed.
+    pub(super) fn do_round(
+        &mut self,
+        now: Millis,
+        fresh: &Freshness,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        self.duties = Duties { proves: self.peers.is_prover(), watches: self.peers.is_watcher() };
+        for host in self.peers.sweep(now) {
+            actions.push(Action::Note(Event::PeerDead, format!("peer={host}")));
+        }
+        self.judge_endpoints(now, actions);
+        self.forget_unproven(now);
+        self.told = self.news(now, fresh);
+        actions.push(Action::Send(self.peers.round(now, &self.told)));
+        if !self.peers.is_empty() {
+            let loads = self.peers.loads(now);
+            for (id, live) in &self.live {
+                let work = loads.get(&EndpointKey::from(id)).copied().unwrap_or(0);
+                live.told_by_hosts(now, work);
+            }
+        }
+        let services: Vec<ServiceId> = self.trials.keys().cloned().collect();
+        services.iter().map(|s| self.judge(now, s, actions)).fold(false, |a, b| a | b)
+    }
+
+    /// Forgets unproven versions that nothing has run for a while.
+    fn forget_unproven(&mut self, now: Millis) {
+        let table = &self.table;
+        self.unproven.retain(|unproven, seen_at| {
+            if table.runs(&unproven.service, &unproven.version) {
+                *seen_at = now;
+            }
+            now < *seen_at + UNPROVEN_KEPT
+        });
+    }
+
+    /// Finds endpoints that fail much more than their pools, and avoids them.
+    fn judge_endpoints(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let live = self.live.iter().map(|(id, live)| (id, live.as_ref()));
+        self.outliers.count(now, live, &self.peers.results(now));
+        let mut pools: BTreeMap<(&ServiceId, &VersionName), Vec<&EndpointId>> = BTreeMap::new();
+        for record in self.table.records().filter(|r| !r.is_leaving) {
+            pools.entry((&record.service, &record.version)).or_default().push(&record.id);
+        }
+        for outlier in pools.values().flat_map(|pool| self.outliers.judge(now, pool)) {
+            if let Some(live) = self.live.get(&outlier.endpoint) {
+                live.avoid_until(outlier.until);
+            }
+            actions.push(Action::Note(Event::EndpointAvoided, outlier.to_string()));
+        }
+    }
+
+    /// Asks a host that proves the configuration, when this one's proof grows old.
+    pub(super) fn ask_for_proof(
+        &mut self,
+        now: Millis,
+        fresh: &Freshness,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_old = fresh.age(now).is_some_and(|age| age >= ASK_FOR_PROOF);
+        if !is_old || now < self.last_asked + ASK_AGAIN || self.is_prover() {
+            return;
+        }
+        self.last_asked = now;
+        actions.extend(self.peers.ask_prover(now, &self.told).map(|m| Action::Send(vec![m])));
+    }
+
+    pub(super) fn told_proof(&self, now: Millis, fresh: &Freshness) -> Option<ToldProof> {
+        let proof = self.catalog.as_ref().zip(fresh.age(now));
+        proof.map(|(c, age)| ToldProof { version: c.version, age_ms: age.0 })
+    }
+
+    fn news(&mut self, now: Millis, fresh: &Freshness) -> News {
+        let proof = self.told_proof(now, fresh);
+        let loads = self.live.iter().map(|(id, live)| (EndpointKey::from(id), live.own_work()));
+        let mut news = News {
+            proof,
+            results: self.outliers.told(),
+            changed: self.feeds.changed(),
+            barred: self.unproven.keys().cloned().collect(),
+            loads: loads
+                .filter(|(_, work)| *work > 0)
+                .map(|(key, work)| (key, u32::try_from(work).unwrap_or(u32::MAX)))
+                .collect(),
+            ..News::default()
+        };
+        let hosts = self.hosts();
+        for (service, trial) in &mut self.trials {
+            let (service, version) = (service.clone(), trial.order.version.clone());
+            match trial.phase() {
+                Phase::Barred => news.barred.push(Barred { service, version }),
+                Phase::Done => {}
+                Phase::Sample | Phase::Moved => {
+                    if let Some(exposure) = self.exposures.get(&service) {
+                        let sample = trial.sample(hosts);
+                        news.sessions.push((service.clone(), exposure.told(now, sample)));
+                    }
+                    let tally = trial.judge.tally(now);
+                    let age_ms = trial.age(now).0;
+                    news.tallies.push(ToldTally { service, version, age_ms, tally });
+                }
+            }
+        }
+        news
+    }
+
+    /// Judges a service's new version by all hosts' counts; tells whether it is barred by that.
+    pub(super) fn judge(
+        &mut self,
+        now: Millis,
+        service: &ServiceId,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(trial) = self.trials.get_mut(service) else { return false };
+        let version = trial.order.version.clone();
+        let is_new = |r: &&EndpointRecord| r.service == *service && r.version == version;
+        let endpoints = self.table.records().filter(is_new).count();
+        let mut all = trial.judge.tally(now);
+        self.peers.tallies(now, service, &version).for_each(|(tally, age)| all.add(tally, age));
+        let told = self.peers.is_barred(service, &version) && trial.bar(now);
+        if !told && !trial.judge(now, &all, endpoints) {
+            return false;
+        }
+        let text = format!(
+            "service={service} version={version} told={told} failed={:.1} bad={:.1} of={:.1} \
+             proven_failed={:.1} proven_bad={:.1} proven_of={:.1}",
+            all.new.failed,
+            all.new.bad,
+            all.new.all,
+            all.proven.failed,
+            all.proven.bad,
+            all.proven.all
+        );
+        actions.push(Action::Note(Event::VersionBarred, text));
+        true
+    }
+
+    pub(super) fn write_progress(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        // A host alone has nobody to wait for; those that watch the store hear first what others wrote.
+        let (turns_ms, after) = match (self.peers.is_empty(), self.is_watcher()) {
+            (true, _) => (0.0, Millis(0)),
+            (false, true) => (WRITE_TURNS_MS, Millis(0)),
+            (false, false) => (WRITE_TURNS_MS, WATCHERS_WRITE_FOR),
+        };
+        let hosts = self.hosts();
+        for (service, trial) in &mut self.trials {
+            let job = format!("{service}/{}", trial.order.version);
+            let turn = draw(&job, self.host.as_str()) * turns_ms;
+            let due = trial.due(now, after + Millis(turn as u64), WRITE_AGAIN, hosts);
+            actions.extend(due.map(Action::Write));
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidetrack-core/src/traffic/control/views.rs
@@ -0,0 +1,61 @@
+//! The view that traffic decides on, made of the present beliefs.
+
+use std::collections::HashMap;
+
+use crate::ids::ServiceId;
+use crate::placement::{PoolEndpoint, PoolView};
+use crate::traffic::peers::Barred;
+use crate::traffic::trial::{Phase, Trial};
+use crate::traffic::view::{FleetView, ServiceView};
+
+use super::Beliefs;
+
+impl Beliefs {
+    /// Makes the view of the present beliefs.
+    pub(super) fn view(&mut self) -> FleetView {
+        let mut sides: HashMap<ServiceId, (Vec<PoolEndpoint>, Vec<PoolEndpoint>)> = HashMap::new();
+        let mut live = HashMap::new();
+        for record in self.table.records() {
+            let trial = self.trials.get(&record.service);
+            let is_new = trial.is_some_and(|t| t.order.version == record.version);
+            let phase = trial.map(Trial::phase);
+            let kept = self.live.get(&record.id).cloned().unwrap_or_default();
+            live.insert(record.id.clone(), kept.clone());
+            let of_version =
+                Barred { service: record.service.clone(), version: record.version.clone() };
+            let may_serve = match (is_new, phase) {
+                (true, Some(Phase::Barred)) | (false, Some(Phase::Done)) => false,
+                _ => !record.is_leaving && !self.unproven.contains_key(&of_version),
+            };
+            if !may_serve {
+                continue;
+            }
+            let endpoint = PoolEndpoint {
+                id: record.id.clone(),
+                address: record.address.to_string(),
+                failure_domain: record.failure_domain.clone(),
+                live: kept,
+            };
+            let (proven, new) = sides.entry(record.service.clone()).or_default();
+            if is_new { new } else { proven }.push(endpoint);
+        }
+        self.live = live;
+        let services = sides.into_iter().map(|(s, (p, n))| (s.clone(), self.service(&s, p, n)));
+        let services = services.collect::<Vec<_>>().into_iter().collect();
+        FleetView { catalog: self.catalog.clone(), services, has_endpoints: self.has_endpoints }
+    }
+
+    fn service(
+        &mut self,
+        service: &ServiceId,
+        proven: Vec<PoolEndpoint>,
+        new: Vec<PoolEndpoint>,
+    ) -> ServiceView {
+        let spread = self.peers.spread();
+        let hosts = self.hosts();
+        let trial = self.trials.get_mut(service).map(|t| t.view(spread, hosts));
+        let exposure = self.exposures.entry(service.clone()).or_default().clone();
+        let pool = |endpoints| PoolView::new(endpoints, 0);
+        ServiceView { proven: pool(proven), new: pool(new), trial, exposure }
+    }
+}
