Judge only the endpoints that were asked of late

Now counts are taken from endpoints with news, fade when they are read, are forgotten when nothing of them is left, and a pool is gathered only for a suspect.

--- a/crates/tidetrack-core/src/placement.rs
+++ b/crates/tidetrack-core/src/placement.rs
@@ -117,15 +117,15 @@
     hosts_work: AtomicU64,
     /// When that was summed; 0 if never.
     hosts_told_at: AtomicU64,
-    /// Requests that went well and that failed since this host knows the endpoint; given up ones are
-    /// not counted.
+    /// Requests that went well and that failed since they were taken in last; given up ones are not
+    /// counted.
     good: AtomicU32,
     failed: AtomicU32,
     /// Until when it is avoided because it fails more than its pool.
     outlier_until: AtomicU64,
 }
 
-/// How many requests at an endpoint went well, and how many failed. Both wrap around.
+/// How many requests at an endpoint went well, and how many failed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Outcomes {
     /// Those that went well.
@@ -259,10 +259,13 @@
         self.note(now, false);
     }
 
-    /// Gets how the requests went so far.
-    pub fn outcomes(&self) -> Outcomes {
-        let (good, failed) = (&self.good, &self.failed);
-        Outcomes { good: good.load(Ordering::Relaxed), failed: failed.load(Ordering::Relaxed) }
+    /// Gets how requests went since the last call.
+    pub fn take_outcomes(&self) -> Outcomes {
+        let take = |count: &AtomicU32| match count.load(Ordering::Relaxed) {
+            0 => 0,
+            _ => count.swap(0, Ordering::Relaxed),
+        };
+        Outcomes { good: take(&self.good), failed: take(&self.failed) }
     }
 
     /// Avoids the endpoint for a while because it fails more than its pool, by all hosts' counts. One
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -1,7 +1,7 @@
 //! What a host does again and again: it tells others what it knows, judges new versions and endpoints by
 //! all hosts' counts, and writes a roll-out's progress.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::events::Event;
 use crate::ids::{EndpointId, ServiceId, VersionName};
@@ -80,18 +80,29 @@
     fn judge_endpoints(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let live = self.live.iter().map(|(id, live)| (id, live.as_ref()));
         self.outliers.count(now, live, &self.peers.results(now));
-        let mut pools: BTreeMap<(&ServiceId, &VersionName), Vec<&EndpointId>> = BTreeMap::new();
-        for record in self.table.records().filter(|r| !r.is_leaving) {
-            pools.entry((&record.service, &record.version)).or_default().push(&record.id);
-        }
-        for outlier in pools.values().flat_map(|pool| self.outliers.judge(now, pool)) {
-            if let Some(live) = self.live.get(&outlier.endpoint) {
-                live.avoid_until(outlier.until);
+        for pool in self.pools_of(&self.outliers.suspects(now)) {
+            for outlier in self.outliers.judge(now, &pool.iter().collect::<Vec<_>>()) {
+                if let Some(live) = self.live.get(&outlier.endpoint) {
+                    live.avoid_until(outlier.until);
+                }
+                actions.push(Action::Note(Event::EndpointAvoided, outlier.to_string()));
             }
-            actions.push(Action::Note(Event::EndpointAvoided, outlier.to_string()));
         }
     }
 
+    /// Lists the pools that some endpoints belong to: those of a service that run one version.
+    fn pools_of(&self, endpoints: &[EndpointId]) -> Vec<Vec<EndpointId>> {
+        let of_pool = |r: &EndpointRecord| (r.service.clone(), r.version.clone());
+        let records = endpoints.iter().filter_map(|id| self.table.get(id));
+        let names: BTreeSet<(ServiceId, VersionName)> = records.map(of_pool).collect();
+        let pool = |(service, version): &(ServiceId, VersionName)| {
+            let records = self.table.records().filter(|r| !r.is_leaving);
+            let records = records.filter(|r| r.service == *service && r.version == *version);
+            records.map(|r| r.id.clone()).collect()
+        };
+        names.iter().map(pool).collect()
+    }
+
     /// Asks a host that proves the configuration, when this one's proof grows old.
     pub(super) fn ask_for_proof(
         &mut self,
@@ -117,7 +128,7 @@
         let loads = self.live.iter().map(|(id, live)| (EndpointKey::from(id), live.own_work()));
         let mut news = News {
             proof,
-            results: self.outliers.told(),
+            results: self.outliers.told(now),
             changed: self.feeds.changed(),
             barred: self.unproven.keys().cloned().collect(),
             loads: loads
--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -108,6 +108,11 @@
         self.entries.contains_key(id)
     }
 
+    /// Gets the record of an endpoint that is believed in.
+    pub fn get(&self, id: &EndpointId) -> Option<&EndpointRecord> {
+        self.entries.get(id).map(|e| &e.record)
+    }
+
     /// Tells whether any endpoint of a service runs a version.
     pub fn runs(&self, service: &ServiceId, version: &VersionName) -> bool {
         self.records().any(|r| r.service == *service && r.version == *version)
--- a/crates/tidetrack-core/src/traffic/outliers.rs
+++ b/crates/tidetrack-core/src/traffic/outliers.rs
@@ -41,6 +41,9 @@
 /// Failed requests from which a host tells its counts of an endpoint.
 const TOLD_FROM: f32 = 0.5;
 
+/// Requests, faded, below which an endpoint's results are forgotten.
+const FORGOTTEN_BELOW: f32 = 0.05;
+
 /// How long an endpoint is avoided at first. Its word has then reached every host, so what is heard
 /// later is of requests sent later.
 const FIRST_SPAN: Millis = Millis(3_000);
@@ -100,18 +103,28 @@
     }
 }
 
+/// Results as of some time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fading {
+    results: Results,
+    at: Millis,
+}
+
+impl Fading {
+    fn now(self, now: Millis) -> Results {
+        self.results.faded(now - self.at)
+    }
+}
+
 /// What this host holds of one endpoint.
 #[derive(Clone, Debug, Default)]
 struct Standing {
-    /// The endpoint's counts as they were read last.
-    read: Outcomes,
     /// How this host's own requests went of late.
-    own: Results,
-    /// How those of all hosts went, as of the last round.
-    all: Results,
-    /// Results that do not count any more, as of `forgiven_at`.
-    forgiven: Results,
-    forgiven_at: Millis,
+    own: Fading,
+    /// How those of all hosts went.
+    all: Fading,
+    /// Results that do not count any more.
+    forgiven: Fading,
     /// Until when it is avoided, and for how long in all; `None` if it never was.
     avoided: Option<(Millis, Millis)>,
     /// Whether it is in use again since.
@@ -140,11 +153,10 @@
     }
 }
 
-/// The standing of all endpoints.
+/// The standing of the endpoints that were asked of late, here or by hosts that tell of them.
 #[derive(Clone, Debug, Default)]
 pub struct Outliers {
     standings: HashMap<EndpointId, Standing>,
-    counted_at: Millis,
 }
 
 impl Outliers {
@@ -155,28 +167,35 @@
         live: impl Iterator<Item = (&'a EndpointId, &'a EndpointLive)>,
         told: &HashMap<EndpointKey, Results>,
     ) {
-        let age = now - self.counted_at;
-        self.counted_at = now;
-        let mut old = std::mem::take(&mut self.standings);
         for (id, live) in live {
-            let mut standing = old.remove(id).unwrap_or_default();
-            let read = live.outcomes();
-            let failed = read.failed.wrapping_sub(standing.read.failed) as f32;
-            let good = read.good.wrapping_sub(standing.read.good) as f32;
-            standing.read = read;
-            standing.own = standing.own.faded(age).plus(Results { all: good + failed, failed });
-            let others = told.get(&EndpointKey::from(id)).copied().unwrap_or_default();
-            standing.all = standing.own.plus(others);
-            standing.come_back(now);
-            self.standings.insert(id.clone(), standing);
+            let news = live.take_outcomes();
+            let others = told.get(&EndpointKey::from(id)).copied();
+            if news == Outcomes::default() && others.is_none() {
+                continue;
+            }
+            let standing = self.standings.entry(id.clone()).or_default();
+            standing.count(now, news, others.unwrap_or_default());
         }
+        self.standings.retain(|_, standing| {
+            standing.come_back(now);
+            standing.is_remembered(now)
+        });
     }
 
     /// Lists this host's results of the endpoints that it or another host saw fail of late.
-    pub fn told(&self) -> Vec<(EndpointKey, Results)> {
-        let is_told = |s: &&Standing| s.all.failed >= TOLD_FROM && s.own.all >= TOLD_FROM;
-        let told = self.standings.iter().filter(|(_, s)| is_told(s));
-        told.map(|(id, standing)| (EndpointKey::from(id), standing.own)).collect()
+    pub fn told(&self, now: Millis) -> Vec<(EndpointKey, Results)> {
+        let told = self.standings.iter().filter_map(|(id, standing)| {
+            let own = standing.own.now(now);
+            let is_told = standing.all.now(now).failed >= TOLD_FROM && own.all >= TOLD_FROM;
+            is_told.then(|| (EndpointKey::from(id), own))
+        });
+        told.collect()
+    }
+
+    /// Lists the endpoints in use that fail often enough to be compared with their pools.
+    pub fn suspects(&self, now: Millis) -> Vec<EndpointId> {
+        let suspects = self.standings.iter().filter(|(_, s)| s.is_suspect(now));
+        suspects.map(|(id, _)| id.clone()).collect()
     }
 
     /// Finds the endpoints of a pool that are to be avoided from now on.
@@ -184,32 +203,27 @@
         if pool.len() < SMALLEST_POOL {
             return Vec::new();
         }
-        let of = |id: &EndpointId| self.standings.get(id).map(|s| (s.counting(now), s));
-        let mut suspects: Vec<(&EndpointId, Results)> = Vec::new();
+        let median = self.median(now, pool);
+        let mut outliers: Vec<Outlier> = Vec::new();
         let mut avoided = 0;
-        for (id, (results, standing)) in pool.iter().filter_map(|id| Some((*id, of(id)?))) {
+        for id in pool {
+            let Some(standing) = self.standings.get(*id) else { continue };
+            let results = standing.counting(now);
             if standing.is_avoided(now) {
                 avoided += 1;
-            } else if results.failed >= LEAST_FAILED && results.exceeds(0.0) {
-                suspects.push((id, results));
+            } else if standing.is_suspect(now) && results.exceeds(median) {
+                let endpoint = EndpointId::clone(id);
+                outliers.push(Outlier { endpoint, results, median, until: now });
             }
         }
-        if suspects.is_empty() {
-            return Vec::new();
+        outliers.sort_by(|a, b| b.results.share().total_cmp(&a.results.share()));
+        outliers.truncate(pool.len().div_ceil(AVOIDED_ONE_IN).saturating_sub(avoided));
+        for outlier in &mut outliers {
+            if let Some(standing) = self.standings.get_mut(&outlier.endpoint) {
+                outlier.until = standing.avoid(now);
+            }
         }
-        let median = self.median(now, pool);
-        suspects.retain(|(_, results)| results.exceeds(median));
-        suspects.sort_by(|(_, a), (_, b)| b.share().total_cmp(&a.share()));
-        suspects.truncate(pool.len().div_ceil(AVOIDED_ONE_IN).saturating_sub(avoided));
-        let found: Vec<(EndpointId, Results)> =
-            suspects.into_iter().map(|(id, results)| (id.clone(), results)).collect();
-        found.into_iter().map(|(id, results)| self.avoid(now, id, results, median)).collect()
-    }
-
-    fn avoid(&mut self, now: Millis, id: EndpointId, results: Results, median: f32) -> Outlier {
-        let standing = self.standings.entry(id.clone()).or_default();
-        let until = standing.avoid(now);
-        Outlier { endpoint: id, results, median, until }
+        outliers
     }
 
     /// Gets the median share of failed requests of a pool.
@@ -224,9 +238,21 @@
 }
 
 impl Standing {
+    fn count(&mut self, now: Millis, news: Outcomes, others: Results) {
+        let (good, failed) = (news.good as f32, news.failed as f32);
+        let own = self.own.now(now).plus(Results { all: good + failed, failed });
+        self.own = Fading { results: own, at: now };
+        self.all = Fading { results: own.plus(others), at: now };
+    }
+
     /// Gets the results that count.
     fn counting(&self, now: Millis) -> Results {
-        self.all.without(self.forgiven.faded(now - self.forgiven_at))
+        self.all.now(now).without(self.forgiven.now(now))
+    }
+
+    fn is_suspect(&self, now: Millis) -> bool {
+        let results = self.counting(now);
+        !self.is_avoided(now) && results.failed >= LEAST_FAILED && results.exceeds(0.0)
     }
 
     fn is_avoided(&self, now: Millis) -> bool {
@@ -249,8 +275,13 @@
     fn come_back(&mut self, now: Millis) {
         if self.avoided.is_some() && !self.is_avoided(now) && !self.is_back {
             self.is_back = true;
-            self.forgiven = self.all;
-            self.forgiven_at = now;
+            self.forgiven = Fading { results: self.all.now(now), at: now };
         }
     }
+
+    /// Tells whether anything is left that may count.
+    fn is_remembered(&self, now: Millis) -> bool {
+        let was_avoided = self.avoided.is_some_and(|(until, span)| now < until + span);
+        was_avoided || self.all.now(now).all >= FORGOTTEN_BELOW
+    }
 }
