--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -129,7 +129,7 @@
         let mut news = News {
             proof,
             results: self.outliers.told(now),
-            changed: self.feeds.changed(),
+            known: self.feeds.known(),
             barred: self.unproven.keys().cloned().collect(),
             loads: loads
                 .filter(|(_, work)| *work > 0)
