--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -325,7 +325,7 @@
             }
         }
         let is_near = self.peers.is_near(&msg.failure_domain);
-        let lacking = self.feeds.told(now, &msg.news.known, msg.address, is_near);
+        let lacking = self.feeds.told(now, &msg.news.changed, msg.address, is_near);
         actions.extend(lacking.into_iter().map(Action::Catch));
         let proof = self.peers.hear(now, msg);
         if self.peers.len() > before {
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -129,7 +129,7 @@
         let mut news = News {
             proof,
             results: self.outliers.told(now),
-            known: self.feeds.known(),
+            changed: self.feeds.changed(),
             barred: self.unproven.keys().cloned().collect(),
             loads: loads
                 .filter(|(_, work)| *work > 0)
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -57,15 +57,6 @@
     }
 }
 
-/// How far a host knows each kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Known {
-    /// The newest change it knows.
-    pub changed: Revisions,
-    /// Every change up to here is known to it; 0 for a kind that it never listed.
-    pub complete: Revisions,
-}
-
 /// Where changes are got from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -101,16 +92,15 @@
 pub struct Feeds {
     /// Every change up to here is known; 0 if the kind was never listed.
     complete: Revisions,
-    /// The newest change that is known. Hosts that have listed a kind go by this: up to where it is complete
-    /// differs from host to host also when nothing has changed.
+    /// The newest change that is known; this is what other hosts are told.
     changed: Revisions,
     lacks: [Option<Lack>; 3],
 }
 
 impl Feeds {
-    /// Gets how far this host knows each kind.
-    pub fn known(&self) -> Known {
-        Known { changed: self.changed, complete: self.complete }
+    /// Gets the newest known changes.
+    pub fn changed(&self) -> Revisions {
+        self.changed
     }
 
     /// Takes note that every change up to `complete` is known, the newest of them `changed`; tells
@@ -134,23 +124,18 @@
     }
 
     /// Takes what another host knows; gets what is to be got from it.
-    ///
-    /// A kind that was never listed is got from any host that has it: many hosts that start at once crowd
-    /// the store.
     pub fn told(
         &mut self,
         now: Millis,
-        told: &Known,
+        told: &Revisions,
         from: SocketAddr,
         is_near: bool,
     ) -> Vec<Catch> {
         let source = Source::Host(from);
-        let wanted = |kind: Kind| match self.complete.get(kind) {
-            0 => told.complete.get(kind),
-            _ => told.changed.get(kind),
-        };
-        let wanted = Kind::ALL.map(|kind| (kind, wanted(kind)));
-        wanted.into_iter().filter_map(|(k, w)| self.told_of(now, k, w, source, is_near)).collect()
+        Kind::ALL
+            .into_iter()
+            .filter_map(|k| self.told_of(now, k, told.get(k), source, is_near))
+            .collect()
     }
 
     fn told_of(
@@ -162,7 +147,8 @@
         is_near: bool,
     ) -> Option<Catch> {
         let after = self.complete.get(kind);
-        if wanted <= after {
+        // A kind that was never listed is being listed.
+        if after == 0 || wanted <= after {
             return None;
         }
         let new = Lack { since: now, wanted, tried_at: None, is_failed: false };
@@ -181,11 +167,6 @@
         let mut due = Vec::new();
         for kind in Kind::ALL {
             let Some(lack) = &mut self.lacks[kind as usize] else { continue };
-            // A kind that was never listed is being listed there already.
-            if self.complete.get(kind) == 0 {
-                lack.is_failed = false;
-                continue;
-            }
             let is_tried = lack.tried_at.is_some_and(|at| now < at + TRY_WITHIN);
             if !is_tried && (lack.is_failed || now >= lack.since + STORE_AFTER) {
                 lack.tried_at = Some(now);
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -22,7 +22,7 @@
 use crate::ids::{EndpointId, FailureDomain, HostId, ServiceId, VersionName};
 use crate::placement::rendezvous;
 use crate::traffic::exposure::ToldSession;
-use crate::traffic::feeds::Known;
+use crate::traffic::feeds::Revisions;
 use crate::traffic::judge::Tally;
 use crate::traffic::outliers::Results;
 use crate::units::Millis;
@@ -111,8 +111,8 @@
     pub tallies: Vec<ToldTally>,
     /// Versions it holds bad.
     pub barred: Vec<Barred>,
-    /// How far it knows the store's objects.
-    pub known: Known,
+    /// The newest changes of the store it knows.
+    pub changed: Revisions,
     /// Sessions at work on proven versions of services under roll-out.
     pub sessions: Vec<(ServiceId, Vec<ToldSession>)>,
 }
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
@@ -69,8 +69,6 @@
     /// Counts the returns of the store, for the other kinds to start again.
     returns: watch::Sender<u64>,
     duties: watch::Receiver<Duties>,
-    /// By kind, told when another host has given the first list.
-    given: [Notify; 3],
     /// By kind, whether the store did not answer the last read.
     is_lost: RefCell<[bool; 3]>,
     started: Instant,
@@ -91,7 +89,6 @@
             logs: RefCell::default(),
             returns,
             duties,
-            given: Default::default(),
             is_lost: RefCell::default(),
             started: Instant::now(),
         });
@@ -167,10 +164,7 @@
                 self.store.note_unreadable(&page.unreadable);
                 objects.extend(page.objects);
             }
-            let is_first = self.position(kind) == 0;
-            if self.take_list(kind, objects, list) && is_first {
-                self.given[kind as usize].notify_one();
-            }
+            self.take_list(kind, objects, list);
         }
         for chunk in told.chunks {
             let changes = (self.shared.dialect.store.read_changes)(kind, &chunk.bytes)?;
@@ -306,18 +300,10 @@
 
     /// Lists a kind and follows its changes until a call fails.
     async fn follow(&self, kind: Kind) -> Error {
-        let is_first = self.position(kind) == 0;
-        tokio::select! {
-            listed = self.read_all(kind) => match listed {
-                Ok(()) => self.back(kind),
-                Err(e) => return e,
-            },
-            // Only the store can prove the configuration.
-            () = self.given[kind as usize].notified(), if is_first && kind != Kind::Catalog => {
-                // This host does not depend on its own way to the store for it any more.
-                self.back(kind);
-            }
+        if let Err(e) = self.read_all(kind).await {
+            return e;
         }
+        self.back(kind);
         let mut duties = self.duties.clone();
         tokio::time::sleep_until((self.started + self.first_watch_after()).into()).await;
         loop {
