--- a/crates/tidetrack-core/src/traffic/outliers.rs
+++ b/crates/tidetrack-core/src/traffic/outliers.rs
@@ -38,7 +38,8 @@
 /// Smallest median that the standard error is reckoned from.
 const LEAST_MEDIAN: f32 = 0.02;
 
-/// Failed requests from which a host tells its counts of an endpoint.
+/// Failed requests, faded, from which a host tells its counts of an endpoint: one failure is told for one
+/// half-life.
 const TOLD_FROM: f32 = 0.5;
 
 /// Requests, faded, below which an endpoint's results are forgotten.
@@ -51,10 +52,10 @@
 /// Longest time for which it is avoided when it fails again and again.
 const LONGEST_SPAN: Millis = Millis(12_000);
 
-/// Smallest pool that has outliers.
+/// Smallest pool that has outliers: of two, neither is the usual one.
 const SMALLEST_POOL: usize = 3;
 
-/// Part of a pool that may be avoided, one endpoint in so many, rounded up.
+/// Part of a pool that may be avoided, one endpoint in so many, rounded up: those left carry the load of all.
 const AVOIDED_ONE_IN: usize = 3;
 
 /// How requests at one endpoint went; fades with time.
