--- a/crates/tidetrack-plane/src/body.rs
+++ b/crates/tidetrack-plane/src/body.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-/// Events that may wait for a slow caller; more hold the endpoint up.
+/// Pieces of an answer that may wait for a slow reader; more hold the endpoint up.
 pub const WAITING: usize = 16;
 
 /// The answer ended before it was whole. The connection is then broken off, so that the caller
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -40,9 +40,6 @@
 /// Pause between looks at whether a planned stop has come to its end.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
-/// Pause between sweeps of kept connections.
-const SWEEP: Duration = Duration::from_secs(5);
-
 /// Longest wait for the last lines of the log.
 const LAST_LINES: Duration = Duration::from_millis(300);
 
@@ -204,9 +201,9 @@
 
 /// Closes kept connections that rested too long or whose endpoint is gone.
 async fn sweep(traffic: Rc<Traffic>) {
-    loop {
-        tokio::time::sleep(SWEEP).await;
-        let view = traffic.shared.view.load_full();
-        traffic.pool.sweep(|name| view.services.values().any(|s| s.has_endpoint(name)));
-    }
+    let is_listed = |name: &str| {
+        let view = traffic.shared.view.load();
+        view.services.values().any(|s| s.has_endpoint(name))
+    };
+    traffic.pool.keep_swept(is_listed).await;
 }
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -46,6 +46,9 @@
     }
 }
 
+/// Pause between sweeps of connections that rest.
+const SWEEP: Duration = Duration::from_secs(5);
+
 /// Largest head of an answer, in bytes.
 const MOST_HEAD_BYTES: usize = 64 << 10;
 
@@ -120,7 +123,7 @@
     }
 
     /// Closes connections that rested too long, and those whose other end is not `wanted`.
-    pub fn sweep(&self, wanted: impl Fn(&str) -> bool) {
+    fn sweep(&self, wanted: impl Fn(&str) -> bool) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|name, of_end| {
             of_end.retain(|i| now < i.until && !i.lease.sender.is_closed());
@@ -128,6 +131,14 @@
         });
     }
 
+    /// Sweeps again and again, until the process ends.
+    pub async fn keep_swept(&self, wanted: impl Fn(&str) -> bool) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            self.sweep(&wanted);
+        }
+    }
+
     /// Gets the connection that rested least, if it rested no longer than `most_rest`.
     fn pop(&self, name: &str, most_rest: Duration) -> Option<Idle> {
         let mut idle = self.idle.borrow_mut();
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -55,9 +55,6 @@
 /// Time from the start in which hosts of a large fleet have met, so that few of them begin to watch.
 const MEETING_TIME: Duration = Duration::from_millis(1_500);
 
-/// Pause between sweeps of connections to other hosts.
-const SWEEP: Duration = Duration::from_secs(5);
-
 /// What the watches of a host share.
 pub struct Watches {
     shared: SharedRef,
@@ -100,7 +97,8 @@
         let told = move |kind, after| told.log(kind, |log| log.after(after));
         let address = shared.settings.peer_address;
         tokio::task::spawn_local(feed::serve(shared, address, told));
-        tokio::task::spawn_local(watches.clone().sweep());
+        let swept = watches.clone();
+        tokio::task::spawn_local(async move { swept.hosts.keep_swept(|_| true).await });
         watches
     }
 
@@ -112,14 +110,6 @@
         self.log(kind, |log| log.position())
     }
 
-    /// Closes connections to other hosts that rest.
-    async fn sweep(self: Rc<Self>) {
-        loop {
-            tokio::time::sleep(SWEEP).await;
-            self.hosts.sweep(|_| true);
-        }
-    }
-
     /// Gets changes that another host told of.
     pub async fn catch(self: Rc<Self>, catch: Catch) {
         let (kind, after) = (catch.kind, catch.after);
--- a/crates/tidetrack-router/src/errands.rs
+++ b/crates/tidetrack-router/src/errands.rs
@@ -6,7 +6,7 @@
 //! closed.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::response::Parts;
@@ -18,16 +18,11 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::ids::EndpointId;
 use tidetrack_plane::attempt::{self, Answered, Attempt, Echo};
+use tidetrack_plane::body::WAITING;
 use tidetrack_plane::dialect::AnswerFacts;
 use tidetrack_plane::pool::{most_rest, Pool};
 use tidetrack_wire::headers;
 
-/// Parts of a body that wait for their reader; past these the endpoint is not read on.
-const PARTS_WAITING: usize = 16;
-
-/// Pause between sweeps of kept connections.
-const SWEEP: Duration = Duration::from_secs(5);
-
 /// A request to an endpoint.
 pub struct Errand {
     /// The endpoint.
@@ -65,20 +60,13 @@
 /// Carries errands out until the other end is gone.
 pub async fn run(errands: flume::Receiver<Errand>) {
     let pool = Rc::new(Pool::default());
-    tokio::task::spawn_local(sweep(pool.clone()));
+    let swept = pool.clone();
+    tokio::task::spawn_local(async move { swept.keep_swept(|_| true).await });
     while let Ok(errand) = errands.recv_async().await {
         tokio::task::spawn_local(errand.carry_out(pool.clone()));
     }
 }
 
-/// Closes connections that rest for long.
-async fn sweep(pool: Rc<Pool>) {
-    loop {
-        tokio::time::sleep(SWEEP).await;
-        pool.sweep(|_| true);
-    }
-}
-
 impl Errand {
     async fn carry_out(mut self, pool: Rc<Pool>) {
         let attempt = Attempt {
@@ -104,7 +92,7 @@
             }
         };
         let Answered { head, body, lease, .. } = answered;
-        let (parts, taken) = mpsc::channel(PARTS_WAITING);
+        let (parts, taken) = mpsc::channel(WAITING);
         if self.reply.send(Ok(Reply { head, body: taken })).is_err() {
             return;
         }
