Judge a pool's endpoints without a second look at each

Outliers::judge asked is_suspect and then exceeds, which looked at the same results twice; that enough failed is part of exceeds now, and what lies over the median lies over zero as well, so the verdicts are the same. A pool is passed as it is gathered instead of as a list of references. Another host's word on an unproven version that is held already no longer scans all endpoints with each message, and a key is hashed only for endpoints with work. Core tests pass unchanged.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -319,9 +319,10 @@
             let trial = self.trials.get(&barred.service);
             // Of the version under roll-out the trial itself is told, when it is judged.
             let is_over = trial.is_some_and(|t| t.order.version != barred.version);
-            if is_over && self.table.runs(&barred.service, &barred.version) {
-                let is_news = self.unproven.insert(barred.clone(), now).is_none();
-                bearing = bearing.max(Bearing::now_if(is_news));
+            let is_news = is_over && !self.unproven.contains_key(barred);
+            if is_news && self.table.runs(&barred.service, &barred.version) {
+                self.unproven.insert(barred.clone(), now);
+                bearing = Bearing::Now;
             }
         }
         let is_near = self.peers.is_near(&msg.failure_domain);
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -81,7 +81,7 @@
         let live = self.live.iter().map(|(id, live)| (id, live.as_ref()));
         self.outliers.count(now, live, &self.peers.results(now));
         for pool in self.pools_of(&self.outliers.suspects(now)) {
-            for outlier in self.outliers.judge(now, &pool.iter().collect::<Vec<_>>()) {
+            for outlier in self.outliers.judge(now, &pool) {
                 if let Some(live) = self.live.get(&outlier.endpoint) {
                     live.avoid_until(outlier.until);
                 }
@@ -125,7 +125,7 @@
 
     fn news(&mut self, now: Millis, fresh: &Freshness) -> News {
         let proof = self.told_proof(now, fresh);
-        let loads = self.live.iter().map(|(id, live)| (EndpointKey::from(id), live.own_work()));
+        let loads = self.live.iter().map(|(id, live)| (id, live.own_work()));
         let mut news = News {
             proof,
             results: self.outliers.told(now),
@@ -133,7 +133,7 @@
             barred: self.unproven.keys().cloned().collect(),
             loads: loads
                 .filter(|(_, work)| *work > 0)
-                .map(|(key, work)| (key, u32::try_from(work).unwrap_or(u32::MAX)))
+                .map(|(id, work)| (id.into(), u32::try_from(work).unwrap_or(u32::MAX)))
                 .collect(),
             ..News::default()
         };
--- a/crates/tidetrack-core/src/traffic/outliers.rs
+++ b/crates/tidetrack-core/src/traffic/outliers.rs
@@ -90,11 +90,12 @@
         self.failed / self.all.max(1.0)
     }
 
-    /// Tells whether the share of failures lies well over the usual one.
+    /// Tells whether enough failed, and a share well over the usual one.
     fn exceeds(self, usual: f32) -> bool {
         let usual_part = usual.max(LEAST_MEDIAN);
         let error = (usual_part * (1.0 - usual_part) / self.all.max(1.0)).sqrt();
-        self.share() - usual >= LEAST_EXCESS.max(error * LEAST_ERRORS)
+        let excess = self.share() - usual;
+        self.failed >= LEAST_FAILED && excess >= LEAST_EXCESS.max(error * LEAST_ERRORS)
     }
 
     /// Gets these results as the word of one other host, some time later.
@@ -200,7 +201,7 @@
     }
 
     /// Finds the endpoints of a pool that are to be avoided from now on.
-    pub fn judge(&mut self, now: Millis, pool: &[&EndpointId]) -> Vec<Outlier> {
+    pub fn judge(&mut self, now: Millis, pool: &[EndpointId]) -> Vec<Outlier> {
         if pool.len() < SMALLEST_POOL {
             return Vec::new();
         }
@@ -208,13 +209,12 @@
         let mut outliers: Vec<Outlier> = Vec::new();
         let mut avoided = 0;
         for id in pool {
-            let Some(standing) = self.standings.get(*id) else { continue };
+            let Some(standing) = self.standings.get(id) else { continue };
             let results = standing.counting(now);
             if standing.is_avoided(now) {
                 avoided += 1;
-            } else if standing.is_suspect(now) && results.exceeds(median) {
-                let endpoint = EndpointId::clone(id);
-                outliers.push(Outlier { endpoint, results, median, until: now });
+            } else if results.exceeds(median) {
+                outliers.push(Outlier { endpoint: id.clone(), results, median, until: now });
             }
         }
         outliers.sort_by(|a, b| b.results.share().total_cmp(&a.results.share()));
@@ -228,9 +228,9 @@
     }
 
     /// Gets the median share of failed requests of a pool.
-    fn median(&self, now: Millis, pool: &[&EndpointId]) -> f32 {
-        let share = |id: &&EndpointId| {
-            self.standings.get(*id).map_or(0.0, |standing| standing.counting(now).share())
+    fn median(&self, now: Millis, pool: &[EndpointId]) -> f32 {
+        let share = |id: &EndpointId| {
+            self.standings.get(id).map_or(0.0, |standing| standing.counting(now).share())
         };
         let mut shares: Vec<f32> = pool.iter().map(share).collect();
         shares.sort_by(f32::total_cmp);
@@ -252,8 +252,7 @@
     }
 
     fn is_suspect(&self, now: Millis) -> bool {
-        let results = self.counting(now);
-        !self.is_avoided(now) && results.failed >= LEAST_FAILED && results.exceeds(0.0)
+        !self.is_avoided(now) && self.counting(now).exceeds(0.0)
     }
 
     fn is_avoided(&self, now: Millis) -> bool {
