--- a/crates/tidetrack-core/src/traffic/cascade.rs
+++ b/crates/tidetrack-core/src/traffic/cascade.rs
@@ -29,8 +29,10 @@
 /// What the choice is made from.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CascadeOptions {
-    /// Worth of a right answer for each 1,000 tokens of size, in the unit of the models' prices.
-    pub worth_per_1k: f64,
+    /// Worth of a right answer for each 1,000 tokens of size, as a multiple of the largest model's
+    /// price: who runs that model at all holds its answers worth somewhat more than they cost. So the
+    /// choice needs no unit and no figure of one fleet.
+    pub worth_in_prices: f64,
     /// What a second run costs others in idle times, as a multiple of its price.
     pub others_delayed: f64,
     /// How that grows with the square of the time that first runs wait, in objectives' lengths.
@@ -38,10 +40,11 @@
 }
 
 impl Default for CascadeOptions {
-    /// The worth is the mean of the sheets of the first two fleets (0.21 to 0.48 by kind of
-    /// request); the other two are from trials on days of both, `docs/BENCHMARKS-platform.md`.
+    /// Taking the worth from the price gains 0.044 ± 0.011 of a day's worth over a worth fitted to two
+    /// fleets, on a third one, and -0.001 ± 0.020 and 0.003 ± 0.005 on those two (18 pairs of plays
+    /// each, `docs/decisions-under-load.md`); the other two figures are from plays of those two.
     fn default() -> Self {
-        CascadeOptions { worth_per_1k: 0.4, others_delayed: 2.0, scarcity: 100.0 }
+        CascadeOptions { worth_in_prices: 1.2, others_delayed: 2.0, scarcity: 100.0 }
     }
 }
 
@@ -72,10 +75,10 @@
         charged / QUOTED_TOKENS * per_1k
     }
 
-    /// Estimates what a right answer is worth.
-    pub fn worth(&self, opts: &CascadeOptions) -> f64 {
+    /// Estimates what a right answer is worth where the largest model has this price.
+    pub fn worth(&self, largest_per_1k: f64, opts: &CascadeOptions) -> f64 {
         let size = self.prompt.0 as f64 + WORTH_OF_GENERATED * self.generated();
-        size / QUOTED_TOKENS * opts.worth_per_1k
+        size / QUOTED_TOKENS * largest_per_1k * opts.worth_in_prices
     }
 }
 
@@ -108,8 +111,9 @@
     let chance_right = f64::from(prospect.confidence.min(100)) / 100.0;
     let at_hand = chance_right + (1.0 - chance_right) * POOR_ANSWER;
     let second = prospect.in_time + (1.0 - prospect.in_time) * LATE_ANSWER;
-    let gain = (second - at_hand) * size.worth(opts);
+    let per_1k = service.price_of(largest);
+    let gain = (second - at_hand) * size.worth(per_1k, opts);
     // The second run also delays others' runs, the more the busier the engines are.
     let scarcity = opts.others_delayed * (1.0 + opts.scarcity * prospect.wait * prospect.wait);
-    (gain > size.price(service.price_of(largest)) * scarcity).then_some(largest)
+    (gain > size.price(per_1k) * scarcity).then_some(largest)
 }
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -172,6 +172,25 @@
     assert_eq!(larger(Prospect { wait: 1.0, ..doubtful }), None);
 }
 
+#[test]
+fn the_unit_of_prices_does_not_bear_on_the_choice_of_a_model() {
+    let route = route("all", "/a/");
+    let opts = CascadeOptions::default();
+    let dropped = |unit: f64, confidence: u8| {
+        let mut service = catalog(1).services[&id::<ServiceId>("llm")].clone();
+        service.models.iter_mut().for_each(|m| m.price *= unit);
+        let prospect = Prospect { confidence, in_time: 1.0, wait: 0.05 };
+        let (small, size) = (id::<ModelId>("small"), size(800, 400));
+        better_model(&route, &service, &small, prospect, &size, &opts).is_some()
+    };
+
+    let in_cents: Vec<bool> = (0..=100).map(|confidence| dropped(1.0, confidence)).collect();
+    let in_thousandths: Vec<bool> = (0..=100).map(|confidence| dropped(10.0, confidence)).collect();
+
+    assert_eq!(in_cents, in_thousandths);
+    assert!(in_cents[0] && !in_cents[100]);
+}
+
 #[test]
 fn a_model_that_was_too_slow_is_tried_again_after_a_while() {
     let mut outlook = Outlook::default();
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -377,7 +377,7 @@
             ("in_time", &format_args!("{:.2}", prospect.in_time)),
             ("wait", &format_args!("{:.2}", prospect.wait)),
             ("larger", larger),
-            ("worth", &size.worth(opts)),
+            ("worth", &size.worth(service.price_of(larger), opts)),
             ("price", &size.price(service.price_of(larger))),
         ],
     );
