--- /dev/null
+++ b/crates/tidetrack-core/src/placement/live.rs
@@ -0,0 +1,222 @@
+//! What a host knows of one endpoint's load and health.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+
+use crate::units::{Millis, Tokens};
+
+/// A report's weight halves every so many milliseconds.
+const REPORT_HALF_MS: f64 = 8_000.0;
+
+/// What the other hosts tell of their work counts for this time.
+const HOSTS_TOLD_KEPT: Millis = Millis(1_000);
+
+/// Weight of the newest answer in an endpoint's pace.
+const PACE_WEIGHT: f64 = 0.2;
+
+/// Pace assumed before the first answer, in microseconds for one token of work.
+const ASSUMED_PACE_US: f64 = 20_000.0;
+
+/// Failures in a row after which an endpoint is ejected.
+const FAILURES_TO_EJECT: u32 = 3;
+
+/// First span of an ejection; it doubles up to a limit.
+const EJECTED_FOR_MS: u64 = 1_000;
+
+/// Doublings of the ejection's span.
+const MOST_DOUBLINGS: u32 = 5;
+
+/// Work that every endpoint counts as having besides, so that small differences do not drive a prefix
+/// from its cache.
+const IDLE_WORK: f64 = 400.0;
+
+/// What this host knows of an endpoint's load and health. Shared by all traffic threads.
+#[derive(Debug, Default)]
+pub struct EndpointLive {
+    own_work: AtomicU64,
+    reported_others: AtomicU64,
+    reported_at: AtomicU64,
+    capacity_tokens: AtomicU64,
+    failures: AtomicU32,
+    ejected_until: AtomicU64,
+    leaving: AtomicBool,
+    /// Microseconds that a token of work took of late; 0 before the first answer.
+    pace_us: AtomicU64,
+    /// When anything was last heard from the endpoint.
+    heard_at: AtomicU64,
+    /// Work that the other hosts said they have there.
+    hosts_work: AtomicU64,
+    /// When that was summed; 0 if never.
+    hosts_told_at: AtomicU64,
+    /// Requests that went well and that failed since they were taken in last; given up ones are not
+    /// counted.
+    good: AtomicU32,
+    failed: AtomicU32,
+    /// Until when it is avoided because it fails more than its pool.
+    outlier_until: AtomicU64,
+}
+
+/// How many requests at an endpoint went well, and how many failed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outcomes {
+    /// Those that went well.
+    pub good: u32,
+    /// Those that failed.
+    pub failed: u32,
+}
+
+impl EndpointLive {
+    /// Counts work handed to the endpoint.
+    pub fn begin(&self, work: u64) {
+        self.own_work.fetch_add(work, Ordering::Relaxed);
+    }
+
+    /// Counts work as ended.
+    pub fn end(&self, work: u64) {
+        self.own_work.fetch_sub(work, Ordering::Relaxed);
+    }
+
+    /// Takes a report of the endpoint's whole work and room.
+    ///
+    /// The part of it that is this host's own is taken off, so that later only the others' part is
+    /// old.
+    pub fn report(&self, now: Millis, work: u64, capacity: Tokens) {
+        let own = self.own_work.load(Ordering::Relaxed);
+        self.reported_others.store(work.saturating_sub(own), Ordering::Relaxed);
+        self.reported_at.store(now.0, Ordering::Relaxed);
+        self.capacity_tokens.store(capacity.0, Ordering::Relaxed);
+    }
+
+    /// Gets the instant of the last report.
+    pub fn reported_at(&self) -> Millis {
+        Millis(self.reported_at.load(Ordering::Relaxed))
+    }
+
+    /// Estimates the endpoint's work in answer tokens.
+    pub fn load(&self, now: Millis) -> f64 {
+        self.own_work() as f64 + self.others_work(now)
+    }
+
+    /// Gets this host's own work at the endpoint.
+    pub fn own_work(&self) -> u64 {
+        self.own_work.load(Ordering::Relaxed)
+    }
+
+    /// Takes the work that the other hosts say they have at the endpoint.
+    pub fn told_by_hosts(&self, now: Millis, work: u64) {
+        self.hosts_work.store(work, Ordering::Relaxed);
+        self.hosts_told_at.store(now.0.max(1), Ordering::Relaxed);
+    }
+
+    /// Estimates the other hosts' work: as they tell it, else from the endpoint's last report.
+    fn others_work(&self, now: Millis) -> f64 {
+        let told_at = self.hosts_told_at.load(Ordering::Relaxed);
+        if told_at > 0 && now < Millis(told_at) + HOSTS_TOLD_KEPT {
+            return self.hosts_work.load(Ordering::Relaxed) as f64;
+        }
+        let others = self.reported_others.load(Ordering::Relaxed) as f64;
+        let age = (now - self.reported_at()).0 as f64;
+        others * (-age / REPORT_HALF_MS).exp2()
+    }
+
+    /// Takes note that something came from the endpoint.
+    pub fn heard(&self, now: Millis) {
+        self.heard_at.fetch_max(now.0, Ordering::Relaxed);
+    }
+
+    /// Tells whether anything came from the endpoint since an instant.
+    pub fn was_heard_since(&self, instant: Millis) -> bool {
+        self.heard_at.load(Ordering::Relaxed) > instant.0
+    }
+
+    /// Takes note of how long an answer took.
+    pub fn took(&self, work: u64, us: u64) {
+        let newest = us as f64 / work.max(1) as f64;
+        let old = self.pace();
+        let known = self.pace_us.load(Ordering::Relaxed) > 0;
+        let pace = if known { old + (newest - old) * PACE_WEIGHT } else { newest };
+        self.pace_us.store(pace.max(1.0) as u64, Ordering::Relaxed);
+    }
+
+    /// Gets the microseconds that a token of work took of late.
+    pub fn pace(&self) -> f64 {
+        match self.pace_us.load(Ordering::Relaxed) {
+            0 => ASSUMED_PACE_US,
+            pace => pace as f64,
+        }
+    }
+
+    /// Estimates what a request would meet here: work before it, by the time that work takes.
+    pub(super) fn cost(&self, now: Millis) -> f64 {
+        (self.load(now) + IDLE_WORK) * self.pace()
+    }
+
+    /// Tells whether a request of so many tokens can be held at all, as far as is known.
+    pub fn can_hold(&self, need: Tokens) -> bool {
+        let capacity = self.capacity_tokens.load(Ordering::Relaxed);
+        capacity == 0 || need.0 <= capacity
+    }
+
+    /// Records how an attempt went.
+    pub fn note(&self, now: Millis, went_well: bool) {
+        if went_well {
+            self.good.fetch_add(1, Ordering::Relaxed);
+            self.failures.store(0, Ordering::Relaxed);
+            self.ejected_until.store(0, Ordering::Relaxed);
+            return;
+        }
+        self.failed.fetch_add(1, Ordering::Relaxed);
+        self.eject_after_failures(now);
+    }
+
+    /// Records that an attempt was given up because the endpoint kept silent. That may be the work's
+    /// doing, so other hosts are not told of it.
+    pub fn note_silent(&self, now: Millis) {
+        self.eject_after_failures(now);
+    }
+
+    fn eject_after_failures(&self, now: Millis) {
+        let failures = self.failures.fetch_add(1, Ordering::Relaxed) + 1;
+        if failures >= FAILURES_TO_EJECT {
+            let doublings = (failures - FAILURES_TO_EJECT).min(MOST_DOUBLINGS);
+            let until = now.0 + (EJECTED_FOR_MS << doublings);
+            self.ejected_until.store(until, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that the endpoint could not be reached: unlike a failed answer, one is enough.
+    pub fn note_unreachable(&self, now: Millis) {
+        self.failures.fetch_max(FAILURES_TO_EJECT - 1, Ordering::Relaxed);
+        self.note(now, false);
+    }
+
+    /// Gets how requests went since the last call.
+    pub fn take_outcomes(&self) -> Outcomes {
+        let take = |count: &AtomicU32| match count.load(Ordering::Relaxed) {
+            0 => 0,
+            _ => count.swap(0, Ordering::Relaxed),
+        };
+        Outcomes { good: take(&self.good), failed: take(&self.failed) }
+    }
+
+    /// Avoids the endpoint for a while because it fails more than its pool, by all hosts' counts. One
+    /// answer of its that goes well does not end that.
+    pub fn avoid_until(&self, until: Millis) {
+        self.outlier_until.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// Tells whether the endpoint is ejected for its failures.
+    pub fn is_ejected(&self, now: Millis) -> bool {
+        let until = |at: &AtomicU64| at.load(Ordering::Relaxed);
+        until(&self.ejected_until).max(until(&self.outlier_until)) > now.0
+    }
+
+    /// Marks the endpoint as leaving or not.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.leaving.store(leaving, Ordering::Release);
+    }
+
+    /// Tells whether the endpoint is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+}
