--- a/crates/tidetrack-core/src/ids.rs
+++ b/crates/tidetrack-core/src/ids.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::errors::{bad_value, Error, Result};
 
@@ -121,6 +122,26 @@
     "failure domain"
 );
 
+/// Stands for an endpoint's name in messages and memories that must stay small.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct EndpointKey(u32);
+
+impl From<&EndpointId> for EndpointKey {
+    fn from(id: &EndpointId) -> EndpointKey {
+        // A collision mixes what is known of two endpoints; no promise depends on it.
+        EndpointKey(xxh3_64(id.as_str().as_bytes()) as u32)
+    }
+}
+
+impl EndpointKey {
+    /// Gets the key as a number.
+    pub fn get(self) -> u32 {
+        self.0
+    }
+}
+
 /// A model and one of its versions, written `model@version`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::codes::Code;
 use crate::errors::{Error, Result};
-use crate::ids::{EndpointId, FailureDomain};
+use crate::ids::{EndpointId, EndpointKey, FailureDomain};
 use crate::units::{Millis, Tokens};
 
 mod live;
@@ -96,6 +96,8 @@
 pub struct PoolView {
     endpoints: Vec<PoolEndpoint>,
     ring: Vec<(u64, u32)>,
+    /// The endpoints' places in the list, by key in ascending order.
+    keys: Vec<(EndpointKey, u32)>,
     most_work: f64,
 }
 
@@ -124,6 +126,8 @@
     /// Work that an endpoint which does not keep the request's prefix has to do in addition; 0 keeps
     /// to the ring by a bound on the load instead.
     pub reread: u64,
+    /// Endpoints that are known to keep the request's prefix.
+    pub kept_at: &'a [EndpointKey],
     /// Where the host stands, if that bears on the pick.
     pub near: Option<Near<'a>>,
 }
@@ -138,11 +142,14 @@
             }
         }
         ring.sort_unstable();
+        let key = |(i, e): (usize, &PoolEndpoint)| (EndpointKey::from(&e.id), i as u32);
+        let mut keys: Vec<_> = endpoints.iter().enumerate().map(key).collect();
+        keys.sort_unstable();
         let most_work = match slots {
             0 => f64::INFINITY,
             slots => f64::from(slots) * MOST_WORK_A_SLOT,
         };
-        PoolView { endpoints, ring, most_work }
+        PoolView { endpoints, ring, keys, most_work }
     }
 
     /// Lists the endpoints.
@@ -205,19 +212,35 @@
         home: &'a PoolEndpoint,
         drawn: &[&'a PoolEndpoint],
     ) -> &'a PoolEndpoint {
+        let keepers = self.keepers(now, ask);
+        let is_kept_near = keepers.iter().any(|e| is_near(e, ask));
         let next = self.next_home(now, ask, home);
         let again = |part: f64| ask.reread as f64 * part;
         let cost = |e: &PoolEndpoint, extra: f64| {
             let work = e.live.load(now) + IDLE_WORK_BESIDE_PREFIX + extra + crossing(e, ask);
             work * e.live.pace()
         };
-        let homes = [Some((home, 0.0)), next.map(|e| (e, again(NEXT_HOME_PART)))];
+        // A prefix that nobody near is known to keep is taken to be where the ring places it.
+        let (at_home, at_next) = match is_kept_near {
+            true => (1.0, 1.0),
+            false => (0.0, NEXT_HOME_PART),
+        };
+        let homes = [Some((home, again(at_home))), next.map(|e| (e, again(at_next)))];
         let others = drawn.iter().map(|e| (*e, again(1.0)));
-        let all = homes.into_iter().flatten().chain(others);
+        let keepers = keepers.into_iter().map(|e| (e, 0.0));
+        let all = keepers.chain(homes.into_iter().flatten()).chain(others);
         let best = all.min_by(|(a, x), (b, y)| cost(a, *x).total_cmp(&cost(b, *y)));
         best.map_or(home, |(e, _)| e)
     }
 
+    /// Lists the usable endpoints that are known to keep the request's prefix.
+    fn keepers(&self, now: Millis, ask: &Ask<'_>) -> Vec<&PoolEndpoint> {
+        let find = |key: &EndpointKey| self.keys.binary_search_by_key(key, |(key, _)| *key).ok();
+        let at = ask.kept_at.iter().filter_map(find);
+        let kept = at.map(|at| &self.endpoints[self.keys[at].1 as usize]);
+        kept.filter(|e| usable(e, now, ask)).collect()
+    }
+
     /// Finds the endpoint on the ring after the request's home: the same for every host, so that a
     /// prefix that is too much for one endpoint is kept by two rather than by all.
     fn next_home(&self, now: Millis, ask: &Ask<'_>, home: &PoolEndpoint) -> Option<&PoolEndpoint> {
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -19,6 +19,7 @@
 use crate::traffic::judge::Observed;
 use crate::traffic::outliers::Outliers;
 use crate::traffic::peers::{Barred, News, PeerBook, PeerMessage, Question, ROUND_EVERY};
+use crate::traffic::prefixes::Prefixes;
 use crate::traffic::trial::{Phase, ProgressWrite, RolloutOrder, Trial};
 use crate::traffic::view::FleetView;
 use crate::units::Millis;
@@ -129,6 +130,7 @@
     /// beside the next roll-out. With the time at which one was listed last.
     unproven: BTreeMap<Barred, Millis>,
     exposures: HashMap<ServiceId, Arc<Exposure>>,
+    prefixes: HashMap<ServiceId, Arc<Prefixes>>,
     live: HashMap<EndpointId, Arc<EndpointLive>>,
     outliers: Outliers,
     peers: PeerBook,
@@ -164,6 +166,7 @@
             trials: BTreeMap::new(),
             unproven: BTreeMap::new(),
             exposures: HashMap::new(),
+            prefixes: HashMap::new(),
             live: HashMap::new(),
             outliers: Outliers::default(),
         }
@@ -307,6 +310,11 @@
             let exposure = self.exposures.entry(service.clone()).or_default();
             exposure.hold_told(now, sessions);
         }
+        for (service, reads) in &msg.news.reads {
+            if let Some(prefixes) = self.prefixes.get(service) {
+                prefixes.hear(now, reads);
+            }
+        }
         for told in &msg.news.tallies {
             let trial = self.trials.get_mut(&told.service);
             if let Some(trial) = trial.filter(|t| t.order.version == told.version) {
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -4,11 +4,11 @@
 use std::collections::BTreeSet;
 
 use crate::events::Event;
-use crate::ids::{EndpointId, ServiceId, VersionName};
+use crate::ids::{EndpointId, EndpointKey, ServiceId, VersionName};
 use crate::placement::draw;
 use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::freshness::Freshness;
-use crate::traffic::peers::{Barred, EndpointKey, News, ToldProof, ToldTally};
+use crate::traffic::peers::{Barred, News, ToldProof, ToldTally, ROUND_EVERY};
 use crate::traffic::trial::Phase;
 use crate::units::Millis;
 
@@ -137,6 +137,13 @@
                 .collect(),
             ..News::default()
         };
+        let turn = self.peers.turn_time() + ROUND_EVERY;
+        for (service, prefixes) in &self.prefixes {
+            let reads = prefixes.told(now, turn);
+            if !reads.is_empty() {
+                news.reads.push((service.clone(), reads));
+            }
+        }
         let hosts = self.hosts();
         for (service, trial) in &mut self.trials {
             let (service, version) = (service.clone(), trial.order.version.clone());
--- a/crates/tidetrack-core/src/traffic/control/views.rs
+++ b/crates/tidetrack-core/src/traffic/control/views.rs
@@ -55,7 +55,8 @@
         let hosts = self.hosts();
         let trial = self.trials.get_mut(service).map(|t| t.view(spread, hosts));
         let exposure = self.exposures.entry(service.clone()).or_default().clone();
+        let prefixes = self.prefixes.entry(service.clone()).or_default().clone();
         let pool = |endpoints| PoolView::new(endpoints, 0);
-        ServiceView { proven: pool(proven), new: pool(new), trial, exposure }
+        ServiceView { proven: pool(proven), new: pool(new), trial, exposure, prefixes }
     }
 }
--- a/crates/tidetrack-core/src/traffic/judge.rs
+++ b/crates/tidetrack-core/src/traffic/judge.rs
@@ -2,11 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
-
-use crate::ids::{EndpointId, ModelId, RouteId, ServiceId, VersionName};
+use crate::ids::{EndpointId, EndpointKey, ModelId, RouteId, ServiceId, VersionName};
 use crate::units::Millis;
+use serde::{Deserialize, Serialize};
 
 /// Failed answers that bar the version, over all hosts.
 const FAILED_TO_BAR: f32 = 3.5;
@@ -221,8 +219,7 @@
         self.tally.new.add(seen.failed, slow);
         if seen.failed || slow {
             // Zero stands for none.
-            let name = xxh3_64(seen.endpoint.as_str().as_bytes()) as u32;
-            self.tally.note_bad(name.max(1));
+            self.tally.note_bad(EndpointKey::from(&seen.endpoint).get().max(1));
         }
     }
 
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -17,5 +17,6 @@
 pub mod outliers;
 pub mod outlook;
 pub mod peers;
+pub mod prefixes;
 pub mod trial;
 pub mod view;
--- a/crates/tidetrack-core/src/traffic/outliers.rs
+++ b/crates/tidetrack-core/src/traffic/outliers.rs
@@ -12,9 +12,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::EndpointId;
+use crate::ids::{EndpointId, EndpointKey};
 use crate::placement::{EndpointLive, Outcomes};
-use crate::traffic::peers::EndpointKey;
 use crate::units::Millis;
 
 /// Counts halve in this time: long enough for a fleet of 83 hosts to hear of each other, which takes
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -19,12 +19,13 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{EndpointId, FailureDomain, HostId, ServiceId, VersionName};
+use crate::ids::{EndpointKey, FailureDomain, HostId, ServiceId, VersionName};
 use crate::placement::rendezvous;
 use crate::traffic::exposure::ToldSession;
 use crate::traffic::feeds::Revisions;
 use crate::traffic::judge::Tally;
 use crate::traffic::outliers::Results;
+use crate::traffic::prefixes::ToldRead;
 use crate::units::Millis;
 
 /// Hosts that one round of messages goes to.
@@ -56,17 +57,6 @@
 /// Hosts of a fleet that prove the configuration themselves at short intervals.
 const PROVERS: usize = 3;
 
-/// Names an endpoint in messages.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct EndpointKey(u32);
-
-impl From<&EndpointId> for EndpointKey {
-    fn from(id: &EndpointId) -> EndpointKey {
-        // A collision mixes two endpoints' loads; nothing else depends on it.
-        EndpointKey(xxh3_64(id.as_str().as_bytes()) as u32)
-    }
-}
-
 /// A proof of the configuration, as it is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldProof {
@@ -115,6 +105,8 @@
     pub changed: Revisions,
     /// Sessions at work on proven versions of services under roll-out.
     pub sessions: Vec<(ServiceId, Vec<ToldSession>)>,
+    /// Where it had shared parts read of late.
+    pub reads: Vec<(ServiceId, Vec<ToldRead>)>,
 }
 
 /// One message.
@@ -387,7 +379,7 @@
     }
 
     /// Gets the time in which a host has sent one message to each other.
-    fn turn_time(&self) -> Millis {
+    pub fn turn_time(&self) -> Millis {
         Millis(ROUND_EVERY.0 * self.peers.len().div_ceil(FANOUT) as u64)
     }
 
--- a/crates/tidetrack-core/src/traffic/view.rs
+++ b/crates/tidetrack-core/src/traffic/view.rs
@@ -7,6 +7,7 @@
 use crate::placement::PoolView;
 use crate::traffic::catalog::Catalog;
 use crate::traffic::exposure::{Exposure, SessionDraw};
+use crate::traffic::prefixes::Prefixes;
 use crate::traffic::trial::{Phase, Side, TrialView};
 use crate::units::Millis;
 
@@ -21,6 +22,8 @@
     pub trial: Option<TrialView>,
     /// Sessions and counts for the share of a new version.
     pub exposure: Arc<Exposure>,
+    /// Which endpoints have read which shared parts of prompts.
+    pub prefixes: Arc<Prefixes>,
 }
 
 impl ServiceView {
--- a/crates/tidetrack-core/tests/placement.rs
+++ b/crates/tidetrack-core/tests/placement.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use tidetrack_core::codes::Code;
+use tidetrack_core::ids::EndpointKey;
 use tidetrack_core::placement::{Ask, EndpointLive, Near, PoolEndpoint, PoolView};
 use tidetrack_core::units::{Millis, Tokens};
 
@@ -151,6 +152,25 @@
     assert_ne!(loaded, own);
 }
 
+#[test]
+fn an_endpoint_known_to_keep_a_prefix_goes_before_the_rings() {
+    let pool = pool_of_domains(12);
+    let own = "b".parse().expect("a failure domain");
+    let near = Some(Near { failure_domain: &own, crossing: 500 });
+    let ask = |kept_at| Ask { near, kept_at, ..ask_with_prefix(77, 1_000) };
+    let home = pool.pick(Millis(0), &ask(&[])).expect("a pick").clone();
+    let other = pool.endpoints().iter().find(|e| e.failure_domain == own && e.id != home.id);
+    let other = other.expect("a domain of four");
+
+    let known = [EndpointKey::from(&other.id)];
+    let picked = pool.pick(Millis(0), &ask(&known)).expect("a pick");
+    other.live.begin(2_000);
+    let loaded = pool.pick(Millis(0), &ask(&known)).expect("a pick");
+
+    assert_eq!(picked.id, other.id);
+    assert_ne!(loaded.id, other.id);
+}
+
 #[test]
 fn what_hosts_tell_of_their_work_goes_before_an_endpoints_old_report() {
     let live = EndpointLive::default();
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -2,7 +2,7 @@
 
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
-use tidetrack_core::ids::{EndpointId, ModelId};
+use tidetrack_core::ids::{EndpointId, EndpointKey, ModelId};
 use tidetrack_core::placement::{place_of, Ask, Near};
 use tidetrack_core::traffic::budget::SendAgain;
 use tidetrack_core::traffic::exposure::SessionDraw;
@@ -73,14 +73,21 @@
     };
     let sides = [drawn, other].into_iter();
     let sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
-    let reread = job.reread(weight_of(traffic, job, model));
+    let part = job.part(model);
+    let prompt = Prompt {
+        reread: job.reread(weight_of(traffic, job, model)),
+        kept_at: part.map_or_else(Vec::new, |part| service.prefixes.readers(now, part)),
+    };
     let mut last = full("no endpoint can be used");
     // Where all endpoints were tried, all but the last are tried again.
     let tried = tries.tried.as_slice();
     let last_tried = &tried[tried.len().saturating_sub(1)..];
     for (side, avoided) in sides.flat_map(|side| [(side, tried), (side, last_tried)]) {
-        match pick(traffic, job, avoided, service, side, reread) {
+        match pick(traffic, job, avoided, service, side, &prompt) {
             Ok(chosen) => {
+                if let Some(part) = part {
+                    service.prefixes.used(now, part, EndpointKey::from(&chosen.id));
+                }
                 if side == Side::Proven {
                     service.exposure.hold(now, who, hold_for);
                 }
@@ -97,13 +104,21 @@
     Error::new(Code::Overloaded, text).with_retry_after(RETRY_FULL_MS)
 }
 
+/// What a request's prompt means for the choice.
+struct Prompt {
+    /// Work of reading its shared part where it is not kept.
+    reread: u64,
+    /// Endpoints that are known to keep that part.
+    kept_at: Vec<EndpointKey>,
+}
+
 fn pick(
     traffic: &Traffic,
     job: &Job,
     tried: &[EndpointId],
     service: &ServiceView,
     side: Side,
-    reread: u64,
+    prompt: &Prompt,
 ) -> Result<Chosen> {
     let place = job.facts.shared_prefix.as_deref().unwrap_or(&job.id);
     let ask = Ask {
@@ -112,7 +127,8 @@
         need: Tokens(0),
         tried,
         priority: 0,
-        reread,
+        reread: prompt.reread,
+        kept_at: &prompt.kept_at,
         near: Some(Near {
             failure_domain: &traffic.shared.settings.failure_domain,
             crossing: CROSSING_WORK,
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -11,11 +11,12 @@
 use http::{HeaderMap, Method, Uri};
 
 use tidetrack_core::codes::Ran;
-use tidetrack_core::ids::{EndpointId, ServiceId, VersionName};
+use tidetrack_core::ids::{EndpointId, ModelId, ServiceId, VersionName};
 use tidetrack_core::placement::{work_of, EndpointLive};
 use tidetrack_core::traffic::budget::SendBudget;
 use tidetrack_core::traffic::gate::Admitted;
 use tidetrack_core::traffic::outlook::Outlook;
+use tidetrack_core::traffic::prefixes::PartKey;
 use tidetrack_core::units::Tokens;
 
 use crate::dialect::RequestFacts;
@@ -124,6 +125,12 @@
         self.facts.size.is_some()
     }
 
+    /// Names the shared part of its prompt, as read for a model.
+    pub fn part(&self, model: Option<&ModelId>) -> Option<PartKey> {
+        let prefix = self.facts.shared_prefix.as_deref()?;
+        Some(PartKey::new(prefix, model))
+    }
+
     /// Gets the work that an endpoint without the request's shared prefix does in addition.
     pub fn reread(&self, weight: f64) -> u64 {
         let shared = self.facts.shared_tokens.unwrap_or(Tokens(0));
--- a/crates/tidetrack-plane/tests/messages.rs
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -1,8 +1,8 @@
 //! Sizes of the messages between hosts.
 
-use tidetrack_core::ids::EndpointId;
+use tidetrack_core::ids::{EndpointId, EndpointKey};
 use tidetrack_core::traffic::judge::Tally;
-use tidetrack_core::traffic::peers::{EndpointKey, News, PeerMessage, ToldProof, ToldTally};
+use tidetrack_core::traffic::peers::{News, PeerMessage, ToldProof, ToldTally};
 
 /// Bytes that one endpoint in use may add to a message.
 const MOST_BYTES_AN_ENDPOINT: usize = 8;
