Fetch a large prefix from an endpoint that keeps it

Hypothesis: 13,300 shared tokens take the largest model about a second to read, and an endpoint 10 ms to take from another one; what binds is the engines' time for reading. Change: where the chosen endpoint is not known to keep the prefix and another one is, and reading it counts as 1,600 or more, the request names that endpoint as the source (Handover::prefix_from). Ruled out: fetching for the small model too (its read costs a tenth and the move is priced alike).

--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -233,6 +233,18 @@
         best.map_or(home, |(e, _)| e)
     }
 
+    /// Gets an endpoint other than the picked one from which the request's prefix can be had, a near one
+    /// first.
+    pub fn keeper(
+        &self,
+        now: Millis,
+        ask: &Ask<'_>,
+        picked: &PoolEndpoint,
+    ) -> Option<&PoolEndpoint> {
+        let keepers = self.keepers(now, ask).into_iter().filter(|e| e.id != picked.id);
+        keepers.min_by_key(|e| !is_near(e, ask))
+    }
+
     /// Lists the usable endpoints that are known to keep the request's prefix.
     fn keepers(&self, now: Millis, ask: &Ask<'_>) -> Vec<&PoolEndpoint> {
         let find = |key: &EndpointKey| self.keys.binary_search_by_key(key, |(key, _)| *key).ok();
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -21,6 +21,9 @@
 /// none where they are not (18 pairs of plays on each of three fleets, `docs/decisions-under-load.md`).
 const CROSSING_WORK: u64 = 500;
 
+/// Work of reading a prefix again from which it is fetched instead.
+const FETCHED_FROM: u64 = 1_600;
+
 /// How long a run takes at most, as a rule. A session is at work from a request's start until some time
 /// after its end.
 const RUN_TIME: Millis = Millis(8_000);
@@ -134,7 +137,12 @@
             crossing: CROSSING_WORK,
         }),
     };
-    let picked = service.pool(side).pick(traffic.shared.now(), &ask)?;
+    let now = traffic.shared.now();
+    let pool = service.pool(side);
+    let picked = pool.pick(now, &ask)?;
+    let keeps_prefix = prompt.kept_at.contains(&EndpointKey::from(&picked.id));
+    let is_fetched = !keeps_prefix && prompt.reread >= FETCHED_FROM;
+    let source = is_fetched.then(|| pool.keeper(now, &ask, picked)).flatten();
     let new_version = match side {
         Side::Proven => None,
         Side::New => service.trial.as_ref().map(|t| t.version.clone()),
@@ -146,7 +154,8 @@
         id: picked.id.clone(),
         address: picked.address.clone(),
         live: picked.live.clone(),
-        keeps_prefix: prompt.kept_at.contains(&EndpointKey::from(&picked.id)),
+        keeps_prefix: keeps_prefix || source.is_some(),
+        prefix_from: source.map(|e| e.address.clone()),
         new_version,
     })
 }
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -55,6 +55,8 @@
     pub model: Option<&'a ModelId>,
     /// The last event that was passed on of a stream to be continued.
     pub last_event: Option<u64>,
+    /// Address of another endpoint that keeps the prompt's shared part.
+    pub prefix_from: Option<&'a str>,
 }
 
 /// Load that an endpoint tells of itself.
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -170,6 +170,8 @@
     pub live: Arc<EndpointLive>,
     /// Whether it is known to keep the request's shared part.
     pub keeps_prefix: bool,
+    /// Address of the endpoint that it is to fetch that part from.
+    pub prefix_from: Option<String>,
     /// The version under roll-out, if the endpoint runs it.
     pub new_version: Option<VersionName>,
 }
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -101,6 +101,7 @@
         rank: job.is_engine().then(|| job.admitted.rank()),
         model,
         last_event: last_event.or(job.facts.last_event),
+        prefix_from: chosen.prefix_from.as_deref(),
     };
     let mut req = Request::new(Full::new(job.body.clone()));
     *req.method_mut() = job.method.clone();
