--- a/crates/tidetrack-core/src/traffic/cascade.rs
+++ b/crates/tidetrack-core/src/traffic/cascade.rs
@@ -98,22 +98,40 @@
     pub wait: f64,
 }
 
-/// Gets the model that an answer of `model` is to be dropped for, if one is worth it.
-pub fn better_model<'a>(
+/// What speaks for a second run and against it, both in the unit of the models' prices.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weighed<'a> {
+    /// The model of the second run.
+    pub larger: &'a ModelId,
+    /// What its answer is worth more than the one at hand.
+    pub gain: f64,
+    /// What it costs, others' delay included.
+    pub cost: f64,
+}
+
+impl Weighed<'_> {
+    /// Tells whether the answer at hand is to be dropped.
+    pub fn is_worth_it(&self) -> bool {
+        self.gain > self.cost
+    }
+}
+
+/// Weighs an answer of `model` against a run on the largest model; `None` if that is `model` itself.
+pub fn weigh<'a>(
     route: &'a Route,
     service: &Service,
     model: &ModelId,
     prospect: Prospect,
     size: &GenerationSize,
     opts: &CascadeOptions,
-) -> Option<&'a ModelId> {
-    let largest = route.models.last().filter(|m| *m != model)?;
+) -> Option<Weighed<'a>> {
+    let larger = route.models.last().filter(|m| *m != model)?;
     let chance_right = f64::from(prospect.confidence.min(100)) / 100.0;
     let at_hand = chance_right + (1.0 - chance_right) * POOR_ANSWER;
     let second = prospect.in_time + (1.0 - prospect.in_time) * LATE_ANSWER;
-    let per_1k = service.price_of(largest);
+    let per_1k = service.price_of(larger);
     let gain = (second - at_hand) * size.worth(per_1k, opts);
     // The second run also delays others' runs, the more the busier the engines are.
     let scarcity = opts.others_delayed * (1.0 + opts.scarcity * prospect.wait * prospect.wait);
-    (gain > size.price(per_1k) * scarcity).then_some(largest)
+    Some(Weighed { larger, gain, cost: size.price(per_1k) * scarcity })
 }
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -9,7 +9,7 @@
 use tidetrack_core::ids::{EndpointId, ModelId, RouteId, ServiceId, VersionName};
 use tidetrack_core::placement::PoolView;
 use tidetrack_core::traffic::budget::{SendAgain, SendBudget};
-use tidetrack_core::traffic::cascade::{better_model, CascadeOptions, GenerationSize, Prospect};
+use tidetrack_core::traffic::cascade::{weigh, CascadeOptions, GenerationSize, Prospect};
 use tidetrack_core::traffic::control::{Action, Beliefs, Input};
 use tidetrack_core::traffic::endpoints::{EndpointRecord, EndpointTable};
 use tidetrack_core::traffic::exposure::{Exposure, SessionDraw};
@@ -159,7 +159,8 @@
     let (route, small) = (route("all", "/a/"), id::<ModelId>("small"));
     let opts = CascadeOptions::default();
     let size = size(800, 400);
-    better_model(&route, service, &small, prospect, &size, &opts).map(ModelId::to_string)
+    let weighed = weigh(&route, service, &small, prospect, &size, &opts);
+    weighed.filter(|w| w.is_worth_it()).map(|w| w.larger.to_string())
 }
 
 #[test]
@@ -181,7 +182,8 @@
         service.models.iter_mut().for_each(|m| m.price *= unit);
         let prospect = Prospect { confidence, in_time: 1.0, wait: 0.05 };
         let (small, size) = (id::<ModelId>("small"), size(800, 400));
-        better_model(&route, &service, &small, prospect, &size, &opts).is_some()
+        let weighed = weigh(&route, &service, &small, prospect, &size, &opts);
+        weighed.expect("a larger model").is_worth_it()
     };
 
     let in_cents: Vec<bool> = (0..=100).map(|confidence| dropped(1.0, confidence)).collect();
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -3,7 +3,7 @@
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::ids::{EndpointId, EndpointKey, ModelId};
-use tidetrack_core::placement::{place_of, Ask, Near};
+use tidetrack_core::placement::{place_of, Ask, Near, PoolEndpoint, PoolView};
 use tidetrack_core::traffic::budget::SendAgain;
 use tidetrack_core::traffic::exposure::SessionDraw;
 use tidetrack_core::traffic::gate;
@@ -11,7 +11,7 @@
 use tidetrack_core::traffic::view::ServiceView;
 use tidetrack_core::units::{Millis, Tokens};
 
-use crate::job::{Chosen, Job, Traffic, Tries, WorkShare};
+use crate::job::{Chosen, Job, PrefixAt, Traffic, Tries, WorkShare};
 
 /// When to come back after a refusal for want of room, in milliseconds.
 pub const RETRY_FULL_MS: u64 = 300;
@@ -140,9 +140,10 @@
     let now = traffic.shared.now();
     let pool = service.pool(side);
     let picked = pool.pick(now, &ask)?;
-    let keeps_prefix = prompt.kept_at.contains(&EndpointKey::from(&picked.id));
-    let is_fetched = !keeps_prefix && prompt.reread >= FETCHED_FROM;
-    let source = is_fetched.then(|| pool.keeper(now, &ask, picked)).flatten();
+    let prefix = match job.facts.shared_prefix {
+        Some(_) => prefix_at(now, pool, picked, &ask),
+        None => PrefixAt::None,
+    };
     let new_version = match side {
         Side::Proven => None,
         Side::New => service.trial.as_ref().map(|t| t.version.clone()),
@@ -154,12 +155,24 @@
         id: picked.id.clone(),
         address: picked.address.clone(),
         live: picked.live.clone(),
-        keeps_prefix: keeps_prefix || source.is_some(),
-        prefix_from: source.map(|e| e.address.clone()),
+        prefix,
         new_version,
     })
 }
 
+/// Tells where the request's shared part is for a picked endpoint.
+fn prefix_at(now: Millis, pool: &PoolView, picked: &PoolEndpoint, ask: &Ask<'_>) -> PrefixAt {
+    if ask.kept_at.contains(&EndpointKey::from(&picked.id)) {
+        return PrefixAt::Kept;
+    }
+    match pool.keeper(now, ask, picked) {
+        None => PrefixAt::Unknown,
+        Some(keeper) if ask.reread >= FETCHED_FROM => PrefixAt::Fetched(keeper.address.clone()),
+        Some(keeper) if keeper.failure_domain == picked.failure_domain => PrefixAt::Moved,
+        Some(_) => PrefixAt::Far,
+    }
+}
+
 /// Gets a model's weight in the work of an endpoint, by its price beside the largest model's.
 pub fn weight_of(traffic: &Traffic, job: &Job, model: Option<&ModelId>) -> f64 {
     let view = traffic.shared.view.load();
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -353,35 +353,38 @@
     let route = &job.admitted.route;
     let (model, size) = (model?, job.facts.size.as_ref()?);
     let confidence = answered.facts.confidence?;
-    if tries.sent >= route.most_attempts || !route.work.is_repeatable() {
-        return None;
-    }
-    if job.began.elapsed() > job.objective().mul_f64(SECOND_OPINION_PART) {
-        return None;
-    }
     let view = traffic.shared.view.load();
     let service = view.catalog.as_ref()?.services.get(&job.service)?;
     let opts = &traffic.shared.settings.cascade;
     let prospect = prospect(traffic, job, tries, confidence, size);
-    let larger = cascade::better_model(route, service, model, prospect, size, opts)?;
+    let weighed = cascade::weigh(route, service, model, prospect, size, opts)?;
     let now = traffic.shared.now();
-    if !traffic.with_budget(&job.service, |b| b.take(now, SendAgain::SecondOpinion)) {
-        return None;
-    }
+    let is_late = job.began.elapsed() > job.objective().mul_f64(SECOND_OPINION_PART);
+    let may_drop = tries.sent < route.most_attempts && route.work.is_repeatable();
+    let budget = || traffic.with_budget(&job.service, |b| b.take(now, SendAgain::SecondOpinion));
+    let kept_for = match weighed.is_worth_it() {
+        false => Some("cost"),
+        true if !may_drop => Some("attempts"),
+        true if is_late => Some("time"),
+        true if !budget() => Some("budget"),
+        true => None,
+    };
+    let event = if kept_for.is_some() { Event::AnswerKept } else { Event::AnswerDropped };
     traffic.shared.journal.routine(
-        Event::AnswerDropped,
+        event,
         &[
             ("request", &job.id),
             ("model", model),
+            ("kept_for", &kept_for.unwrap_or("-")),
             ("confidence", &confidence),
             ("in_time", &format_args!("{:.2}", prospect.in_time)),
             ("wait", &format_args!("{:.2}", prospect.wait)),
-            ("larger", larger),
-            ("worth", &size.worth(service.price_of(larger), opts)),
-            ("price", &size.price(service.price_of(larger))),
+            ("larger", weighed.larger),
+            ("gain", &format_args!("{:.3}", weighed.gain)),
+            ("cost", &format_args!("{:.3}", weighed.cost)),
         ],
     );
-    Some(larger.clone())
+    kept_for.is_none().then(|| weighed.larger.clone())
 }
 
 /// Gets what is known about a second run, and takes note of how long the first one waited.
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -144,8 +145,8 @@
     }
 
     /// Gets the work the request counts as at an endpoint; `weight` is the model's.
-    pub fn work(&self, weight: f64, keeps_prefix: bool) -> u64 {
-        let kept = self.facts.shared_tokens.filter(|_| keeps_prefix).unwrap_or(Tokens(0));
+    pub fn work(&self, weight: f64, has_prefix: bool) -> u64 {
+        let kept = self.facts.shared_tokens.filter(|_| has_prefix).unwrap_or(Tokens(0));
         let read = |prompt: Tokens| Tokens(prompt.0.saturating_sub(kept.0));
         let of_size = self.facts.size.as_ref();
         let full = of_size.map_or(PLAIN_WORK, |s| work_of(read(s.prompt), Tokens(0)));
@@ -168,14 +169,57 @@
     pub address: String,
     /// Its load and health.
     pub live: Arc<EndpointLive>,
-    /// Whether it is known to keep the request's shared part.
-    pub keeps_prefix: bool,
-    /// Address of the endpoint that it is to fetch that part from.
-    pub prefix_from: Option<String>,
+    /// Where the request's shared part is.
+    pub prefix: PrefixAt,
     /// The version under roll-out, if the endpoint runs it.
     pub new_version: Option<VersionName>,
 }
 
+/// Where a request's shared part is when its endpoint has been chosen, as far as is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PrefixAt {
+    /// The request has none.
+    None,
+    /// The endpoint keeps it.
+    Kept,
+    /// The endpoint fetches it from another one, at this address.
+    Fetched(String),
+    /// Another endpoint of the domain keeps it, but has more to do.
+    Moved,
+    /// Only endpoints of other domains keep it.
+    Far,
+    /// No endpoint is known to keep it.
+    Unknown,
+}
+
+impl PrefixAt {
+    /// Tells whether the endpoint needs not read it.
+    pub fn is_at_hand(&self) -> bool {
+        matches!(self, PrefixAt::Kept | PrefixAt::Fetched(_))
+    }
+
+    /// Gets the address that it is fetched from.
+    pub fn source(&self) -> Option<&str> {
+        match self {
+            PrefixAt::Fetched(address) => Some(address),
+            _ => None,
+        }
+    }
+}
+
+impl fmt::Display for PrefixAt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            PrefixAt::None => "-",
+            PrefixAt::Kept => "kept",
+            PrefixAt::Fetched(_) => "fetched",
+            PrefixAt::Moved => "moved",
+            PrefixAt::Far => "far",
+            PrefixAt::Unknown => "unknown",
+        })
+    }
+}
+
 /// Work handed to an endpoint, until dropped.
 pub struct WorkShare {
     live: Arc<EndpointLive>,
@@ -186,7 +230,7 @@
 impl WorkShare {
     /// Counts a job's work at an endpoint.
     pub fn new(chosen: &Chosen, job: &Job, weight: f64) -> WorkShare {
-        let work = job.work(weight, chosen.keeps_prefix);
+        let work = job.work(weight, chosen.prefix.is_at_hand());
         chosen.live.begin(work);
         WorkShare { live: chosen.live.clone(), work, work_left: job.work_left(weight) }
     }
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -61,6 +61,8 @@
             ("endpoint", &chosen.id),
             ("model", &model.map_or("-", ModelId::as_str)),
             ("new_version", &chosen.new_version.as_ref().map_or("-", VersionName::as_str)),
+            ("shared", &job.facts.shared_tokens.map_or(0, |t| t.0)),
+            ("prefix", &chosen.prefix),
             ("load", &load),
             ("load_age_ms", &load_age),
         ],
@@ -101,7 +103,7 @@
         rank: job.is_engine().then(|| job.admitted.rank()),
         model,
         last_event: last_event.or(job.facts.last_event),
-        prefix_from: chosen.prefix_from.as_deref(),
+        prefix_from: chosen.prefix.source(),
     };
     let mut req = Request::new(Full::new(job.body.clone()));
     *req.method_mut() = job.method.clone();
