Expect a second run from the work that hosts tell and the pace of answers

Change: before an answer is dropped, the endpoint of the second run is looked for; the work ahead of it there, which hosts tell each other, and the run's own, less a prefix that is kept, times the pace that answers showed (fading sums of time and work) give the wait and when the answer begins. others_delayed 1.5, scarcity 5, in time for sure up to 1.0 of the objective and late from 2.0 on.

--- a/crates/tidetrack-core/src/traffic/cascade.rs
+++ b/crates/tidetrack-core/src/traffic/cascade.rs
@@ -54,7 +54,7 @@
     /// fleets, on a third one, and -0.001 ± 0.020 and 0.003 ± 0.005 on those two (18 pairs of plays
     /// each, `docs/decisions-under-load.md`); the other two figures are from plays of those two.
     fn default() -> Self {
-        CascadeOptions { worth_in_prices: 1.2, others_delayed: 2.0, scarcity: 100.0 }
+        CascadeOptions { worth_in_prices: 1.2, others_delayed: 1.5, scarcity: 5.0 }
     }
 }
 
--- a/crates/tidetrack-core/src/traffic/outlook.rs
+++ b/crates/tidetrack-core/src/traffic/outlook.rs
@@ -1,78 +1,98 @@
-//! What this host expects of a second run: whether its answer comes in time, and how scarce the
-//! engines' time is.
+//! What this host expects of a run that it has not begun: how long it waits, and whether its answer
+//! comes in time.
+//!
+//! Hosts tell each other the work they have at endpoints, so the work ahead of a run is known when
+//! its endpoint is picked. What a host learns by itself is the pace: the time in which an endpoint
+//! does a token of work, read from its answers' heads.
 
 use std::collections::HashMap;
 
-use crate::ids::{ModelId, RouteId};
-use crate::traffic::cascade::GenerationSize;
+use crate::ids::ServiceId;
 use crate::units::Millis;
 
-/// Weight of the newest answer in a running mean: about the last ten count.
-const WEIGHT: f64 = 0.1;
+/// Part of the older answers' weight that is left after a newer one: about the last fifty count.
+const FADING: f64 = 0.98;
 
-/// Prompts are told apart by size at these tokens: reading takes a large model about 50 ms for each
-/// thousand.
-const SIZE_STEPS: [u64; 3] = [2_000, 8_000, 20_000];
+/// Pace assumed before the first answers, in microseconds for one token of work, and the work for which
+/// it counts.
+const ASSUMED_PACE_US: f64 = 700.0;
+const ASSUMED_WORK: f64 = 1_000.0;
 
-/// Part of a chance that is forgotten a second without answers, so that a model that was too slow
-/// is tried again.
-const FORGOTTEN_A_SECOND: f64 = 0.1;
+/// An answer that is expected this early, as part of the objective, comes in time for sure.
+const SURELY_IN_TIME: f64 = 1.0;
 
+/// An answer that is expected this late, as part of the objective, surely does not.
+const SURELY_LATE: f64 = 2.0;
+
+/// Fading sums of what the answers of one service took.
 #[derive(Clone, Copy, Debug)]
-struct Chance {
-    in_time: f64,
-    at: Millis,
+struct Pace {
+    work: f64,
+    us: f64,
 }
 
-/// Running means of one host.
-#[derive(Clone, Debug, Default)]
-pub struct Outlook {
-    chances: HashMap<(RouteId, ModelId, usize), Chance>,
-    wait: HashMap<RouteId, f64>,
+impl Default for Pace {
+    fn default() -> Self {
+        Pace { work: ASSUMED_WORK, us: ASSUMED_WORK * ASSUMED_PACE_US }
+    }
 }
 
-fn size_step(size: &GenerationSize) -> usize {
-    SIZE_STEPS.iter().filter(|step| size.prompt.0 >= **step).count()
+/// A run that may be begun at an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Planned {
+    /// Work that the endpoint has before it, in answer tokens.
+    pub ahead: f64,
+    /// The run's own.
+    pub own: f64,
+    /// Time since the request came.
+    pub elapsed: Millis,
+    /// Time within which its answer earns its full credit.
+    pub objective: Millis,
 }
 
-impl Outlook {
-    /// Takes note of an answer of a model, by whether it came in time.
-    pub fn answered(
-        &mut self,
-        now: Millis,
-        route: &RouteId,
-        model: &ModelId,
-        size: &GenerationSize,
-        in_time: bool,
-    ) {
-        let before = self.chance(now, route, model, size);
-        let in_time = before + (f64::from(u8::from(in_time)) - before) * WEIGHT;
-        let key = (route.clone(), model.clone(), size_step(size));
-        self.chances.insert(key, Chance { in_time, at: now });
+/// What is expected of a planned run, in parts of the objective.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Expected {
+    /// How long others' work goes before it.
+    pub wait: f64,
+    /// When its answer begins, counted from the request's coming.
+    pub begins: f64,
+}
+
+impl Expected {
+    /// Gets the chance that the answer comes in time.
+    pub fn in_time(&self) -> f64 {
+        let late = (self.begins - SURELY_IN_TIME) / (SURELY_LATE - SURELY_IN_TIME);
+        1.0 - late.clamp(0.0, 1.0)
     }
+}
 
-    /// Gets the chance that an answer of a model comes in time.
-    pub fn chance(
-        &self,
-        now: Millis,
-        route: &RouteId,
-        model: &ModelId,
-        size: &GenerationSize,
-    ) -> f64 {
-        let key = (route.clone(), model.clone(), size_step(size));
-        let Some(chance) = self.chances.get(&key) else { return 1.0 };
-        let forgotten = (now - chance.at).0 as f64 / 1_000.0 * FORGOTTEN_A_SECOND;
-        (chance.in_time + forgotten).min(1.0)
+/// What one host has learnt of its services.
+#[derive(Clone, Debug, Default)]
+pub struct Outlook {
+    paces: HashMap<ServiceId, Pace>,
+}
+
+impl Outlook {
+    /// Takes note of how long an answer took to begin, behind and with so much work.
+    pub fn began(&mut self, service: &ServiceId, work: f64, us: f64) {
+        let pace = self.paces.entry(service.clone()).or_default();
+        pace.work = pace.work * FADING + work;
+        pace.us = pace.us * FADING + us;
     }
 
-    /// Takes note of how long a first run took to begin, as part of the route's objective.
-    pub fn waited(&mut self, route: &RouteId, part: f64) {
-        let wait = self.wait.entry(route.clone()).or_insert(part);
-        *wait += (part - *wait) * WEIGHT;
+    /// Gets the microseconds that a token of work takes.
+    pub fn pace_us(&self, service: &ServiceId) -> f64 {
+        let pace = self.paces.get(service).copied().unwrap_or_default();
+        pace.us / pace.work.max(1.0)
     }
 
-    /// Gets how long first runs take to begin, as part of the route's objective.
-    pub fn wait(&self, route: &RouteId) -> f64 {
-        self.wait.get(route).copied().unwrap_or(0.0)
+    /// Tells what is expected of a planned run.
+    pub fn expect(&self, service: &ServiceId, planned: Planned) -> Expected {
+        let objective_us = (planned.objective.0.max(1) * 1_000) as f64;
+        let pace = self.pace_us(service);
+        let wait = planned.ahead * pace / objective_us;
+        let elapsed = planned.elapsed.0 as f64 / planned.objective.0.max(1) as f64;
+        Expected { wait, begins: elapsed + wait + planned.own * pace / objective_us }
     }
 }
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -7,6 +7,7 @@
 use tidetrack_core::traffic::budget::SendAgain;
 use tidetrack_core::traffic::exposure::SessionDraw;
 use tidetrack_core::traffic::gate;
+use tidetrack_core::traffic::outlook::Planned;
 use tidetrack_core::traffic::trial::Side;
 use tidetrack_core::traffic::view::ServiceView;
 use tidetrack_core::units::{Millis, Tokens};
@@ -76,11 +77,7 @@
     };
     let sides = [drawn, other].into_iter();
     let sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
-    let part = job.part(model);
-    let prompt = Prompt {
-        reread: job.reread(weight_of(traffic, job, model)),
-        kept_at: part.map_or_else(Vec::new, |part| service.prefixes.readers(now, part)),
-    };
+    let prompt = Prompt::new(traffic, job, service, model);
     let mut last = full("no endpoint can be used");
     // Where all endpoints were tried, all but the last are tried again.
     let tried = tries.tried.as_slice();
@@ -88,11 +85,12 @@
     for (side, avoided) in sides.flat_map(|side| [(side, tried), (side, last_tried)]) {
         match pick(traffic, job, avoided, service, side, &prompt) {
             Ok(chosen) => {
-                if let Some(part) = part {
+                if let Some(part) = job.part(model) {
                     service.prefixes.used(now, part, EndpointKey::from(&chosen.id));
                 }
-                if side == Side::Proven {
-                    service.exposure.hold(now, who, hold_for);
+                match side {
+                    Side::Proven => service.exposure.hold(now, who, hold_for),
+                    Side::New => service.exposure.sent_to_new(),
                 }
                 return Ok(chosen);
             }
@@ -107,6 +105,29 @@
     Error::new(Code::Overloaded, text).with_retry_after(RETRY_FULL_MS)
 }
 
+/// Finds where a run on a model would go on the side of an earlier attempt, and how it would stand
+/// there; nothing is counted for it.
+pub fn plan(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &Tries,
+    model: &ModelId,
+    earlier: &Chosen,
+) -> Option<Planned> {
+    let view = traffic.shared.view.load();
+    let service = view.services.get(&job.service)?;
+    let side = if earlier.new_version.is_some() { Side::New } else { Side::Proven };
+    let prompt = Prompt::new(traffic, job, service, Some(model));
+    let chosen = pick(traffic, job, &tries.tried, service, side, &prompt).ok()?;
+    let weight = weight_of(traffic, job, Some(model));
+    Some(Planned {
+        ahead: chosen.live.load(traffic.shared.now()),
+        own: job.work(weight, chosen.prefix.is_at_hand()) as f64,
+        elapsed: Millis(job.began.elapsed().as_millis() as u64),
+        objective: job.admitted.route.objective,
+    })
+}
+
 /// What a request's prompt means for the choice.
 struct Prompt {
     /// Work of reading its shared part where it is not kept.
@@ -115,6 +136,17 @@
     kept_at: Vec<EndpointKey>,
 }
 
+impl Prompt {
+    fn new(traffic: &Traffic, job: &Job, service: &ServiceView, model: Option<&ModelId>) -> Prompt {
+        let now = traffic.shared.now();
+        let readers = |part| service.prefixes.readers(now, part);
+        Prompt {
+            reread: job.reread(weight_of(traffic, job, model)),
+            kept_at: job.part(model).map_or_else(Vec::new, readers),
+        }
+    }
+}
+
 fn pick(
     traffic: &Traffic,
     job: &Job,
@@ -148,9 +180,6 @@
         Side::Proven => None,
         Side::New => service.trial.as_ref().map(|t| t.version.clone()),
     };
-    if new_version.is_some() {
-        service.exposure.sent_to_new();
-    }
     Ok(Chosen {
         id: picked.id.clone(),
         address: picked.address.clone(),
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -18,12 +18,12 @@
 use tidetrack_core::placement::draw;
 use tidetrack_core::retry::{may_retry, Failed};
 use tidetrack_core::traffic::budget::SendAgain;
-use tidetrack_core::traffic::cascade::{self, GenerationSize, Prospect};
+use tidetrack_core::traffic::cascade::{self, Prospect};
 use tidetrack_core::traffic::gate;
 
 use crate::attempt::{self, Answered};
 use crate::body::AnswerBody;
-use crate::choose::{check_before_send, choose, full, weight_of, RETRY_FULL_MS};
+use crate::choose::{check_before_send, choose, full, plan, weight_of, RETRY_FULL_MS};
 use crate::dialect::RequestFacts;
 use crate::job::{Chosen, InFlight, Job, Traffic, Tries, WorkShare};
 use crate::relay;
@@ -33,9 +33,6 @@
 /// When to come back to a host that is stopping; another host takes the request at once.
 const RETRY_LEAVING_MS: u64 = 50;
 
-/// Part of the objective after which no second opinion is asked.
-const SECOND_OPINION_PART: f64 = 0.6;
-
 /// Serves one request.
 pub async fn serve(traffic: Rc<Traffic>, req: Request<Incoming>) -> Response<AnswerBody> {
     let began = Instant::now();
@@ -214,7 +211,9 @@
         let Sent { answered, chosen, share, began } = sent;
         let status = answered.head.status;
         if status.is_success() {
-            if let Some(larger) = larger_model(traffic, job, &tries, model.as_ref(), &answered) {
+            if let Some(larger) =
+                larger_model(traffic, job, &tries, model.as_ref(), &chosen, &answered)
+            {
                 is_paid = true;
                 tries.note_ran(Ran::Yes);
                 chosen.live.note(traffic.shared.now(), true);
@@ -280,9 +279,14 @@
         return Err(Stop::Final(gave_up(job, tries, e)));
     }
     let mut share = WorkShare::new(&chosen, job, weight_of(traffic, job, model));
+    let work = chosen.live.load(traffic.shared.now());
     let began = Instant::now();
     match send(traffic, job, tries, &chosen, model, None).await {
         Ok(answered) => {
+            if job.is_engine() {
+                let us = began.elapsed().as_micros() as f64;
+                traffic.outlook.borrow_mut().began(&job.service, work, us);
+            }
             share.answer_began();
             note_load(traffic, &chosen, &answered);
             Ok(Sent { answered, chosen, share, began })
@@ -348,6 +352,7 @@
     job: &Job,
     tries: &Tries,
     model: Option<&ModelId>,
+    chosen: &Chosen,
     answered: &Answered,
 ) -> Option<ModelId> {
     let route = &job.admitted.route;
@@ -356,16 +361,17 @@
     let view = traffic.shared.view.load();
     let service = view.catalog.as_ref()?.services.get(&job.service)?;
     let opts = &traffic.shared.settings.cascade;
-    let prospect = prospect(traffic, job, tries, confidence, size);
+    let larger = route.models.last().filter(|m| *m != model)?;
+    let planned = plan(traffic, job, tries, larger, chosen)?;
+    let expected = traffic.outlook.borrow().expect(&job.service, planned);
+    let prospect = Prospect { confidence, in_time: expected.in_time(), wait: expected.wait };
     let weighed = cascade::weigh(route, service, model, prospect, size, opts)?;
     let now = traffic.shared.now();
-    let is_late = job.began.elapsed() > job.objective().mul_f64(SECOND_OPINION_PART);
     let may_drop = tries.sent < route.most_attempts && route.work.is_repeatable();
     let budget = || traffic.with_budget(&job.service, |b| b.take(now, SendAgain::SecondOpinion));
     let kept_for = match weighed.is_worth_it() {
         false => Some("cost"),
         true if !may_drop => Some("attempts"),
-        true if is_late => Some("time"),
         true if !budget() => Some("budget"),
         true => None,
     };
@@ -377,8 +383,11 @@
             ("model", model),
             ("kept_for", &kept_for.unwrap_or("-")),
             ("confidence", &confidence),
-            ("in_time", &format_args!("{:.2}", prospect.in_time)),
-            ("wait", &format_args!("{:.2}", prospect.wait)),
+            ("prompt", &size.prompt),
+            ("ahead", &format_args!("{:.0}", planned.ahead)),
+            ("own", &format_args!("{:.0}", planned.own)),
+            ("wait", &format_args!("{:.2}", expected.wait)),
+            ("begins", &format_args!("{:.2}", expected.begins)),
             ("larger", weighed.larger),
             ("gain", &format_args!("{:.3}", weighed.gain)),
             ("cost", &format_args!("{:.3}", weighed.cost)),
@@ -387,26 +396,6 @@
     kept_for.is_none().then(|| weighed.larger.clone())
 }
 
-/// Gets what is known about a second run, and takes note of how long the first one waited.
-fn prospect(
-    traffic: &Traffic,
-    job: &Job,
-    tries: &Tries,
-    confidence: u8,
-    size: &GenerationSize,
-) -> Prospect {
-    let route = &job.admitted.route;
-    let mut outlook = traffic.outlook.borrow_mut();
-    let waited = job.began.elapsed().as_secs_f64() / job.objective().as_secs_f64().max(0.001);
-    if tries.sent == 1 {
-        outlook.waited(&route.name, waited);
-    }
-    let now = traffic.shared.now();
-    let largest = route.models.last();
-    let in_time = largest.map_or(1.0, |m| outlook.chance(now, &route.name, m, size));
-    Prospect { confidence, in_time, wait: outlook.wait(&route.name) }
-}
-
 /// Passes a successful answer on, as a whole or as a stream.
 async fn pass_on(
     traffic: &Rc<Traffic>,
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -77,11 +77,6 @@
         ("status", &status),
         ("ms", &took.as_millis()),
     ];
-    if let (Some(model), Some(size)) = (model, &job.facts.size) {
-        let in_time = took <= job.objective();
-        let route = &job.admitted.route.name;
-        traffic.outlook.borrow_mut().answered(shared.now(), route, model, size, in_time);
-    }
     match status < 500 {
         true => shared.journal.routine(Event::RequestDone, &fields),
         false => shared.journal.line(Event::RequestDone, &fields),
