--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -22,7 +22,10 @@
 /// none where they are not (18 pairs of plays on each of three fleets, `docs/decisions-under-load.md`).
 const CROSSING_WORK: u64 = 500;
 
-/// Work of reading a prefix again from which it is fetched instead.
+/// Work of reading a prefix again, in answer tokens, from which it is fetched instead: about 0.3 s of an
+/// engine's time, where a move takes some milliseconds. Fetching gains 0.012 ± 0.009 of a day's worth,
+/// fetching what costs a fifth of this as well loses 0.019 ± 0.008 (18 pairs of plays): moves have a
+/// price of their own.
 const FETCHED_FROM: u64 = 1_600;
 
 /// How long a run takes at most, as a rule. A session is at work from a request's start until some time
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -17,17 +17,17 @@
 use tidetrack_core::ids::ModelId;
 use tidetrack_core::placement::draw;
 use tidetrack_core::retry::{may_retry, Failed};
-use tidetrack_core::traffic::budget::SendAgain;
-use tidetrack_core::traffic::cascade::{self, Prospect};
+use tidetrack_core::traffic::cascade;
 use tidetrack_core::traffic::gate;
 
 use crate::attempt::{self, Answered};
 use crate::body::AnswerBody;
-use crate::choose::{check_before_send, choose, full, plan, weight_of, RETRY_FULL_MS};
+use crate::choose::{check_before_send, choose, full, weight_of, RETRY_FULL_MS};
 use crate::dialect::RequestFacts;
 use crate::job::{Chosen, InFlight, Job, Traffic, Tries, WorkShare};
 use crate::relay;
 use crate::report::{answered_line, failed_attempt, observe};
+use crate::second_run::larger_model;
 use crate::send::{note_load, send};
 
 /// When to come back to a host that is stopping; another host takes the request at once.
@@ -346,56 +346,6 @@
     }
 }
 
-/// Gets the larger model that an answer is to be dropped for.
-fn larger_model(
-    traffic: &Traffic,
-    job: &Job,
-    tries: &Tries,
-    model: Option<&ModelId>,
-    chosen: &Chosen,
-    answered: &Answered,
-) -> Option<ModelId> {
-    let route = &job.admitted.route;
-    let (model, size) = (model?, job.facts.size.as_ref()?);
-    let confidence = answered.facts.confidence?;
-    let view = traffic.shared.view.load();
-    let service = view.catalog.as_ref()?.services.get(&job.service)?;
-    let opts = &traffic.shared.settings.cascade;
-    let larger = route.models.last().filter(|m| *m != model)?;
-    let planned = plan(traffic, job, tries, larger, chosen)?;
-    let expected = traffic.outlook.borrow().expect(&job.service, planned);
-    let prospect = Prospect { confidence, in_time: expected.in_time(), wait: expected.wait };
-    let weighed = cascade::weigh(route, service, model, prospect, size, opts)?;
-    let now = traffic.shared.now();
-    let may_drop = tries.sent < route.most_attempts && route.work.is_repeatable();
-    let budget = || traffic.with_budget(&job.service, |b| b.take(now, SendAgain::SecondOpinion));
-    let kept_for = match weighed.is_worth_it() {
-        false => Some("cost"),
-        true if !may_drop => Some("attempts"),
-        true if !budget() => Some("budget"),
-        true => None,
-    };
-    let event = if kept_for.is_some() { Event::AnswerKept } else { Event::AnswerDropped };
-    traffic.shared.journal.routine(
-        event,
-        &[
-            ("request", &job.id),
-            ("model", model),
-            ("kept_for", &kept_for.unwrap_or("-")),
-            ("confidence", &confidence),
-            ("prompt", &size.prompt),
-            ("ahead", &format_args!("{:.0}", planned.ahead)),
-            ("own", &format_args!("{:.0}", planned.own)),
-            ("wait", &format_args!("{:.2}", expected.wait)),
-            ("begins", &format_args!("{:.2}", expected.begins)),
-            ("larger", weighed.larger),
-            ("gain", &format_args!("{:.3}", weighed.gain)),
-            ("cost", &format_args!("{:.3}", weighed.cost)),
-        ],
-    );
-    kept_for.is_none().then(|| weighed.larger.clone())
-}
-
 /// Passes a successful answer on, as a whole or as a stream.
 async fn pass_on(
     traffic: &Rc<Traffic>,
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -198,6 +198,18 @@
         matches!(self, PrefixAt::Kept | PrefixAt::Fetched(_))
     }
 
+    /// Gets the word for it in logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            PrefixAt::None => "-",
+            PrefixAt::Kept => "kept",
+            PrefixAt::Fetched(_) => "fetched",
+            PrefixAt::Moved => "moved",
+            PrefixAt::Far => "far",
+            PrefixAt::Unknown => "unknown",
+        }
+    }
+
     /// Gets the address that it is fetched from.
     pub fn source(&self) -> Option<&str> {
         match self {
@@ -209,14 +221,7 @@
 
 impl fmt::Display for PrefixAt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            PrefixAt::None => "-",
-            PrefixAt::Kept => "kept",
-            PrefixAt::Fetched(_) => "fetched",
-            PrefixAt::Moved => "moved",
-            PrefixAt::Far => "far",
-            PrefixAt::Unknown => "unknown",
-        })
+        f.write_str(self.as_str())
     }
 }
 
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod pool;
 pub mod relay;
 pub mod report;
+pub mod second_run;
 pub mod send;
 pub mod server;
 pub mod settings;
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -39,6 +39,8 @@
     store_calls: Counter<u64>,
     peer_messages: Counter<u64>,
     feed_calls: Counter<u64>,
+    shared_tokens: Counter<u64>,
+    second_runs: Counter<u64>,
     first_byte: Histogram<f64>,
 }
 
@@ -55,6 +57,8 @@
             store_calls: meter.u64_counter("tidetrack_store_calls").build(),
             peer_messages: meter.u64_counter("tidetrack_peer_messages").build(),
             feed_calls: meter.u64_counter("tidetrack_feed_calls").build(),
+            shared_tokens: meter.u64_counter("tidetrack_shared_tokens").build(),
+            second_runs: meter.u64_counter("tidetrack_second_runs").build(),
             first_byte: histogram.with_boundaries(BOUNDS_MS.to_vec()).build(),
             registry,
             _provider: provider,
@@ -94,6 +98,17 @@
         self.feed_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts tokens of shared parts of prompts sent to endpoints, by where the part was.
+    pub fn shared_tokens(&self, prefix: &'static str, tokens: u64) {
+        self.shared_tokens.add(tokens, &[KeyValue::new("prefix", prefix)]);
+    }
+
+    /// Counts answers that could have been dropped for a larger model's, by why they were kept, or as
+    /// asked again.
+    pub fn second_run(&self, outcome: &'static str) {
+        self.second_runs.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts messages that were sent.
     pub fn peer_messages_sent(&self, n: usize) {
         self.peer_messages.add(n as u64, &[KeyValue::new("result", "sent")]);
--- /dev/null
+++ b/crates/tidetrack-plane/src/second_run.rs
@@ -0,0 +1,64 @@
+//! Whether an answer at hand is dropped for a larger model's.
+//!
+//! The core weighs; here is put together what it weighs: the answer's confidence, the endpoint that a
+//! second run would go to, what is expected of it there, and the budget.
+
+use tidetrack_core::events::Event;
+use tidetrack_core::ids::ModelId;
+use tidetrack_core::traffic::budget::SendAgain;
+use tidetrack_core::traffic::cascade::{self, Prospect};
+
+use crate::attempt::Answered;
+use crate::choose::plan;
+use crate::job::{Chosen, Job, Traffic, Tries};
+
+/// Gets the larger model that an answer is to be dropped for.
+pub fn larger_model(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &Tries,
+    model: Option<&ModelId>,
+    chosen: &Chosen,
+    answered: &Answered,
+) -> Option<ModelId> {
+    let route = &job.admitted.route;
+    let (model, size) = (model?, job.facts.size.as_ref()?);
+    let confidence = answered.facts.confidence?;
+    let view = traffic.shared.view.load();
+    let service = view.catalog.as_ref()?.services.get(&job.service)?;
+    let opts = &traffic.shared.settings.cascade;
+    let larger = route.models.last().filter(|m| *m != model)?;
+    let planned = plan(traffic, job, tries, larger, chosen)?;
+    let expected = traffic.outlook.borrow().expect(&job.service, planned);
+    let prospect = Prospect { confidence, in_time: expected.in_time(), wait: expected.wait };
+    let weighed = cascade::weigh(route, service, model, prospect, size, opts)?;
+    let now = traffic.shared.now();
+    let may_drop = tries.sent < route.most_attempts && route.work.is_repeatable();
+    let budget = || traffic.with_budget(&job.service, |b| b.take(now, SendAgain::SecondOpinion));
+    let kept_for = match weighed.is_worth_it() {
+        false => Some("cost"),
+        true if !may_drop => Some("attempts"),
+        true if !budget() => Some("budget"),
+        true => None,
+    };
+    let event = if kept_for.is_some() { Event::AnswerKept } else { Event::AnswerDropped };
+    traffic.shared.metrics.second_run(kept_for.unwrap_or("asked"));
+    traffic.shared.journal.routine(
+        event,
+        &[
+            ("request", &job.id),
+            ("model", model),
+            ("kept_for", &kept_for.unwrap_or("-")),
+            ("confidence", &confidence),
+            ("prompt", &size.prompt),
+            ("ahead", &format_args!("{:.0}", planned.ahead)),
+            ("own", &format_args!("{:.0}", planned.own)),
+            ("wait", &format_args!("{:.2}", expected.wait)),
+            ("begins", &format_args!("{:.2}", expected.begins)),
+            ("larger", weighed.larger),
+            ("gain", &format_args!("{:.3}", weighed.gain)),
+            ("cost", &format_args!("{:.3}", weighed.cost)),
+        ],
+    );
+    kept_for.is_none().then(|| weighed.larger.clone())
+}
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -56,6 +56,10 @@
         Millis(0) => -1,
         at => (shared.now() - at).0 as i64,
     };
+    let shared_tokens = job.facts.shared_tokens.map_or(0, |t| t.0);
+    if shared_tokens > 0 {
+        shared.metrics.shared_tokens(chosen.prefix.as_str(), shared_tokens);
+    }
     shared.journal.routine(
         Event::AttemptSent,
         &[
@@ -64,7 +68,7 @@
             ("endpoint", &chosen.id),
             ("model", &model.map_or("-", ModelId::as_str)),
             ("new_version", &chosen.new_version.as_ref().map_or("-", VersionName::as_str)),
-            ("shared", &job.facts.shared_tokens.map_or(0, |t| t.0)),
+            ("shared", &shared_tokens),
             ("prefix", &chosen.prefix),
             ("load", &load),
             ("load_age_ms", &load_age),
