--- /dev/null
+++ b/crates/tidetrack-bench/src/virtual_fleet/requests.rs
@@ -0,0 +1,193 @@
+//! Traffic of the hosts: requests, ratings, bills and tickets.
+
+use rand::RngExt;
+
+use tidetrack_core::evidence::Counts;
+use tidetrack_core::ids::{Incarnation, RequestId};
+use tidetrack_core::keeper::KeeperAction;
+use tidetrack_core::ledger::{Bill, Ended, Part, Segment};
+use tidetrack_core::tickets::{Admission, Ticket};
+use tidetrack_core::units::{Micros, Tokens};
+use tidetrack_core::view::{Chosen, Freshness};
+
+use super::{new_version, workspace, Broken, Event, World, CALL_TIMEOUT_MS, HEALED_TRAFFIC_MS};
+
+impl World {
+    pub(super) fn traffic(&mut self, h: usize) -> Result<(), String> {
+        let gap = self.rng.random_range(20..120);
+        self.at(self.now + gap, Event::Traffic(h));
+        let ended = self.now > self.schedule.length_ms + HEALED_TRAFFIC_MS;
+        if ended || self.hosts[h].view.revision == 0 {
+            return Ok(());
+        }
+        let now = self.local(h);
+        let draw: f64 = self.rng.random();
+        let host = &self.hosts[h];
+        let Some(age) = host.node.fresh_age(now) else { return Ok(()) };
+        let Some(caller) = host.view.workspaces.get(&workspace()) else { return Ok(()) };
+        let model = "m".parse().expect("a model");
+        let mut chosen = host.view.choose(caller, &model, draw, Freshness { age });
+        if self.schedule.broken == Broken::IgnoredCap && draw < 0.5 {
+            chosen = Ok(Chosen {
+                version: new_version(),
+                generation: 1,
+                pool: "p".parse().expect("a pool"),
+                credit: None,
+            });
+        }
+        if self.rng.random_range(0..20) == 0 {
+            self.start_ticket(h);
+        }
+        let Ok(chosen) = chosen else { return Ok(()) };
+        self.check_withdrawn(h, &chosen)?;
+        if chosen.version == new_version() {
+            self.started += 1;
+            self.seen.exposed += 1;
+        }
+        let life = self.hosts[h].life;
+        let ms = self.rng.random_range(20..400);
+        self.at(self.now + ms, Event::Done { at: h, life, chosen: Box::new(chosen) });
+        Ok(())
+    }
+
+    pub(super) fn done(&mut self, h: usize, chosen: Chosen) {
+        let unproven = chosen.version == new_version();
+        let answered = Counts { answered: 1, ..Counts::default() };
+        let host = &mut self.hosts[h];
+        host.node.count(&chosen.version, 1, unproven, &answered);
+        host.next_bill += 1;
+        let number = host.next_bill;
+        let part = Part(chosen.version.clone(), Tokens(1), Tokens(1), Micros(1));
+        host.keeper.keep(Bill(number, workspace(), vec![part], Ended::Whole));
+        let id = RequestId { incarnation: host.node.own().clone(), number };
+        self.made.insert(id.clone());
+        match self.schedule.broken {
+            // The end marker goes first; the bill is on its way with the next tick.
+            Broken::EarlyEnd => drop(self.answered.insert(id)),
+            _ => self.pump(h),
+        }
+        if unproven || self.rng.random_range(0..4) == 0 {
+            let life = self.hosts[h].life;
+            let ms = self.rng.random_range(20..300);
+            self.at(self.now + ms, Event::Rate { at: h, life, chosen: Box::new(chosen) });
+        }
+    }
+
+    pub(super) fn rate(&mut self, h: usize, chosen: &Chosen) {
+        let unproven = chosen.version == new_version();
+        let quality = if unproven { self.schedule.new_quality } else { 0.85 };
+        let mut counts = Counts::default();
+        counts.rate(quality + self.rng.random_range(-0.1..0.1));
+        self.judged += u64::from(unproven);
+        self.hosts[h].node.count(&chosen.version, 1, unproven, &counts);
+    }
+
+    /// Carries out what the keeper of a host's bills wants done.
+    pub(super) fn pump(&mut self, h: usize) {
+        let now = self.local(h);
+        let life = self.hosts[h].life;
+        for action in self.hosts[h].keeper.pump(now) {
+            match action {
+                KeeperAction::Hold { holder, batch, call } => {
+                    let to = self.index(&holder.parse().expect("a host"));
+                    let arrives = self.latency().filter(|_| self.reachable(h, to));
+                    let failed = Event::HoldDone { at: h, life, batch, held: false };
+                    self.at(self.now + CALL_TIMEOUT_MS, failed);
+                    if let Some(ms) = arrives {
+                        self.at(self.now + ms, Event::Hold { to, from: h, life, batch, call });
+                    }
+                }
+                KeeperAction::Write(segment) => self.send_segment(h, segment),
+                KeeperAction::Safe(number) => {
+                    let incarnation = self.hosts[h].node.own().clone();
+                    self.answered.insert(RequestId { incarnation, number });
+                }
+                KeeperAction::AskGone(of) => {
+                    let members = &self.hosts[h].node.members;
+                    let gone: Vec<Incarnation> =
+                        of.into_iter().filter(|i| members.is_gone(i)).collect();
+                    self.hosts[h].keeper.take_over(&gone);
+                }
+                KeeperAction::Flushed(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn send_segment(&mut self, h: usize, mut segment: Segment) {
+        let life = self.hosts[h].life;
+        let own = segment.origin.host == self.hosts[h].name;
+        if self.schedule.broken == Broken::DoubleFlush && !own {
+            segment.origin.life ^= 1;
+        }
+        match self.latency().filter(|_| self.platform_reachable(h)) {
+            Some(ms) => self.at(self.now + ms, Event::Write { by: h, life, segment }),
+            None => {
+                let event = Event::WriteDone { at: h, life, origin: segment.origin, stands: None };
+                self.at(self.now + CALL_TIMEOUT_MS, event);
+            }
+        }
+    }
+
+    /// Creates a segment if absent, and reads what stands: the settled write of the router.
+    pub(super) fn write_segment(&mut self, by: usize, life: u64, segment: Segment) {
+        let origin = segment.origin.clone();
+        let stands = self.platform.up.then(|| {
+            let name = segment.object_name();
+            self.platform.segments.entry(name).or_insert(segment).clone()
+        });
+        let reply = self.latency().filter(|_| self.platform_reachable(by));
+        let ms = reply.unwrap_or(CALL_TIMEOUT_MS);
+        let stands = stands.filter(|_| reply.is_some());
+        self.at(self.now + ms, Event::WriteDone { at: by, life, origin, stands });
+    }
+
+    pub(super) fn start_ticket(&mut self, h: usize) {
+        let now = self.local(h);
+        let Ok(ticket) = self.hosts[h].tickets.make(now, &workspace()) else { return };
+        self.seen.tickets += 1;
+        let calls = self.rng.random_range(1..4);
+        for _ in 0..calls {
+            let to = self.rng.random_range(0..self.hosts.len());
+            let at = self.now + self.rng.random_range(1..8_000);
+            self.at(at, Event::TicketCall { to, ticket: ticket.clone(), hops: 0 });
+        }
+    }
+
+    pub(super) fn ticket_call(
+        &mut self,
+        h: usize,
+        ticket: Ticket,
+        hops: u32,
+    ) -> Result<(), String> {
+        let now = self.local(h);
+        let host = &mut self.hosts[h];
+        let ours = ticket.made_by == *host.node.own();
+        if !ours && self.schedule.broken != Broken::SharedTicket {
+            let maker = self.index(&ticket.made_by.host);
+            if let Some(ms) = self.latency().filter(|_| hops == 0 && self.reachable(h, maker)) {
+                let event = Event::TicketCall { to: maker, ticket, hops: 1 };
+                self.at(self.now + ms, event);
+            }
+            return Ok(());
+        }
+        let admitted = host.tickets.admit(now, &ticket);
+        let runs = self.runs.entry(ticket.clone()).or_default();
+        match admitted {
+            Ok(Admission::Run) => *runs += 1,
+            Ok(Admission::Repeat(_)) => {}
+            Err(_) if self.schedule.broken == Broken::SharedTicket && !ours => *runs += 1,
+            Err(e) if e.ran == tidetrack_core::codes::Ran::No && *runs > 0 => {
+                return self.fail(format!("a refusal said that {ticket:?} was not run"));
+            }
+            Err(_) => return Ok(()),
+        }
+        if self.runs[&ticket] > 1 {
+            return self.fail(format!("{ticket:?} ran twice"));
+        }
+        let life = self.hosts[h].life;
+        let lost = self.rng.random_range(0..5) == 0;
+        let ms = self.rng.random_range(5..500);
+        self.at(self.now + ms, Event::TicketDone { at: h, life, ticket, lost });
+        Ok(())
+    }
+}
--- a/crates/tidetrack-core/src/traffic/prefixes.rs
+++ b/crates/tidetrack-core/src/traffic/prefixes.rs
@@ -24,8 +24,9 @@
 /// Endpoints remembered for one part, those that used it last.
 const MOST_READERS: usize = 8;
 
-/// Reads that one message tells at most: 512 bytes.
-const MOST_TOLD: usize = 64;
+/// Reads that one message tells at most, the newest: 160 bytes. A host sends 32 messages a second whatever
+/// the fleet's size, and control may take 8 KB a second of it.
+const MOST_TOLD: usize = 16;
 
 /// A use is told again when that many milliseconds have passed since it was told.
 const TELL_AGAIN: Millis = Millis(5_000);
--- a/crates/tidetrack-core/tests/prefixes.rs
+++ b/crates/tidetrack-core/tests/prefixes.rs
@@ -68,7 +68,7 @@
         prefixes.used(Millis(200 + i), part("0", "large"), endpoint(&format!("e{i}")));
     }
 
-    assert!(prefixes.told(Millis(300), TURN).len() <= 64);
+    assert!(prefixes.told(Millis(300), TURN).len() <= 16);
     let readers = prefixes.readers(Millis(300), part("0", "large"));
     assert_eq!(readers.len(), 8);
     assert!(readers.contains(&endpoint("e99")), "the newest use is remembered");
--- a/crates/tidetrack-plane/tests/messages.rs
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -3,10 +3,15 @@
 use tidetrack_core::ids::{EndpointId, EndpointKey};
 use tidetrack_core::traffic::judge::Tally;
 use tidetrack_core::traffic::peers::{News, PeerMessage, ToldProof, ToldTally};
+use tidetrack_core::traffic::prefixes::{PartKey, Prefixes};
+use tidetrack_core::units::Millis;
 
 /// Bytes that one endpoint in use may add to a message.
 const MOST_BYTES_AN_ENDPOINT: usize = 8;
 
+/// Bytes of a message that tell where prefixes were read.
+const MOST_BYTES_OF_READS: usize = 162;
+
 /// Bytes of a message besides the endpoints in use.
 const MOST_BYTES_ELSE: usize = 220;
 
@@ -48,6 +53,21 @@
     assert!(many - none <= 200 * MOST_BYTES_AN_ENDPOINT, "{many}");
 }
 
+#[test]
+fn what_is_told_of_prefixes_stays_small_however_many_were_read() {
+    let prefixes = Prefixes::default();
+    for i in 0..5_000u64 {
+        let endpoint = format!("i-{i:010}").parse::<EndpointId>().expect("a name");
+        prefixes.used(Millis(i), PartKey::new(&i.to_string(), None), EndpointKey::from(&endpoint));
+    }
+
+    let told = prefixes.told(Millis(5_000), Millis(20_000));
+    let bytes = postcard::to_allocvec(&told).expect("it can be written").len();
+
+    println!("bytes of what a message tells of prefixes: {bytes}");
+    assert!(bytes <= MOST_BYTES_OF_READS, "{bytes}");
+}
+
 #[test]
 fn a_message_reads_as_it_was_written_and_cut_ones_are_refused() {
     let message = message(20);
