--- a/crates/tidetrack-core/src/traffic/cascade.rs
+++ b/crates/tidetrack-core/src/traffic/cascade.rs
@@ -45,14 +45,15 @@
     pub worth_in_prices: f64,
     /// What a second run costs others in idle times, as a multiple of its price.
     pub others_delayed: f64,
-    /// How that grows with the square of the time that first runs wait, in objectives' lengths.
+    /// How that grows with the square of the time that the second run waits, in objectives' lengths.
     pub scarcity: f64,
 }
 
 impl Default for CascadeOptions {
     /// Taking the worth from the price gains 0.044 ± 0.011 of a day's worth over a worth fitted to two
     /// fleets, on a third one, and -0.001 ± 0.020 and 0.003 ± 0.005 on those two (18 pairs of plays
-    /// each, `docs/decisions-under-load.md`); the other two figures are from plays of those two.
+    /// each, `docs/decisions-under-load.md`). Without scarcity the third one loses 0.018 ± 0.013 (9
+    /// pairs); others' delay at 1.2 or 2 instead of 1.5 shows no gain.
     fn default() -> Self {
         CascadeOptions { worth_in_prices: 1.2, others_delayed: 1.5, scarcity: 5.0 }
     }
@@ -104,7 +105,7 @@
     pub confidence: u8,
     /// The chance that the larger model's answer comes in time.
     pub in_time: f64,
-    /// How long first runs wait at present, as part of the objective.
+    /// How long others' work goes before the second run, as part of the objective.
     pub wait: f64,
 }
 
@@ -129,8 +130,8 @@
 /// Gets the chance that an answer is right of which its model is so sure.
 ///
 /// A confidence is a rough opinion, not a chance: nearly all answers well below the even one are wrong,
-/// nearly all well above it right. Read so, second runs go where they help: 0.013 ± 0.006 of a day's
-/// worth more than with the confidence taken for the chance (18 pairs of plays, the rest as it stands).
+/// nearly all well above it right. Read so, second runs go where they help: 0.010 ± 0.007 of a day's
+/// worth more than with the confidence taken for the chance (18 pairs of plays).
 fn chance_right(confidence: u8) -> f64 {
     let from_even = f64::from(confidence.min(100)) - EVEN_CONFIDENCE;
     1.0 / (1.0 + (-from_even / CONFIDENCE_SCALE).exp())
