Find a second run's model and a prompt's part once

Cause: read again as a whole, the change named the larger model twice (second_run.rs and cascade::weigh) and the shared part twice a choice (Prompt::new and again after the pick), and a placement test's standing three times. Change: cascade::second_model serves both, Prompt carries the part, the tests share a fixture; Job::work and the oldest reader's removal without closures in the way. No behaviour meant to change, all assertions kept.

--- a/crates/tidetrack-core/src/traffic/cascade.rs
+++ b/crates/tidetrack-core/src/traffic/cascade.rs
@@ -109,6 +109,11 @@
     pub wait: f64,
 }
 
+/// Gets the model of a second run; `None` if `model` is the largest itself.
+pub fn second_model<'a>(route: &'a Route, model: &ModelId) -> Option<&'a ModelId> {
+    route.models.last().filter(|m| *m != model)
+}
+
 /// What speaks for a second run and against it, both in the unit of the models' prices.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weighed<'a> {
@@ -146,7 +151,7 @@
     size: &GenerationSize,
     opts: &CascadeOptions,
 ) -> Option<Weighed<'a>> {
-    let larger = route.models.last().filter(|m| *m != model)?;
+    let larger = second_model(route, model)?;
     let chance_right = chance_right(prospect.confidence);
     let at_hand = chance_right + (1.0 - chance_right) * POOR_ANSWER;
     let second = prospect.in_time + (1.0 - prospect.in_time) * LATE_ANSWER;
--- a/crates/tidetrack-core/src/traffic/prefixes.rs
+++ b/crates/tidetrack-core/src/traffic/prefixes.rs
@@ -133,7 +133,9 @@
         let at = known.unwrap_or_else(|| {
             if readers.len() >= MOST_READERS {
                 let oldest = readers.iter().enumerate().min_by_key(|(_, r)| r.used_at);
-                oldest.map(|(at, _)| at).map(|at| readers.swap_remove(at));
+                if let Some((at, _)) = oldest {
+                    readers.swap_remove(at);
+                }
             }
             readers.push(Reader { endpoint, used_at: now, told_from: None, known_until: now });
             readers.len() - 1
--- a/crates/tidetrack-core/tests/placement.rs
+++ b/crates/tidetrack-core/tests/placement.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use tidetrack_core::codes::Code;
-use tidetrack_core::ids::EndpointKey;
+use tidetrack_core::ids::{EndpointKey, FailureDomain};
 use tidetrack_core::placement::{Ask, EndpointLive, Near, PoolEndpoint, PoolView};
 use tidetrack_core::units::{Millis, Tokens};
 
@@ -126,6 +126,11 @@
     assert!(second.iter().all(|id| *id == second[0]), "{second:?}");
 }
 
+/// Makes the standing of a host in a failure domain.
+fn near(own: &FailureDomain) -> Option<Near<'_>> {
+    Some(Near { failure_domain: own, crossing: 500 })
+}
+
 /// Makes a pool of three failure domains.
 fn pool_of_domains(n: usize) -> PoolView {
     let mut endpoints = pool(n).endpoints().to_vec();
@@ -139,7 +144,7 @@
 fn the_own_failure_domain_goes_first_until_crossing_to_another_is_cheaper() {
     let pool = pool_of_domains(12);
     let own = "b".parse().expect("a failure domain");
-    let near = Some(Near { failure_domain: &own, crossing: 500 });
+    let near = near(&own);
     let ask = |place| Ask { near, ..ask_with_prefix(place, 100) };
     let picked = |place| pool.pick(Millis(0), &ask(place)).expect("a pick").failure_domain.clone();
 
@@ -156,7 +161,7 @@
 fn in_a_large_pool_a_loaded_home_is_left_for_an_endpoint_of_the_own_domain() {
     let pool = pool_of_domains(150);
     let own = "b".parse().expect("a failure domain");
-    let near = Some(Near { failure_domain: &own, crossing: 500 });
+    let near = near(&own);
     let ask = |salt| Ask { near, salt, ..ask_with_prefix(77, 100) };
     for _ in 0..2 {
         pool.pick(Millis(0), &ask(0)).expect("a pick").live.begin(2_000);
@@ -173,7 +178,7 @@
 fn an_endpoint_known_to_keep_a_prefix_goes_before_the_rings() {
     let pool = pool_of_domains(12);
     let own = "b".parse().expect("a failure domain");
-    let near = Some(Near { failure_domain: &own, crossing: 500 });
+    let near = near(&own);
     let ask = |kept_at| Ask { near, kept_at, ..ask_with_prefix(77, 1_000) };
     let home = pool.pick(Millis(0), &ask(&[])).expect("a pick").clone();
     let other = pool.endpoints().iter().find(|e| e.failure_domain == own && e.id != home.id);
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -8,6 +8,7 @@
 use tidetrack_core::traffic::exposure::SessionDraw;
 use tidetrack_core::traffic::gate;
 use tidetrack_core::traffic::outlook::Planned;
+use tidetrack_core::traffic::prefixes::PartKey;
 use tidetrack_core::traffic::trial::Side;
 use tidetrack_core::traffic::view::ServiceView;
 use tidetrack_core::units::{Millis, Tokens};
@@ -88,7 +89,7 @@
     for (side, avoided) in sides.flat_map(|side| [(side, tried), (side, last_tried)]) {
         match pick(traffic, job, avoided, service, side, &prompt) {
             Ok(chosen) => {
-                if let Some(part) = job.part(model) {
+                if let Some(part) = prompt.part {
                     service.prefixes.used(now, part, EndpointKey::from(&chosen.id));
                 }
                 match side {
@@ -133,6 +134,8 @@
 
 /// What a request's prompt means for the choice.
 struct Prompt {
+    /// Its shared part, as read for the model.
+    part: Option<PartKey>,
     /// Work of reading its shared part where it is not kept.
     reread: u64,
     /// Endpoints that are known to keep that part.
@@ -142,10 +145,12 @@
 impl Prompt {
     fn new(traffic: &Traffic, job: &Job, service: &ServiceView, model: Option<&ModelId>) -> Prompt {
         let now = traffic.shared.now();
+        let part = job.part(model);
         let readers = |part| service.prefixes.readers(now, part);
         Prompt {
+            part,
             reread: job.reread(weight_of(traffic, job, model)),
-            kept_at: job.part(model).map_or_else(Vec::new, readers),
+            kept_at: part.map_or_else(Vec::new, readers),
         }
     }
 }
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -147,9 +147,10 @@
     /// Gets the work the request counts as at an endpoint; `weight` is the model's.
     pub fn work(&self, weight: f64, has_prefix: bool) -> u64 {
         let kept = self.facts.shared_tokens.filter(|_| has_prefix).unwrap_or(Tokens(0));
-        let read = |prompt: Tokens| Tokens(prompt.0.saturating_sub(kept.0));
-        let of_size = self.facts.size.as_ref();
-        let full = of_size.map_or(PLAIN_WORK, |s| work_of(read(s.prompt), Tokens(0)));
+        let full = match &self.facts.size {
+            Some(size) => work_of(Tokens(size.prompt.0.saturating_sub(kept.0)), Tokens(0)),
+            None => PLAIN_WORK,
+        };
         ((full as f64 * weight) as u64).max(1)
     }
 
--- a/crates/tidetrack-plane/src/second_run.rs
+++ b/crates/tidetrack-plane/src/second_run.rs
@@ -27,7 +27,7 @@
     let view = traffic.shared.view.load();
     let service = view.catalog.as_ref()?.services.get(&job.service)?;
     let opts = &traffic.shared.settings.cascade;
-    let larger = route.models.last().filter(|m| *m != model)?;
+    let larger = cascade::second_model(route, model)?;
     let planned = plan(traffic, job, tries, larger, chosen)?;
     let expected = traffic.outlook.borrow().expect(&job.service, planned);
     let prospect = Prospect { confidence, in_time: expected.in_time(), wait: expected.wait };
