Let the proxy narrow a link

Cause: the proxies of tests delay, freeze and cut, but a large answer takes no longer than a small one, so no test sees that copies of one change fill a host's link and hold up what else comes over it.

Ruled out: a limit of each connection (that is the delay there is; nothing is shared), and a limit in the stand-in store (it would bind all hosts at once).

Change: Fault::Narrow(bytes a second) paces answers in turns of 4 KB; all connections through the proxy share the link. Requests pass as before.

--- a/crates/tidetrack-testkit/src/proxy.rs
+++ b/crates/tidetrack-testkit/src/proxy.rs
@@ -1,10 +1,10 @@
-//! A TCP proxy that passes, delays, freezes or cuts what flows through it.
+//! A TCP proxy that passes, delays, narrows, freezes or cuts what flows through it.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Result;
 
@@ -16,6 +16,8 @@
     None,
     /// Passes it on after so many milliseconds.
     Delay(u64),
+    /// Passes answers on at so many bytes a second, which all connections share.
+    Narrow(u64),
     /// Holds it back until told otherwise.
     Freeze,
     /// Passes requests on and holds answers back until told otherwise.
@@ -29,12 +31,18 @@
 /// How often a frozen connection looks whether it may go on.
 const LOOK: Duration = Duration::from_millis(5);
 
+/// Bytes that a connection sends over a narrow link before the next one has its turn: some packets of
+/// 1,460 bytes, 3 ms of a link of 10 Mbit/s.
+const TURN: usize = 4 << 10;
+
 struct Shared {
     target: Mutex<Option<String>>,
     fault: Mutex<Fault>,
     open: Mutex<Vec<TcpStream>>,
     stopped: AtomicBool,
     bytes: AtomicU64,
+    /// When the narrow link has sent all that was given to it.
+    is_free_at: Mutex<Instant>,
 }
 
 /// A running proxy; it stops when dropped.
@@ -58,6 +66,7 @@
             open: Mutex::default(),
             stopped: AtomicBool::new(false),
             bytes: AtomicU64::new(0),
+            is_free_at: Mutex::new(Instant::now()),
         });
         let accept = shared.clone();
         std::thread::spawn(move || {
@@ -91,6 +100,7 @@
     /// Sets what it does from now on; a cut closes what is open.
     pub fn set(&self, fault: Fault) {
         *lock(&self.shared.fault) = fault;
+        *lock(&self.shared.is_free_at) = Instant::now();
         if fault == Fault::Cut {
             for stream in lock(&self.shared.open).drain(..) {
                 // The other side may have closed it already.
@@ -142,7 +152,7 @@
             }
             answered += n as u64;
             self.bytes.fetch_add(n as u64, Ordering::Relaxed);
-            if to.write_all(&buf[..n]).is_err() {
+            if !buf[..n].chunks(TURN).all(|turn| self.send(turn, &mut to, is_answer)) {
                 break;
             }
         }
@@ -150,12 +160,34 @@
         let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
     }
 
+    /// Sends bytes when their turn on the link has passed; tells whether they were taken.
+    fn send(&self, bytes: &[u8], to: &mut TcpStream, is_answer: bool) -> bool {
+        let fault = *lock(&self.fault);
+        if let (Fault::Narrow(rate), true) = (fault, is_answer) {
+            let takes = Duration::from_secs_f64(bytes.len() as f64 / rate.max(1) as f64);
+            let sent_at = {
+                let mut is_free_at = lock(&self.is_free_at);
+                *is_free_at = Instant::now().max(*is_free_at) + takes;
+                *is_free_at
+            };
+            // A turn of a very narrow link may be longer than the fault lasts.
+            while *lock(&self.fault) == fault {
+                let left = sent_at.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    break;
+                }
+                std::thread::sleep(left.min(LOOK));
+            }
+        }
+        to.write_all(bytes).is_ok()
+    }
+
     /// Waits as the fault says; tells whether the bytes may pass.
     fn pass(&self, answered: u64, is_answer: bool) -> bool {
         loop {
             let fault = *lock(&self.fault);
             match fault {
-                Fault::None => return true,
+                Fault::None | Fault::Narrow(_) => return true,
                 Fault::Delay(ms) => {
                     std::thread::sleep(Duration::from_millis(ms));
                     return true;
