Give the virtual fleet links that share what is under way

Cause: getting changes took 10 ms in the virtual fleet whatever their size and however many came at once, so work that is repeated while the first try is still at work cost nothing there.

Ruled out: a longer fixed time for large changes (copies at once would still cost nothing).

Change: tests/support/links.rs. Changes have a size, by kind. Hosts that watch the store get its changes over their links too. On wide links, which all present tests have, a reply takes 10 ms as before. The fleet's hosts now follow the configuration besides the endpoints. What the plane does besides the core's catches, reads for proofs, is not in the model.

--- a/crates/tidetrack-core/tests/support/fleet.rs
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -1,4 +1,5 @@
-//! Hosts of a fleet together, on virtual time: messages are lost, changes of the store come late.
+//! Hosts of a fleet together, on virtual time: messages are lost, changes of the store come late, and
+//! the larger they are, the more of a host's link they take.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use tidetrack_core::traffic::view::FleetView;
 use tidetrack_core::units::Millis;
 
+use super::links::{End, Ended, Links};
 use super::{host, id, with_endpoints};
 
 /// Time between the reads of a host that proves the configuration.
@@ -30,8 +32,8 @@
 /// Step of the virtual clock.
 pub const STEP: usize = 50;
 
-/// Time that getting changes from a host or the store takes.
-pub const CATCH_TIME: u64 = 10;
+/// Bytes of a change of an endpoint.
+pub const ENDPOINT_BYTES: u64 = 400;
 
 /// Latest that a host hears of a change of a roll-out.
 pub const LATEST_WORD: u64 = 600;
@@ -47,16 +49,31 @@
     pub view: Option<Arc<FleetView>>,
 }
 
+/// Changes that come to a host.
+#[derive(Clone, Debug)]
+pub enum Coming {
+    /// What it asked for, up to where; `None` if that fails.
+    Caught(usize, Catch, Option<u64>),
+    /// What the store shows a host that watches it.
+    Watched(usize, Kind, u64),
+}
+
 pub struct Fleet {
     pub hosts: Vec<FleetHost>,
     pub seed: StdRng,
     pub now: u64,
-    /// The store's newest revision; all its changes are endpoints'.
+    /// The store's newest revision of the endpoints.
     pub revision: u64,
     /// What the hosts know of it.
     pub known: Vec<u64>,
-    /// Changes that are being got: when they come, by which host, up to where; `None` if that fails.
-    pub catching: Vec<(u64, usize, Catch, Option<u64>)>,
+    /// The store's newest revision of the configuration, and the bytes of a change.
+    pub catalog: (u64, u64),
+    /// What the hosts know of it.
+    pub known_catalog: Vec<u64>,
+    /// Replies with the newest configuration that each host began to get.
+    pub copies: Vec<usize>,
+    /// The links, and the changes that are under way over them.
+    pub links: Links<Coming>,
     /// Hosts that do not answer others.
     pub deaf: Vec<usize>,
     /// Whether the store fails the calls of hosts that do not watch it.
@@ -87,7 +104,10 @@
             now: 0,
             revision: 10,
             known: vec![10; hosts as usize],
-            catching: Vec::new(),
+            catalog: (10, 0),
+            known_catalog: vec![10; hosts as usize],
+            copies: vec![0; hosts as usize],
+            links: Links::wide(hosts as usize),
             deaf: Vec::new(),
             store_is_down: false,
             calls: 0,
@@ -99,6 +119,8 @@
         for i in 0..fleet.hosts.len() {
             let listed = Input::CaughtUp { kind: Kind::Endpoints, complete: 10, changed: None };
             fleet.take(i, listed);
+            let listed = Input::CaughtUp { kind: Kind::Catalog, complete: 10, changed: None };
+            fleet.take(i, listed);
             fleet.take(i, Input::RolloutList(Vec::new()));
         }
         fleet
@@ -131,44 +153,94 @@
 
     /// Lets a host that watches the store see its changes.
     pub fn watch(&mut self, i: usize) {
-        if self.hosts[i].beliefs.is_watcher() && self.known[i] < self.revision {
-            self.caught_up(i, self.revision);
+        if !self.hosts[i].beliefs.is_watcher() {
+            return;
+        }
+        for kind in [Kind::Catalog, Kind::Endpoints] {
+            let (known, newest) = (self.known(i, kind), self.newest(kind));
+            let is_kind = |c: &&Coming| matches!(c, Coming::Watched(_, k, _) if *k == kind);
+            if known >= newest || self.links.under_way_to(i).any(|c| is_kind(&c)) {
+                continue;
+            }
+            if self.links.is_wide(i) {
+                self.caught_up(i, kind, newest);
+            } else {
+                let bytes = self.bytes(i, kind, known, newest);
+                let load = Coming::Watched(i, kind, newest);
+                self.links.begin(self.now, End::Store, i, bytes, load);
+            }
+        }
+    }
+
+    /// Gets what a host knows of a kind.
+    fn known(&self, i: usize, kind: Kind) -> u64 {
+        match kind {
+            Kind::Catalog => self.known_catalog[i],
+            Kind::Endpoints => self.known[i],
+            Kind::Rollouts => unreachable!("hosts are told of roll-outs"),
+        }
+    }
+
+    /// Gets the store's newest revision of a kind.
+    fn newest(&self, kind: Kind) -> u64 {
+        match kind {
+            Kind::Catalog => self.catalog.0,
+            Kind::Endpoints => self.revision,
+            Kind::Rollouts => unreachable!("hosts are told of roll-outs"),
         }
     }
 
-    pub fn caught_up(&mut self, i: usize, to: u64) {
-        self.known[i] = self.known[i].max(to);
-        let changed = Some(to);
-        self.take(i, Input::CaughtUp { kind: Kind::Endpoints, complete: to, changed });
+    /// Gets the bytes of the changes of a kind after a revision; a host takes note of each copy of the
+    /// newest configuration that it begins to get.
+    fn bytes(&mut self, i: usize, kind: Kind, after: u64, to: u64) -> u64 {
+        let is_copy = kind == Kind::Catalog && to > after && to == self.catalog.0;
+        self.copies[i] += usize::from(is_copy);
+        let each = if kind == Kind::Catalog { self.catalog.1 } else { ENDPOINT_BYTES };
+        each * to.saturating_sub(after)
+    }
+
+    pub fn caught_up(&mut self, i: usize, kind: Kind, to: u64) {
+        let known = match kind {
+            Kind::Catalog => &mut self.known_catalog[i],
+            Kind::Endpoints | Kind::Rollouts => &mut self.known[i],
+        };
+        *known = (*known).max(to);
+        self.take(i, Input::CaughtUp { kind, complete: to, changed: Some(to) });
     }
 
     /// Gives hosts what they asked for.
     pub fn catch(&mut self) {
-        let now = self.now;
-        let (ready, later) =
-            std::mem::take(&mut self.catching).into_iter().partition(|c| c.0 <= now);
-        self.catching = later;
-        for (_, i, catch, to) in ready {
-            match to {
-                Some(to) => self.caught_up(i, to),
-                None => self.take(i, Input::CatchFailed(catch)),
+        for ended in self.links.pass(self.now) {
+            match ended {
+                Ended::Whole(Coming::Caught(i, catch, Some(to))) => {
+                    self.caught_up(i, catch.kind, to);
+                }
+                Ended::Whole(Coming::Caught(i, catch, None))
+                | Ended::Late(Coming::Caught(i, catch, _)) => {
+                    self.take(i, Input::CatchFailed(catch));
+                }
+                Ended::Whole(Coming::Watched(i, kind, to)) => self.caught_up(i, kind, to),
+                // The watch begins anew.
+                Ended::Late(Coming::Watched(..)) => {}
             }
         }
     }
 
     pub fn begin_to_catch(&mut self, i: usize, catch: Catch) {
-        assert_eq!(catch.kind, Kind::Endpoints);
-        let to = match catch.source {
+        let (from, to) = match catch.source {
             Source::Store => {
                 self.calls += 1;
-                (!self.store_is_down).then_some(self.revision)
+                (End::Store, (!self.store_is_down).then_some(self.newest(catch.kind)))
             }
             Source::Host(address) => {
                 let from = (0..self.hosts.len()).find(|i| host(*i as u32 + 1).1 == address);
-                from.filter(|from| !self.deaf.contains(from)).map(|from| self.known[from])
+                let from = from.expect("a host of the fleet");
+                let is_heard = !self.deaf.contains(&from);
+                (End::Host(from), is_heard.then(|| self.known(from, catch.kind)))
             }
         };
-        self.catching.push((self.now + CATCH_TIME, i, catch, to));
+        let bytes = to.map_or(0, |to| self.bytes(i, catch.kind, catch.after, to));
+        self.links.begin(self.now, from, i, bytes, Coming::Caught(i, catch, to));
     }
 
     pub fn deliver(&mut self) {
@@ -242,6 +314,20 @@
         side
     }
 
+    /// Changes the configuration by so many bytes.
+    pub fn change_catalog(&mut self, bytes: u64) {
+        self.catalog = (self.catalog.0 + 1, bytes);
+        self.copies.fill(0);
+    }
+
+    /// Lets time pass until all hosts know the newest configuration, or to `until`; gets the time.
+    pub fn run_until_catalog(&mut self, until: u64) -> u64 {
+        while self.now < until && self.known_catalog.iter().any(|k| *k < self.catalog.0) {
+            self.run(self.now + STEP as u64, |_, _| {});
+        }
+        self.now
+    }
+
     /// Changes the store and lets time pass until all hosts know; gets how long that took.
     pub fn change(&mut self) -> u64 {
         self.revision += 1;
--- a/crates/tidetrack-core/tests/support/mod.rs
+++ b/crates/tidetrack-core/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod links;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
