Large change on the virtual fleet (FAILS BEFORE THE MEND)

Cause: a try of a change counts as failed after 400 ms though its reply is still coming; another host is asked, then the store, then both again. The copies share the host's link, so each takes longer and more begin.

Change: a_large_change_is_got_once_and_a_small_one_passes_beside_it. 67 hosts, 8 with 25 MB/s and 59 with 1.25 MB/s, a configuration of 1 MB, an endpoint's change 0.5 s later.

--- a/crates/tidetrack-core/tests/large_fleet.rs
+++ b/crates/tidetrack-core/tests/large_fleet.rs
@@ -200,3 +200,75 @@
     let shown = last.expect("a view of the last changes");
     assert_eq!(shown.services[&id::<ServiceId>("llm")].proven.endpoints().len(), 1_004);
 }
+
+/// Hosts of a fleet with a wide link, and all of them.
+const WIDE_HOSTS: usize = 8;
+const LINKED_HOSTS: usize = 67;
+
+/// Bytes a millisecond of a wide host's link, a small one's (10 Mbit/s), and of the store's.
+const WIDE: f64 = 25_000.0;
+const NARROW: f64 = 1_250.0;
+const OF_STORE: f64 = 125_000.0;
+
+/// Bytes of a configuration of some thousand routes.
+const LARGE: u64 = 1_000_000;
+
+/// What a large change did to a fleet.
+#[derive(Debug)]
+struct LargeChange {
+    /// Copies that hosts began to get: by the host with the most, and by all.
+    most_copies: usize,
+    copies: usize,
+    /// Hosts that began to get so many copies: none, one, two, three, more.
+    hosts_by_copies: [usize; 5],
+    /// Calls to the store by hosts that do not watch it.
+    calls: usize,
+    /// Time until an endpoint's change half a second later is known everywhere, in milliseconds.
+    small_took: u64,
+    /// Time until the large one is.
+    large_took: u64,
+}
+
+/// Plays a change of the configuration in a fleet of a few wide hosts and many narrow ones, and one of
+/// an endpoint while it is on its way.
+fn large_change(seed: u64) -> LargeChange {
+    let mut fleet = Fleet::start(LINKED_HOSTS as u32, seed);
+    fleet.links.hosts.fill(NARROW);
+    // The wide ones are spread over the fleet.
+    (0..WIDE_HOSTS).for_each(|n| fleet.links.hosts[n * LINKED_HOSTS / WIDE_HOSTS] = WIDE);
+    fleet.links.store = OF_STORE;
+    fleet.run(4_000, |_, _| {});
+    fleet.calls = 0;
+    fleet.change_catalog(LARGE);
+    let began = fleet.now;
+    fleet.run(began + 500, |_, _| {});
+
+    let small_took = fleet.change();
+    let large_took = fleet.run_until_catalog(began + 60_000) - began;
+
+    let mut hosts_by_copies = [0; 5];
+    fleet.copies.iter().for_each(|n| hosts_by_copies[(*n).min(4)] += 1);
+    LargeChange {
+        most_copies: fleet.copies.iter().copied().max().unwrap_or(0),
+        copies: fleet.copies.iter().sum(),
+        hosts_by_copies,
+        calls: fleet.calls,
+        small_took,
+        large_took,
+    }
+}
+
+#[test]
+fn a_large_change_is_got_once_and_a_small_one_passes_beside_it() {
+    let all: Vec<LargeChange> = (1..=4).map(large_change).collect();
+
+    for c in &all {
+        println!(
+            "copies: {} in all, {} at one host, hosts with 0, 1, 2, 3 and more {:?}; {} calls to the \
+             store; the small change took {} ms, the large one {} ms",
+            c.copies, c.most_copies, c.hosts_by_copies, c.calls, c.small_took, c.large_took
+        );
+    }
+    assert!(all.iter().all(|c| c.most_copies <= 2), "{all:?}");
+    assert!(all.iter().all(|c| c.small_took <= 3_000), "{all:?}");
+}
