Tell how large, slow and new replies with changes of the store are (E214)

Cause sought: an endpoint that left got requests 4 s later, a stream was cut beside a change of the configuration. The monitoring shows hosts' links full for twelve seconds, the logs do not tell with what: E213 names failed tries only, and no metric has bytes. Whether the same change comes several times, or a single one is slow, could not be told apart.

Change: E214 for a reply over 64 KB or 300 ms, with kind, source, bytes, time and whether any of it was new; tidetrack_feed_bytes by kind, source and news; tidetrack_feed_given_bytes. No decision changes. Tests of core, plane, platform and ctl pass.

--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -48,6 +48,7 @@
     PlatformBack, 211, "the object API answers again";
     HistoryGone, 212, "the object API forgot its history; a kind is read anew";
     ChangesNotGot, 213, "changes of the object API could not be got from there; another way is tried";
+    LargeReplyCame, 214, "a large or slow reply with changes of the object API came";
     PeerAlive, 220, "a host is alive";
     PeerSuspect, 221, "a host is suspected";
     PeerDead, 222, "a host is held dead";
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -38,6 +38,15 @@
 impl Kind {
     /// All kinds.
     pub const ALL: [Kind; 3] = [Kind::Catalog, Kind::Endpoints, Kind::Rollouts];
+
+    /// Gets the word for it in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Catalog => "Catalog",
+            Kind::Endpoints => "Endpoints",
+            Kind::Rollouts => "Rollouts",
+        }
+    }
 }
 
 /// A revision of the store for each kind.
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -30,6 +30,17 @@
     pub part: Duration,
 }
 
+/// A reply that came as a whole.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Bytes,
+    /// Time from its head to the end of its body: long on a crowded way.
+    pub body_time: Duration,
+}
+
 /// Makes a call to `address`; `name` is what its connections are kept under.
 ///
 /// The connection is kept after a whole reply. In every other case it is closed, for nothing more can
@@ -40,7 +51,7 @@
     address: &str,
     mut req: Request<Full<Bytes>>,
     patience: Patience,
-) -> Result<(StatusCode, Bytes)> {
+) -> Result<Reply> {
     let until = tokio::time::Instant::now() + patience.head;
     let late = |_| down("no reply in time");
     let taken = tokio::time::timeout_at(until, pool.take(name, address, Duration::MAX));
@@ -49,9 +60,10 @@
     req.headers_mut().insert(http::header::HOST, host);
     let sent = tokio::time::timeout_at(until, lease.sender.send_request(req));
     let (head, body) = sent.await.map_err(late)?.map_err(|e| down(e.to_string()))?.into_parts();
+    let head_came = tokio::time::Instant::now();
     let body = collect(body, patience.part).await?;
     pool.keep(name, lease, None);
-    Ok((head.status, body))
+    Ok(Reply { status: head.status, body, body_time: head_came.elapsed() })
 }
 
 /// Collects a body whose parts follow each other within `part`.
--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -11,14 +11,14 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use serde::{Deserialize, Serialize};
 
 use tidetrack_core::errors::Result;
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::feeds::Kind;
 
-use crate::call::{call, down, Patience};
+use crate::call::{call, down, Patience, Reply};
 use crate::pool::Pool;
 use crate::server::{listen, serve_pages};
 use crate::shared::SharedRef;
@@ -123,17 +123,23 @@
 }
 
 /// Gets the changes of a kind after a revision that another host knows.
-pub async fn ask(pool: &Pool, address: SocketAddr, kind: Kind, after: u64) -> Result<Told> {
+pub async fn ask(
+    pool: &Pool,
+    address: SocketAddr,
+    kind: Kind,
+    after: u64,
+) -> Result<(Told, Reply)> {
     let mut req = Request::new(Full::new(Bytes::new()));
     let path = format!("/changes/{kind:?}/{after}");
     *req.uri_mut() = path.parse().map_err(|e| down(format!("{path}: {e}")))?;
     let address = address.to_string();
     let patience = Patience { head: ANSWER_WITHIN, part: ANSWER_WITHIN };
-    let (status, bytes) = call(pool, &address, &address, req, patience).await?;
-    if status != StatusCode::OK {
-        return Err(down(format!("the host answered {status}")));
+    let reply = call(pool, &address, &address, req, patience).await?;
+    if reply.status != StatusCode::OK {
+        return Err(down(format!("the host answered {}", reply.status)));
     }
-    postcard::from_bytes(&bytes).map_err(|e| down(format!("changes that cannot be read: {e}")))
+    let told = postcard::from_bytes(&reply.body);
+    Ok((told.map_err(|e| down(format!("changes that cannot be read: {e}")))?, reply))
 }
 
 /// Gives this host's changes to others, until the process ends; `told` looks them up.
@@ -149,21 +155,29 @@
             return;
         }
     };
-    serve_pages(shared, listener, move |req| answer(req, &told)).await;
+    let counted = shared.clone();
+    serve_pages(shared, listener, move |req| {
+        let (kind, resp) = answer(req, &told);
+        let bytes = resp.body().size_hint().exact().unwrap_or(0);
+        counted.metrics.feed_given(kind.map_or("-", Kind::as_str), bytes);
+        resp
+    })
+    .await;
 }
 
 fn answer(
     req: &Request<Incoming>,
     told: &impl Fn(Kind, u64) -> Option<Told>,
-) -> Response<Full<Bytes>> {
-    let found = question(req.uri().path()).and_then(|(kind, after)| told(kind, after));
+) -> (Option<Kind>, Response<Full<Bytes>>) {
+    let asked = question(req.uri().path());
+    let found = asked.and_then(|(kind, after)| told(kind, after));
     let bytes = found.and_then(|told| postcard::to_allocvec(&told).ok());
     let mut resp = Response::new(Full::new(Bytes::new()));
     match bytes {
         Some(bytes) => *resp.body_mut() = Full::new(Bytes::from(bytes)),
         None => *resp.status_mut() = StatusCode::NOT_FOUND,
     }
-    resp
+    (asked.map(|(kind, _)| kind), resp)
 }
 
 /// Reads which changes are asked for.
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -39,6 +39,8 @@
     store_calls: Counter<u64>,
     peer_messages: Counter<u64>,
     feed_calls: Counter<u64>,
+    feed_bytes: Counter<u64>,
+    feed_given: Counter<u64>,
     shared_tokens: Counter<u64>,
     second_runs: Counter<u64>,
     first_byte: Histogram<f64>,
@@ -57,6 +59,8 @@
             store_calls: meter.u64_counter("tidetrack_store_calls").build(),
             peer_messages: meter.u64_counter("tidetrack_peer_messages").build(),
             feed_calls: meter.u64_counter("tidetrack_feed_calls").build(),
+            feed_bytes: meter.u64_counter("tidetrack_feed_bytes").build(),
+            feed_given: meter.u64_counter("tidetrack_feed_given_bytes").build(),
             shared_tokens: meter.u64_counter("tidetrack_shared_tokens").build(),
             second_runs: meter.u64_counter("tidetrack_second_runs").build(),
             first_byte: histogram.with_boundaries(BOUNDS_MS.to_vec()).build(),
@@ -98,6 +102,22 @@
         self.feed_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts bytes of replies with changes of the store, by where they came from and whether any of
+    /// it was new.
+    pub fn feed_bytes(&self, kind: &'static str, source: &'static str, is_new: bool, bytes: usize) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("source", source),
+            KeyValue::new("news", is_new),
+        ];
+        self.feed_bytes.add(bytes as u64, &labels);
+    }
+
+    /// Counts bytes of changes of the store given to other hosts.
+    pub fn feed_given(&self, kind: &'static str, bytes: u64) {
+        self.feed_given.add(bytes, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts tokens of shared parts of prompts sent to endpoints, by where the part was.
     pub fn shared_tokens(&self, prefix: &'static str, tokens: u64) {
         self.shared_tokens.add(tokens, &[KeyValue::new("prefix", prefix)]);
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -14,7 +14,7 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::units::Millis;
 
-use crate::call::{self, down, Patience};
+use crate::call::{self, down, Patience, Reply};
 use crate::dialect::{Age, Kind, Page, StoreCall, Stored};
 use crate::pool::Pool;
 use crate::shared::SharedRef;
@@ -43,6 +43,8 @@
     pub revision: u64,
     /// When the read began.
     pub began: Millis,
+    /// Time in which the bodies of the replies came.
+    pub body_time: Duration,
 }
 
 impl Store {
@@ -53,7 +55,7 @@
     }
 
     /// Makes a call; `wait` is how long the store may hold it back.
-    pub async fn call(&self, call: &StoreCall, wait: Duration) -> Result<Bytes> {
+    pub async fn call(&self, call: &StoreCall, wait: Duration) -> Result<Reply> {
         let result = self.call_uncounted(call, wait).await;
         self.shared.metrics.store_call(match &result {
             Ok(_) => "answered",
@@ -63,7 +65,7 @@
         result
     }
 
-    async fn call_uncounted(&self, call: &StoreCall, wait: Duration) -> Result<Bytes> {
+    async fn call_uncounted(&self, call: &StoreCall, wait: Duration) -> Result<Reply> {
         let patience = Patience { head: wait + CALL_WITHIN, part: CALL_WITHIN };
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
@@ -72,9 +74,9 @@
             let json = http::HeaderValue::from_static("application/json");
             req.headers_mut().insert(http::header::CONTENT_TYPE, json);
         }
-        let (status, body) = call::call(&self.pool, STORE, &self.address, req, patience).await?;
-        match status {
-            StatusCode::OK | StatusCode::CREATED => Ok(body),
+        let reply = call::call(&self.pool, STORE, &self.address, req, patience).await?;
+        match reply.status {
+            StatusCode::OK | StatusCode::CREATED => Ok(reply),
             StatusCode::NOT_FOUND => Err(Error::new(Code::ObjectGone, "no such object")),
             StatusCode::CONFLICT => Err(Error::new(Code::Conflict, "it was changed meanwhile")),
             StatusCode::GONE => Err(Error::new(Code::HistoryGone, "the history is gone")),
@@ -89,15 +91,17 @@
     pub async fn list(&self, kind: Kind, age: Age) -> Result<Listed> {
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
-        let mut listed = Listed { objects: Vec::new(), pages: Vec::new(), revision: 0, began };
+        let (objects, pages, body_time) = (Vec::new(), Vec::new(), Duration::ZERO);
+        let mut listed = Listed { objects, pages, revision: 0, began, body_time };
         let mut after: Option<String> = None;
         loop {
             let call = (dialect.list)(kind, after.as_deref(), age);
-            let bytes = self.call(&call, Duration::ZERO).await?;
-            let page: Page = (dialect.read_page)(kind, &bytes)?;
+            let reply = self.call(&call, Duration::ZERO).await?;
+            let page: Page = (dialect.read_page)(kind, &reply.body)?;
             self.note_unreadable(&page.unreadable);
             listed.objects.extend(page.objects);
-            listed.pages.push(bytes);
+            listed.pages.push(reply.body);
+            listed.body_time += reply.body_time;
             if after.is_none() {
                 listed.revision = page.revision;
             }
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -55,6 +55,16 @@
 /// Time from the start in which hosts of a large fleet have met, so that few of them begin to watch.
 const MEETING_TIME: Duration = Duration::from_millis(1_500);
 
+/// Size from which a reply has a line of its own in the log, in bytes: at 10 Mbit/s it takes 50 ms.
+const LARGE_REPLY: usize = 64 << 10;
+
+/// Time for the body of a reply from which it has a line too: the store is in the same region.
+const SLOW_REPLY: Duration = Duration::from_millis(300);
+
+/// Where a reply with changes came from, in logs and metrics.
+const FROM_STORE: &str = "store";
+const FROM_HOST: &str = "host";
+
 /// What the watches of a host share.
 pub struct Watches {
     shared: SharedRef,
@@ -146,7 +156,8 @@
     }
 
     async fn ask_host(&self, kind: Kind, after: u64, address: SocketAddr) -> Result<()> {
-        let told = feed::ask(&self.hosts, address, kind, after).await?;
+        let (told, reply) = feed::ask(&self.hosts, address, kind, after).await?;
+        let before = self.position(kind);
         if let Some(list) = told.list {
             let mut objects = Vec::new();
             for page in &list.pages {
@@ -160,11 +171,39 @@
             let changes = (self.shared.dialect.store.read_changes)(kind, &chunk.bytes)?;
             self.take(kind, changes, chunk);
         }
+        let is_new = self.position(kind) > before;
+        self.note_reply(kind, FROM_HOST, reply.body.len(), reply.body_time, is_new);
         self.log(kind, |log| log.advance(told.complete));
         self.caught_up(kind, None);
         Ok(())
     }
 
+    /// Counts a reply with changes, and logs it if it was large or slow.
+    fn note_reply(
+        &self,
+        kind: Kind,
+        source: &'static str,
+        bytes: usize,
+        body_time: Duration,
+        is_new: bool,
+    ) {
+        self.shared.metrics.feed_bytes(kind.as_str(), source, is_new, bytes);
+        if bytes < LARGE_REPLY && body_time < SLOW_REPLY {
+            return;
+        }
+        let ms = body_time.as_millis();
+        self.shared.journal.line(
+            Event::LargeReplyCame,
+            &[
+                ("kind", &kind.as_str()),
+                ("source", &source),
+                ("bytes", &bytes),
+                ("body_ms", &ms),
+                ("is_new", &is_new),
+            ],
+        );
+    }
+
     /// Applies changes that are new, and keeps them for other hosts.
     fn take(&self, kind: Kind, changes: Changes, chunk: Chunk) {
         if !self.log(kind, |log| log.push(chunk)) {
@@ -327,8 +366,10 @@
         loop {
             let listed = self.store.list(kind, age).await?;
             let at = listed.revision;
-            let pages = listed.pages.iter().map(|page| page.to_vec()).collect();
+            let pages: Vec<Vec<u8>> = listed.pages.iter().map(|page| page.to_vec()).collect();
+            let bytes = pages.iter().map(Vec::len).sum();
             let is_taken = self.take_list(kind, listed.objects, ListChunk { at, pages });
+            self.note_reply(kind, FROM_STORE, bytes, listed.body_time, is_taken);
             if kind == Kind::Catalog {
                 self.catalog_read(listed.began);
             }
@@ -378,12 +419,15 @@
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
         let call = (dialect.watch)(kind, after, wait);
-        let bytes = self.store.call(&call, Duration::from_millis(wait.0)).await?;
-        let changes = (dialect.read_changes)(kind, &bytes)?;
+        let reply = self.store.call(&call, Duration::from_millis(wait.0)).await?;
+        let changes = (dialect.read_changes)(kind, &reply.body)?;
         let to = changes.revision;
+        let before = self.position(kind);
         if changes.newest.is_some() {
-            self.take(kind, changes, Chunk { to, bytes: bytes.to_vec() });
+            self.take(kind, changes, Chunk { to, bytes: reply.body.to_vec() });
         }
+        let is_new = self.position(kind) > before;
+        self.note_reply(kind, FROM_STORE, reply.body.len(), reply.body_time, is_new);
         self.log(kind, |log| log.advance(to));
         self.caught_up(kind, None);
         if kind == Kind::Catalog {
