--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -422,11 +422,11 @@
         let reply = self.store.call(&call, Duration::from_millis(wait.0)).await?;
         let changes = (dialect.read_changes)(kind, &reply.body)?;
         let to = changes.revision;
-        let before = self.position(kind);
+        // The store's revision rises with changes of other kinds too, so it does not tell.
+        let is_new = changes.newest.is_some_and(|newest| newest > self.position(kind));
         if changes.newest.is_some() {
             self.take(kind, changes, Chunk { to, bytes: reply.body.to_vec() });
         }
-        let is_new = self.position(kind) > before;
         self.note_reply(kind, FROM_STORE, reply.body.len(), reply.body_time, is_new);
         self.log(kind, |log| log.advance(to));
         self.caught_up(kind, None);
