Let one large reply of a kind come in at a time

Cause: the watch, the proof of the configuration and the answer to other hosts' word each read a change for itself, and a try counted as failed after 0.4 s however much of it had come.

The proof waits as well: a configuration that is still coming in is the newest, so ours is not. A reply whose newest change is known is not kept again, for others would get it twice. Other kinds do not wait.

Ruled out: one lock for all reads of a kind. A watch waits for seconds without a byte, and a call whose connection fell silent would hold up the next try.

--- a/crates/tidetrack-core/src/codes.rs
+++ b/crates/tidetrack-core/src/codes.rs
@@ -90,6 +90,7 @@
     PlatformBusy, 4003, 503, No, "The object API is over its rate.";
     ObjectGone, 4004, 404, No, "The object does not exist.";
     HistoryGone, 4005, 503, No, "The object API no longer knows the changes that were asked for.";
+    ReplyNotNeeded, 4006, 503, No, "Another reply brought the changes meanwhile.";
     BadDeclaration, 5001, 400, No, "A declaration is wrong.";
     BadSettings, 5002, 400, No, "The settings are wrong.";
     BadPolicy, 5003, 400, No, "A policy does not compile or does not pass its cases.";
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -78,6 +78,8 @@
         /// The newest change; `None` if the changes were not told one by one.
         changed: Option<u64>,
     },
+    /// A large reply with changes of a kind is coming in.
+    Coming(Kind),
     /// Changes could not be got.
     CatchFailed(Catch),
     /// The store does not answer this host.
@@ -283,6 +285,10 @@
                 }
                 Bearing::None
             }
+            Input::Coming(kind) => {
+                self.feeds.coming(now, kind);
+                Bearing::None
+            }
             Input::CatchFailed(catch) => {
                 self.feeds.failed(now, &catch);
                 Bearing::None
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -21,7 +21,8 @@
 /// Pause after a failed read of the store, beside the time of a try.
 const STORE_AGAIN: Millis = Millis(600);
 
-/// Time after which a try counts as failed.
+/// Time after which a try counts as failed if nothing is coming in. A large reply takes longer than that
+/// on a narrow link, and a second one beside it only makes both slower.
 const TRY_WITHIN: Millis = Millis(400);
 
 /// A kind of objects that hosts follow in the store.
@@ -123,6 +124,13 @@
         self.changed.get(kind) > before
     }
 
+    /// Takes note that a reply with changes of a kind is coming in: what is lacked may be in it.
+    pub fn coming(&mut self, now: Millis, kind: Kind) {
+        if let Some(lack) = &mut self.lacks[kind as usize] {
+            lack.tried_at = Some(now);
+        }
+    }
+
     /// Takes note that a try failed: the store is next, at once after a host, and after a pause if it
     /// was the store that failed.
     pub fn failed(&mut self, now: Millis, catch: &Catch) {
--- /dev/null
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -0,0 +1,80 @@
+//! Where a host gets changes that it lacks, and when it asks again.
+
+use std::net::SocketAddr;
+
+use tidetrack_core::traffic::feeds::{Catch, Feeds, Kind, Revisions, Source};
+use tidetrack_core::units::Millis;
+
+/// Time between messages of other hosts that tell of the change.
+const STEP: u64 = 50;
+
+fn near_host() -> SocketAddr {
+    "10.1.0.7:7340".parse().expect("an address")
+}
+
+/// A host that knows all changes of the configuration up to revision 10.
+fn feeds() -> Feeds {
+    let mut feeds = Feeds::default();
+    feeds.caught_up(Kind::Catalog, 10, Some(10));
+    feeds
+}
+
+/// Lets hosts tell of revision 12 for a while; lists what is asked for and when.
+fn tell(
+    feeds: &mut Feeds,
+    from: u64,
+    to: u64,
+    mut each: impl FnMut(&mut Feeds, u64),
+) -> Vec<(u64, Catch)> {
+    let mut told = Revisions::default();
+    told.raise(Kind::Catalog, 12);
+    let mut asked = Vec::new();
+    for now in (from..to).step_by(STEP as usize) {
+        each(feeds, now);
+        let catches = feeds.told(Millis(now), &told, near_host(), true);
+        asked.extend(catches.into_iter().chain(feeds.due(Millis(now))).map(|c| (now, c)));
+    }
+    asked
+}
+
+#[test]
+fn a_change_that_is_coming_in_is_not_asked_for_again() {
+    let mut feeds = feeds();
+
+    // Of a large reply on a narrow link a part comes every 200 ms, for three seconds.
+    let asked = tell(&mut feeds, 0, 3_000, |feeds, now| {
+        if now > 0 && now % 200 == 0 {
+            feeds.coming(Millis(now), Kind::Catalog);
+        }
+    });
+
+    let first = Catch { kind: Kind::Catalog, after: 10, source: Source::Host(near_host()) };
+    assert_eq!(asked, vec![(0, first)]);
+}
+
+#[test]
+fn a_reply_that_stands_still_is_asked_for_elsewhere() {
+    let mut feeds = feeds();
+
+    let asked = tell(&mut feeds, 0, 3_000, |feeds, now| {
+        if now == 200 || now == 400 {
+            feeds.coming(Millis(now), Kind::Catalog);
+        }
+    });
+
+    let again = asked.get(1).expect("a second try");
+    assert!((800..=900).contains(&again.0), "{asked:?}");
+}
+
+#[test]
+fn a_change_of_another_kind_does_not_wait_for_a_large_one() {
+    let mut feeds = feeds();
+    feeds.caught_up(Kind::Endpoints, 10, Some(10));
+    feeds.coming(Millis(0), Kind::Catalog);
+
+    let mut told = Revisions::default();
+    told.raise(Kind::Endpoints, 11);
+    let asked = feeds.told(Millis(50), &told, near_host(), true);
+
+    assert_eq!(asked.len(), 1, "{asked:?}");
+}
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -5,7 +5,9 @@
 use bytes::{Bytes, BytesMut};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use tokio::sync::Mutex;
+use tokio::time::Instant;
 
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
@@ -15,11 +17,23 @@
 /// Largest reply, in bytes: a page of the store is about 1 MB.
 const MOST_REPLY: usize = 8 << 20;
 
+/// Size from which a reply counts as large, in bytes: at 10 Mbit/s it takes 50 ms.
+pub const LARGE_REPLY: usize = 64 << 10;
+
+/// Pause between words that a reply is coming in: half of the time after which a try of which nothing
+/// is heard is made again.
+const WORD_EVERY: Duration = Duration::from_millis(200);
+
 /// Makes the error of a call that led to no usable reply.
 pub fn down(text: impl Into<String>) -> Error {
     Error::new(Code::PlatformDown, text).with_ran(Ran::Unknown)
 }
 
+/// Makes the error of a reply that became needless before it had come.
+pub fn needless() -> Error {
+    Error::new(Code::ReplyNotNeeded, "another reply brought the changes")
+}
+
 /// How long a call may stand still.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -30,6 +44,36 @@
     pub part: Duration,
 }
 
+/// Lets large replies about one matter in one at a time. Two copies of the same bytes share the way:
+/// each takes twice as long, and what is small and urgent waits behind both. On a link of 10 Mbit/s six
+/// copies of a configuration of 1 MB held the news of endpoints up for four seconds.
+#[derive(Default)]
+pub struct OneAtATime {
+    turn: Mutex<()>,
+}
+
+impl OneAtATime {
+    /// Tells whether a large reply is coming in.
+    pub fn is_taken(&self) -> bool {
+        self.turn.try_lock().is_err()
+    }
+
+    /// Waits until no large reply is coming in.
+    pub async fn is_free(&self) {
+        drop(self.turn.lock().await);
+    }
+}
+
+/// What a call does about a large reply.
+pub struct Gate<'a> {
+    /// Where large replies wait for each other.
+    pub turns: &'a OneAtATime,
+    /// Tells whether the reply has become needless while it waited.
+    pub is_needless: Box<dyn Fn() -> bool + 'a>,
+    /// Is called now and then while the reply comes in.
+    pub is_coming: Box<dyn Fn() + 'a>,
+}
+
 /// A reply that came as a whole.
 #[derive(Clone, Debug)]
 pub struct Reply {
@@ -41,7 +85,8 @@
     pub body_time: Duration,
 }
 
-/// Makes a call to `address`; `name` is what its connections are kept under.
+/// Makes a call to `address`; `name` is what its connections are kept under. A large reply passes the
+/// gate, where there is one.
 ///
 /// The connection is kept after a whole reply. In every other case it is closed, for nothing more can
 /// be expected on it.
@@ -51,8 +96,9 @@
     address: &str,
     mut req: Request<Full<Bytes>>,
     patience: Patience,
+    gate: Option<&Gate<'_>>,
 ) -> Result<Reply> {
-    let until = tokio::time::Instant::now() + patience.head;
+    let until = Instant::now() + patience.head;
     let late = |_| down("no reply in time");
     let taken = tokio::time::timeout_at(until, pool.take(name, address, Duration::MAX));
     let mut lease = taken.await.map_err(late)?.map_err(|e| down(e.message))?;
@@ -60,17 +106,31 @@
     req.headers_mut().insert(http::header::HOST, host);
     let sent = tokio::time::timeout_at(until, lease.sender.send_request(req));
     let (head, body) = sent.await.map_err(late)?.map_err(|e| down(e.to_string()))?.into_parts();
-    let head_came = tokio::time::Instant::now();
-    let body = collect(body, patience.part).await?;
+    let head_came = Instant::now();
+    let body = collect(body, patience.part, gate).await?;
     pool.keep(name, lease, None);
     Ok(Reply { status: head.status, body, body_time: head_came.elapsed() })
 }
 
-/// Collects a body whose parts follow each other within `part`.
-async fn collect(body: Incoming, part: Duration) -> Result<Bytes> {
+/// Collects a body whose parts follow each other within `part`; a large one waits for its turn.
+async fn collect(body: Incoming, part: Duration, gate: Option<&Gate<'_>>) -> Result<Bytes> {
+    let least = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let mut body = std::pin::pin!(Limited::new(body, MOST_REPLY));
     let mut all = BytesMut::new();
+    let mut turn = None;
+    let mut told_at = Instant::now();
     loop {
+        if let Some(gate) = gate.filter(|_| turn.is_none() && all.len().max(least) >= LARGE_REPLY) {
+            turn = Some(gate.turns.turn.lock().await);
+            if (gate.is_needless)() {
+                // Dropped, its connection is closed, and nothing more of it comes.
+                return Err(needless());
+            }
+        }
+        if let Some(gate) = gate.filter(|_| told_at.elapsed() >= WORD_EVERY) {
+            told_at = Instant::now();
+            (gate.is_coming)();
+        }
         let frame = tokio::time::timeout(part, body.frame()).await;
         match frame.map_err(|_| down("the reply stopped in the middle"))? {
             Some(Ok(frame)) => all.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -93,7 +93,7 @@
 /// Writes a roll-out's progress. The watch tells what came of it; another host may have been first.
 async fn write_progress(shared: SharedRef, store: Rc<Store>, write: ProgressWrite) {
     let call = (shared.dialect.store.write_progress)(&write);
-    let result = store.call(&call, Duration::ZERO).await;
+    let result = store.call(&call, Duration::ZERO, None).await;
     let state = format!("{:?}", write.progress.state);
     let fields: [(&'static str, &dyn std::fmt::Display); 4] = [
         ("service", &write.service),
--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -18,7 +18,7 @@
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::feeds::Kind;
 
-use crate::call::{call, down, Patience, Reply};
+use crate::call::{call, down, Gate, Patience, Reply};
 use crate::pool::Pool;
 use crate::server::{listen, serve_pages};
 use crate::shared::SharedRef;
@@ -128,13 +128,14 @@
     address: SocketAddr,
     kind: Kind,
     after: u64,
+    gate: &Gate<'_>,
 ) -> Result<(Told, Reply)> {
     let mut req = Request::new(Full::new(Bytes::new()));
     let path = format!("/changes/{kind:?}/{after}");
     *req.uri_mut() = path.parse().map_err(|e| down(format!("{path}: {e}")))?;
     let address = address.to_string();
     let patience = Patience { head: ANSWER_WITHIN, part: ANSWER_WITHIN };
-    let reply = call(pool, &address, &address, req, patience).await?;
+    let reply = call(pool, &address, &address, req, patience, Some(gate)).await?;
     if reply.status != StatusCode::OK {
         return Err(down(format!("the host answered {}", reply.status)));
     }
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -14,7 +14,7 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::units::Millis;
 
-use crate::call::{self, down, Patience, Reply};
+use crate::call::{self, down, Gate, Patience, Reply};
 use crate::dialect::{Age, Kind, Page, StoreCall, Stored};
 use crate::pool::Pool;
 use crate::shared::SharedRef;
@@ -55,17 +55,28 @@
     }
 
     /// Makes a call; `wait` is how long the store may hold it back.
-    pub async fn call(&self, call: &StoreCall, wait: Duration) -> Result<Reply> {
-        let result = self.call_uncounted(call, wait).await;
+    pub async fn call(
+        &self,
+        call: &StoreCall,
+        wait: Duration,
+        gate: Option<&Gate<'_>>,
+    ) -> Result<Reply> {
+        let result = self.call_uncounted(call, wait, gate).await;
         self.shared.metrics.store_call(match &result {
             Ok(_) => "answered",
             Err(e) if e.code == Code::PlatformDown => "failed",
+            Err(e) if e.code == Code::ReplyNotNeeded => "dropped",
             Err(_) => "refused",
         });
         result
     }
 
-    async fn call_uncounted(&self, call: &StoreCall, wait: Duration) -> Result<Reply> {
+    async fn call_uncounted(
+        &self,
+        call: &StoreCall,
+        wait: Duration,
+        gate: Option<&Gate<'_>>,
+    ) -> Result<Reply> {
         let patience = Patience { head: wait + CALL_WITHIN, part: CALL_WITHIN };
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
@@ -74,7 +85,7 @@
             let json = http::HeaderValue::from_static("application/json");
             req.headers_mut().insert(http::header::CONTENT_TYPE, json);
         }
-        let reply = call::call(&self.pool, STORE, &self.address, req, patience).await?;
+        let reply = call::call(&self.pool, STORE, &self.address, req, patience, gate).await?;
         match reply.status {
             StatusCode::OK | StatusCode::CREATED => Ok(reply),
             StatusCode::NOT_FOUND => Err(Error::new(Code::ObjectGone, "no such object")),
@@ -88,7 +99,7 @@
     }
 
     /// Lists a kind, page by page.
-    pub async fn list(&self, kind: Kind, age: Age) -> Result<Listed> {
+    pub async fn list(&self, kind: Kind, age: Age, gate: &Gate<'_>) -> Result<Listed> {
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
         let (objects, pages, body_time) = (Vec::new(), Vec::new(), Duration::ZERO);
@@ -96,7 +107,7 @@
         let mut after: Option<String> = None;
         loop {
             let call = (dialect.list)(kind, after.as_deref(), age);
-            let reply = self.call(&call, Duration::ZERO).await?;
+            let reply = self.call(&call, Duration::ZERO, Some(gate)).await?;
             let page: Page = (dialect.read_page)(kind, &reply.body)?;
             self.note_unreadable(&page.unreadable);
             listed.objects.extend(page.objects);
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -17,9 +17,10 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::control::{Duties, Input};
-use tidetrack_core::traffic::feeds::{Catch, Source};
+use tidetrack_core::traffic::feeds::{Catch, Revisions, Source};
 use tidetrack_core::units::Millis;
 
+use crate::call::{needless, Gate, OneAtATime, LARGE_REPLY};
 use crate::dialect::{Age, Change, Changes, Kind, Stored};
 use crate::feed::{self, Chunk, FeedLog, ListChunk};
 use crate::pool::Pool;
@@ -55,10 +56,8 @@
 /// Time from the start in which hosts of a large fleet have met, so that few of them begin to watch.
 const MEETING_TIME: Duration = Duration::from_millis(1_500);
 
-/// Size from which a reply has a line of its own in the log, in bytes: at 10 Mbit/s it takes 50 ms.
-const LARGE_REPLY: usize = 64 << 10;
-
-/// Time for the body of a reply from which it has a line too: the store is in the same region.
+/// Time for the body of a reply from which it has a line of its own, like a large one: the store is in
+/// the same region.
 const SLOW_REPLY: Duration = Duration::from_millis(300);
 
 /// Where a reply with changes came from, in logs and metrics.
@@ -73,6 +72,10 @@
     hosts: Pool,
     /// The newest changes, by kind.
     logs: RefCell<[FeedLog; 3]>,
+    /// The newest known change, by kind.
+    newest: RefCell<Revisions>,
+    /// By kind, where large replies wait for each other.
+    large: [OneAtATime; 3],
     /// Counts the returns of the store, for the other kinds to start again.
     returns: watch::Sender<u64>,
     duties: watch::Receiver<Duties>,
@@ -94,6 +97,8 @@
             store,
             hosts: Pool::default(),
             logs: RefCell::default(),
+            newest: RefCell::default(),
+            large: Default::default(),
             returns,
             duties,
             is_lost: RefCell::default(),
@@ -120,20 +125,39 @@
         self.log(kind, |log| log.position())
     }
 
+    /// Gets the revision of the newest known change of a kind.
+    fn newest(&self, kind: Kind) -> u64 {
+        self.newest.borrow().get(kind)
+    }
+
+    /// Lets a large reply in that was asked for after a revision, unless the next changes came otherwise
+    /// while it waited; a list is always needed.
+    fn gate(&self, kind: Kind, after: Option<u64>) -> Gate<'_> {
+        Gate {
+            turns: &self.large[kind as usize],
+            is_needless: Box::new(move || after.is_some_and(|after| self.newest(kind) > after)),
+            is_coming: Box::new(move || self.shared.tell(Input::Coming(kind))),
+        }
+    }
+
     /// Gets changes that another host told of.
     pub async fn catch(self: Rc<Self>, catch: Catch) {
         let (kind, after) = (catch.kind, catch.after);
+        // What is coming in already may bring it.
+        self.large[kind as usize].is_free().await;
         let result = match catch.source {
+            _ if self.newest(kind) > after => Err(needless()),
             Source::Host(address) => self.ask_host(kind, after, address).await,
             Source::Store => self.read_store(kind, after).await,
         };
         self.shared.metrics.feed_call(match (&result, catch.source) {
+            (Err(e), _) if e.code == Code::ReplyNotNeeded => "known",
             (Ok(()), Source::Host(_)) => "host",
             (Err(_), Source::Host(_)) => "host_failed",
             (Ok(()), Source::Store) => "store",
             (Err(_), Source::Store) => "store_failed",
         });
-        if let Err(e) = result {
+        if let Err(e) = result.or_else(unless_needless) {
             let source = match catch.source {
                 Source::Host(address) => address.to_string(),
                 Source::Store => "store".into(),
@@ -156,8 +180,9 @@
     }
 
     async fn ask_host(&self, kind: Kind, after: u64, address: SocketAddr) -> Result<()> {
-        let (told, reply) = feed::ask(&self.hosts, address, kind, after).await?;
-        let before = self.position(kind);
+        let gate = self.gate(kind, Some(after));
+        let (told, reply) = feed::ask(&self.hosts, address, kind, after, &gate).await?;
+        let before = self.newest(kind);
         if let Some(list) = told.list {
             let mut objects = Vec::new();
             for page in &list.pages {
@@ -171,7 +196,7 @@
             let changes = (self.shared.dialect.store.read_changes)(kind, &chunk.bytes)?;
             self.take(kind, changes, chunk);
         }
-        let is_new = self.position(kind) > before;
+        let is_new = self.newest(kind) > before;
         self.note_reply(kind, FROM_HOST, reply.body.len(), reply.body_time, is_new);
         self.log(kind, |log| log.advance(told.complete));
         self.caught_up(kind, None);
@@ -206,9 +231,12 @@
 
     /// Applies changes that are new, and keeps them for other hosts.
     fn take(&self, kind: Kind, changes: Changes, chunk: Chunk) {
-        if !self.log(kind, |log| log.push(chunk)) {
+        let newest = changes.newest.unwrap_or(chunk.to);
+        // A reply may be of a later state than what is known, and yet hold known changes only.
+        if newest <= self.position(kind) || !self.log(kind, |log| log.push(chunk)) {
             return;
         }
+        self.newest.borrow_mut().raise(kind, newest);
         for change in changes.changes {
             match change {
                 Change::Put(Stored::Catalog(c)) => self.shared.tell(Input::Catalog(Arc::new(c))),
@@ -280,10 +308,12 @@
             let Some(age) = age.filter(|_| after > 0) else { continue };
             // After a loss, a young proof of another host says that the store answers again.
             let is_back = self.is_lost(Kind::Catalog) && age < PROVE_EVERY;
-            if age < wanted && !is_back {
+            // A configuration that is coming in is not the newest until it has come, and neither is ours.
+            let is_coming = self.large[Kind::Catalog as usize].is_taken();
+            if (age < wanted && !is_back) || is_coming {
                 continue;
             }
-            match self.read_store(Kind::Catalog, after).await {
+            match self.read_store(Kind::Catalog, after).await.or_else(unless_needless) {
                 Ok(()) => pause = FIRST_PAUSE,
                 Err(e) => {
                     self.lost(Kind::Catalog, &e);
@@ -340,7 +370,9 @@
                 return Error::new(Code::Internal, "the control thread ends");
             }
             let before = self.position(kind);
-            if let Err(e) = self.read_changes(kind, before, WATCH_WAIT).await {
+            if let Err(e) =
+                self.read_changes(kind, before, WATCH_WAIT).await.or_else(unless_needless)
+            {
                 return e;
             }
             if self.position(kind) > before {
@@ -364,7 +396,7 @@
         let is_first = self.position(kind) == 0;
         let age = if is_first && kind != Kind::Catalog { Age::OfLate } else { Age::Newest };
         loop {
-            let listed = self.store.list(kind, age).await?;
+            let listed = self.store.list(kind, age, &self.gate(kind, None)).await?;
             let at = listed.revision;
             let pages: Vec<Vec<u8>> = listed.pages.iter().map(|page| page.to_vec()).collect();
             let bytes = pages.iter().map(Vec::len).sum();
@@ -378,7 +410,8 @@
             }
         }
         if age == Age::OfLate {
-            self.read_changes(kind, self.position(kind), Millis(0)).await?;
+            let since = self.read_changes(kind, self.position(kind), Millis(0)).await;
+            since.or_else(unless_needless)?;
         } else if !is_first {
             self.caught_up(kind, Some(self.position(kind)));
         }
@@ -387,9 +420,11 @@
 
     /// Takes a whole list, unless newer changes are known already: these must not be undone.
     fn take_list(&self, kind: Kind, objects: Vec<Stored>, list: ListChunk) -> bool {
+        let at = list.at;
         if !self.log(kind, |log| log.listed(list)) {
             return false;
         }
+        self.newest.borrow_mut().raise(kind, at);
         let mut endpoints = Vec::new();
         let mut rollouts = Vec::new();
         for object in objects {
@@ -419,12 +454,13 @@
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
         let call = (dialect.watch)(kind, after, wait);
-        let reply = self.store.call(&call, Duration::from_millis(wait.0)).await?;
+        let gate = self.gate(kind, Some(after));
+        let reply = self.store.call(&call, Duration::from_millis(wait.0), Some(&gate)).await?;
         let changes = (dialect.read_changes)(kind, &reply.body)?;
         let to = changes.revision;
         // The store's revision rises with changes of other kinds too, so it does not tell.
         let is_new = changes.newest.is_some_and(|newest| newest > self.position(kind));
-        if changes.newest.is_some() {
+        if is_new {
             self.take(kind, changes, Chunk { to, bytes: reply.body.to_vec() });
         }
         self.note_reply(kind, FROM_STORE, reply.body.len(), reply.body_time, is_new);
@@ -437,6 +473,14 @@
     }
 }
 
+/// Takes a reply that was not needed any more for one that came.
+fn unless_needless(e: Error) -> Result<()> {
+    match e.code {
+        Code::ReplyNotNeeded => Ok(()),
+        _ => Err(e),
+    }
+}
+
 /// Gets how long changes gather before the next watch begins.
 fn settle_time(kind: Kind) -> Duration {
     match kind {
