Let the virtual fleet take large replies in one at a time, as the plane does

Cause: the plane now lets a large reply of a kind come in alone, drops one that became needless while it waited, asks for nothing meanwhile, and tells the core that it comes.

Ruled out: counting less. The bound, at most 2 copies begun at a host, stays, and a copy that is dropped while it waits counts as begun.

Change: links.rs gives the first large reply to a host the turn; the others wait and take nothing of the links. The fleet sends Input::Coming each 200 ms, and what a host wants of the configuration waits. The test also prints how much of the large change came over the links, in whole copies.

--- a/crates/tidetrack-core/tests/large_fleet.rs
+++ b/crates/tidetrack-core/tests/large_fleet.rs
@@ -221,6 +221,8 @@
     copies: usize,
     /// Hosts that began to get so many copies: none, one, two, three, more.
     hosts_by_copies: [usize; 5],
+    /// What came of it over the hosts' links, in whole copies.
+    came: f64,
     /// Calls to the store by hosts that do not watch it.
     calls: usize,
     /// Time until an endpoint's change half a second later is known everywhere, in milliseconds.
@@ -252,6 +254,7 @@
         most_copies: fleet.copies.iter().copied().max().unwrap_or(0),
         copies: fleet.copies.iter().sum(),
         hosts_by_copies,
+        came: fleet.links.large_bytes.iter().sum::<f64>() / LARGE as f64,
         calls: fleet.calls,
         small_took,
         large_took,
@@ -264,9 +267,15 @@
 
     for c in &all {
         println!(
-            "copies: {} in all, {} at one host, hosts with 0, 1, 2, 3 and more {:?}; {} calls to the \
-             store; the small change took {} ms, the large one {} ms",
-            c.copies, c.most_copies, c.hosts_by_copies, c.calls, c.small_took, c.large_took
+            "copies: {} in all, {} at one host, hosts with 0, 1, 2, 3 and more {:?}; {:.1} came; {} \
+             calls to the store; the small change took {} ms, the large one {} ms",
+            c.copies,
+            c.most_copies,
+            c.hosts_by_copies,
+            c.came,
+            c.calls,
+            c.small_took,
+            c.large_took
         );
     }
     assert!(all.iter().all(|c| c.most_copies <= 2), "{all:?}");
--- a/crates/tidetrack-core/tests/support/fleet.rs
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -35,6 +35,9 @@
 /// Bytes of a change of an endpoint.
 pub const ENDPOINT_BYTES: u64 = 400;
 
+/// Pause between the words that a large reply is coming in, as the plane has it.
+pub const WORD_EVERY: u64 = 200;
+
 /// Latest that a host hears of a change of a roll-out.
 pub const LATEST_WORD: u64 = 600;
 
@@ -72,6 +75,8 @@
     pub known_catalog: Vec<u64>,
     /// Replies with the newest configuration that each host began to get.
     pub copies: Vec<usize>,
+    /// What hosts want once the large reply that is coming in has come.
+    pub waiting: Vec<(usize, Catch)>,
     /// The links, and the changes that are under way over them.
     pub links: Links<Coming>,
     /// Hosts that do not answer others.
@@ -107,6 +112,7 @@
             catalog: (10, 0),
             known_catalog: vec![10; hosts as usize],
             copies: vec![0; hosts as usize],
+            waiting: Vec::new(),
             links: Links::wide(hosts as usize),
             deaf: Vec::new(),
             store_is_down: false,
@@ -205,6 +211,11 @@
             Kind::Endpoints | Kind::Rollouts => &mut self.known[i],
         };
         *known = (*known).max(to);
+        let newest = *known;
+        self.links.drop_large(i, |coming| match coming {
+            Coming::Caught(_, catch, _) => catch.kind == kind && catch.after < newest,
+            Coming::Watched(_, k, _) => *k == kind,
+        });
         self.take(i, Input::CaughtUp { kind, complete: to, changed: Some(to) });
     }
 
@@ -224,9 +235,23 @@
                 Ended::Late(Coming::Watched(..)) => {}
             }
         }
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting.into_iter().for_each(|(i, catch)| self.begin_to_catch(i, catch));
+        if self.now.is_multiple_of(WORD_EVERY) {
+            let is_coming = |i: &usize| self.links.is_large_coming(*i);
+            let told: Vec<usize> = (0..self.hosts.len()).filter(is_coming).collect();
+            told.into_iter().for_each(|i| self.take(i, Input::Coming(Kind::Catalog)));
+        }
     }
 
     pub fn begin_to_catch(&mut self, i: usize, catch: Catch) {
+        if catch.kind == Kind::Catalog && self.links.is_large_coming(i) {
+            return self.waiting.push((i, catch));
+        }
+        // What came meanwhile may have brought it.
+        if self.known(i, catch.kind) > catch.after {
+            return;
+        }
         let (from, to) = match catch.source {
             Source::Store => {
                 self.calls += 1;
--- a/crates/tidetrack-core/tests/support/links.rs
+++ b/crates/tidetrack-core/tests/support/links.rs
@@ -1,5 +1,6 @@
 //! Links of hosts and of the store: what is under way over a link shares its bandwidth, so a large
-//! reply takes its time, and the more come at once, the longer each takes.
+//! reply takes its time, and the more come at once, the longer each takes. Large replies come in to a
+//! host one at a time, as the plane lets them: the others wait, and take nothing of the links.
 
 /// Time that a reply takes on a wide link, in milliseconds.
 pub const CATCH_TIME: u64 = 10;
@@ -15,6 +16,9 @@
 /// The same for the store's.
 const STORE_HEAD_WITHIN: u64 = 1_200;
 
+/// Bytes from which a reply counts as large, as the plane has it.
+const LARGE_REPLY: f64 = 65_536.0;
+
 /// Part of a step in which the shares of a link stay the same, in milliseconds.
 const PART: u64 = 10;
 
@@ -37,6 +41,7 @@
     /// When it counts as failed, if its head has not come.
     fails_at: u64,
     left: f64,
+    is_large: bool,
     /// What it brings.
     pub load: T,
 }
@@ -57,6 +62,8 @@
     pub hosts: Vec<f64>,
     /// Bytes a millisecond from the store.
     pub store: f64,
+    /// Bytes of large replies that came to each host.
+    pub large_bytes: Vec<f64>,
     under_way: Vec<Transfer<T>>,
     now: u64,
 }
@@ -67,6 +74,7 @@
         Links {
             hosts: vec![f64::INFINITY; hosts],
             store: f64::INFINITY,
+            large_bytes: vec![0.0; hosts],
             under_way: Vec::new(),
             now: 0,
         }
@@ -93,7 +101,21 @@
         let within = if from == End::Store { STORE_HEAD_WITHIN } else { HEAD_WITHIN };
         let head_at = now + CATCH_TIME + waits.round() as u64;
         let fails_at = now + within;
-        self.under_way.push(Transfer { from, to, head_at, fails_at, left: bytes as f64, load });
+        let left = bytes as f64;
+        let is_large = left >= LARGE_REPLY;
+        self.under_way.push(Transfer { from, to, head_at, fails_at, left, is_large, load });
+    }
+
+    /// Tells whether a large reply is coming in to a host.
+    pub fn is_large_coming(&self, host: usize) -> bool {
+        self.under_way.iter().any(|t| t.to == host && t.is_large && t.head_at <= self.now)
+    }
+
+    /// Drops large replies to a host that wait for their turn and are not needed any more.
+    pub fn drop_large(&mut self, host: usize, is_needless: impl Fn(&T) -> bool) {
+        let now = self.now;
+        let waits = |t: &Transfer<T>| t.to == host && t.is_large && t.head_at <= now;
+        self.under_way.retain(|t| !(waits(t) && is_needless(&t.load)));
     }
 
     /// Lists what is under way to a host.
@@ -122,11 +144,20 @@
     }
 
     fn pass_part(&mut self, to: u64) {
-        let flows = |t: &&Transfer<T>| t.head_at <= to && t.left > 0.0;
+        // The first large one of each host has the turn.
+        let mut is_taken = vec![false; self.hosts.len()];
+        let has_turn: Vec<bool> = self
+            .under_way
+            .iter()
+            .map(|t| {
+                let is_coming = t.head_at <= to && t.left > 0.0;
+                is_coming && !(t.is_large && std::mem::replace(&mut is_taken[t.to], true))
+            })
+            .collect();
         let mut up = vec![0.0; self.hosts.len()];
         let mut down = vec![0.0; self.hosts.len()];
         let mut from_store = 0.0;
-        for transfer in self.under_way.iter().filter(flows) {
+        for (transfer, _) in self.under_way.iter().zip(&has_turn).filter(|(_, turn)| **turn) {
             down[transfer.to] += 1.0;
             match transfer.from {
                 End::Host(n) => up[n] += 1.0,
@@ -134,12 +165,17 @@
             }
         }
         let time = (to - self.now) as f64;
-        for transfer in self.under_way.iter_mut().filter(|t| flows(&&**t)) {
+        for (transfer, _) in self.under_way.iter_mut().zip(&has_turn).filter(|(_, turn)| **turn) {
             let from = match transfer.from {
                 End::Host(n) => self.hosts[n] / up[n],
                 End::Store => self.store / from_store,
             };
-            transfer.left -= time * from.min(self.hosts[transfer.to] / down[transfer.to]);
+            let bytes =
+                (time * from.min(self.hosts[transfer.to] / down[transfer.to])).min(transfer.left);
+            transfer.left -= bytes;
+            if transfer.is_large {
+                self.large_bytes[transfer.to] += bytes;
+            }
         }
     }
 }
