--- a/crates/tidetrack-core/tests/support/fleet.rs
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -75,8 +75,6 @@
     pub known_catalog: Vec<u64>,
     /// Replies with the newest configuration that each host began to get.
     pub copies: Vec<usize>,
-    /// What hosts want once the large reply that is coming in has come.
-    pub waiting: Vec<(usize, Catch)>,
     /// The links, and the changes that are under way over them.
     pub links: Links<Coming>,
     /// Hosts that do not answer others.
@@ -112,7 +110,6 @@
             catalog: (10, 0),
             known_catalog: vec![10; hosts as usize],
             copies: vec![0; hosts as usize],
-            waiting: Vec::new(),
             links: Links::wide(hosts as usize),
             deaf: Vec::new(),
             store_is_down: false,
@@ -235,8 +232,6 @@
                 Ended::Late(Coming::Watched(..)) => {}
             }
         }
-        let waiting = std::mem::take(&mut self.waiting);
-        waiting.into_iter().for_each(|(i, catch)| self.begin_to_catch(i, catch));
         if self.now.is_multiple_of(WORD_EVERY) {
             let is_coming = |i: &usize| self.links.is_large_coming(*i);
             let told: Vec<usize> = (0..self.hosts.len()).filter(is_coming).collect();
@@ -244,14 +239,9 @@
         }
     }
 
+    /// Asks for changes at once, where the plane waits for a large reply that is coming in: so what the
+    /// decisions ask for too often is seen.
     pub fn begin_to_catch(&mut self, i: usize, catch: Catch) {
-        if catch.kind == Kind::Catalog && self.links.is_large_coming(i) {
-            return self.waiting.push((i, catch));
-        }
-        // What came meanwhile may have brought it.
-        if self.known(i, catch.kind) > catch.after {
-            return;
-        }
         let (from, to) = match catch.source {
             Source::Store => {
                 self.calls += 1;
