A host gives no more at once than its link soon passes, and only the newest configuration

Cause: hosts that hear of a change ask whoever told them, twelve at once a host with a link of 10 Mbit/s, which needs 0.8 s for one copy of 1 MB. And a host that lacked two versions of the configuration got nothing from others that had dropped the first (404), or both from the store.

Of the configuration, one object, only the newest state is kept and given, and from the store it is listed instead of read change by change. Metric tidetrack_feed_given_bytes by outcome.

--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::units::Millis;
+use crate::units::{Bandwidth, Millis};
 
 /// How long a change is left to hosts of the own failure domain to be told, before it is got from
 /// another one: bytes between failure domains cost.
@@ -40,6 +40,11 @@
     /// All kinds.
     pub const ALL: [Kind; 3] = [Kind::Catalog, Kind::Endpoints, Kind::Rollouts];
 
+    /// Tells whether the kind has a single object, so that its newest state is all there is to know.
+    pub fn is_one_object(self) -> bool {
+        self == Kind::Catalog
+    }
+
     /// Gets the word for it in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -67,6 +72,43 @@
     }
 }
 
+/// Time in which a host's link passes what it gives to other hosts at once. Twelve hosts that ask a host
+/// with a link of 10 Mbit/s for 1 MB each would wait ten seconds and hold its callers' answers up; the
+/// store gives it to them in a tenth of one.
+const GIVES_WITHIN: Millis = Millis(300);
+
+/// What a host gives to others at present.
+#[derive(Clone, Debug)]
+pub struct Giving {
+    most: u64,
+    /// Sizes of the replies under way.
+    sizes: Vec<u64>,
+}
+
+impl Giving {
+    /// Makes the state of a host that gives nothing yet.
+    pub fn new(link: Bandwidth) -> Giving {
+        Giving { most: link.bytes_in(GIVES_WITHIN), sizes: Vec::new() }
+    }
+
+    /// Begins a reply; `false` if the link has enough to do with others. One reply may always go out.
+    pub fn begin(&mut self, bytes: u64) -> bool {
+        let others: u64 = self.sizes.iter().sum();
+        let may_begin = others == 0 || others + bytes <= self.most;
+        if may_begin {
+            self.sizes.push(bytes);
+        }
+        may_begin
+    }
+
+    /// Takes note that a reply is out, or given up.
+    pub fn end(&mut self, bytes: u64) {
+        if let Some(at) = self.sizes.iter().position(|size| *size == bytes) {
+            self.sizes.swap_remove(at);
+        }
+    }
+}
+
 /// Where changes are got from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
--- a/crates/tidetrack-core/src/units.rs
+++ b/crates/tidetrack-core/src/units.rs
@@ -63,6 +63,12 @@
     f64,
     "/s"
 );
+number_unit!(
+    /// What a link passes, in millions of bits a second.
+    Bandwidth,
+    f64,
+    " Mbit/s"
+);
 number_unit!(
     /// A quality score from 0 to 1.
     Score,
@@ -101,6 +107,15 @@
     }
 }
 
+impl Bandwidth {
+    /// Gets the bytes that pass in a span.
+    pub fn bytes_in(self, span: Millis) -> u64 {
+        const BITS: f64 = 8.0;
+        const MS: f64 = 1_000.0;
+        (self.0 * 1e6 / BITS * span.0 as f64 / MS) as u64
+    }
+}
+
 /// Tokens that a price is quoted for.
 pub const PRICE_UNIT: u64 = 1000;
 
@@ -122,6 +137,12 @@
         assert!("soon".parse::<Millis>().is_err());
     }
 
+    #[test]
+    fn a_link_passes_bytes_by_its_bandwidth() {
+        assert_eq!(Bandwidth(10.0).bytes_in(Millis(200)), 250_000);
+        assert_eq!("200 Mbit/s".parse::<Bandwidth>().expect("a bandwidth"), Bandwidth(200.0));
+    }
+
     #[test]
     fn cost_rounds_up_and_never_wraps() {
         assert_eq!(Micros(3).cost_of(Tokens(1)), Micros(1));
--- a/crates/tidetrack-core/tests/feeds.rs
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use tidetrack_core::traffic::feeds::{Catch, Feeds, Kind, Revisions, Source};
-use tidetrack_core::units::Millis;
+use tidetrack_core::traffic::feeds::{Catch, Feeds, Giving, Kind, Revisions, Source};
+use tidetrack_core::units::{Bandwidth, Millis};
 
 /// Time between messages of other hosts that tell of the change.
 const STEP: u64 = 50;
@@ -78,3 +78,26 @@
 
     assert_eq!(asked.len(), 1, "{asked:?}");
 }
+
+#[test]
+fn a_host_gives_no_more_at_once_than_its_link_soon_passes() {
+    let mut narrow = Giving::new(Bandwidth(10.0));
+    let mut wide = Giving::new(Bandwidth(200.0));
+    const LARGE: u64 = 1_000_000;
+
+    let of_narrow = (0..12).filter(|_| narrow.begin(LARGE)).count();
+    let of_wide = (0..12).filter(|_| wide.begin(LARGE)).count();
+    narrow.end(LARGE);
+
+    assert_eq!((of_narrow, of_wide), (1, 7));
+    assert!(narrow.begin(LARGE), "the first one is out");
+}
+
+#[test]
+fn small_changes_go_out_beside_others() {
+    let mut narrow = Giving::new(Bandwidth(10.0));
+
+    let begun = (0..60).filter(|_| narrow.begin(4_000)).count();
+
+    assert_eq!(begun, 60);
+}
--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -4,24 +4,29 @@
 //! ask. The question is a plain HTTP request on a kept connection: the reply is bytes of the store,
 //! which a remote procedure call would only wrap once more.
 
+use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use serde::{Deserialize, Serialize};
 
 use tidetrack_core::errors::Result;
 use tidetrack_core::events::Event;
-use tidetrack_core::traffic::feeds::Kind;
+use tidetrack_core::traffic::feeds::{Giving, Kind};
 
 use crate::call::{call, down, Gate, Patience, Reply};
 use crate::pool::Pool;
 use crate::server::{listen, serve_pages};
-use crate::shared::SharedRef;
+use crate::shared::{Shared, SharedRef};
 
 /// Bytes of changes kept of a kind. A configuration of some hundred routes is about 100 KB; the memory
 /// of a host is priced.
@@ -30,6 +35,9 @@
 /// Longest time that an answer of another host stands still, in which the change can still be got elsewhere.
 const ANSWER_WITHIN: Duration = Duration::from_millis(350);
 
+/// Bytes of a reply that go out at a time.
+const PIECE: usize = 32 << 10;
+
 /// Some changes, as the store told them at one time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chunk {
@@ -51,6 +59,8 @@
 /// The newest changes of a kind.
 #[derive(Clone, Debug, Default)]
 pub struct FeedLog {
+    /// Whether the newest change tells all of the kind.
+    is_one_object: bool,
     /// The list that the changes follow, until the oldest of them have been dropped.
     list: Option<ListChunk>,
     /// Changes after this revision are kept.
@@ -62,6 +72,11 @@
 }
 
 impl FeedLog {
+    /// Makes the log of a kind of which nothing is known.
+    pub fn of(kind: Kind) -> FeedLog {
+        FeedLog { is_one_object: kind.is_one_object(), ..FeedLog::default() }
+    }
+
     /// Gets the revision up to which all changes are known; 0 if the kind was never listed.
     pub fn position(&self) -> u64 {
         self.to
@@ -72,7 +87,8 @@
         if list.at < self.to {
             return false;
         }
-        *self = FeedLog { base: list.at, to: list.at, list: Some(list), ..FeedLog::default() };
+        let (at, is_one_object) = (list.at, self.is_one_object);
+        *self = FeedLog { is_one_object, base: at, to: at, list: Some(list), ..FeedLog::default() };
         true
     }
 
@@ -87,6 +103,10 @@
         if chunk.to <= self.to {
             return false;
         }
+        if self.is_one_object {
+            // What came before is of no use to anybody, and may be a megabyte.
+            *self = FeedLog { is_one_object: true, ..FeedLog::default() };
+        }
         self.to = chunk.to;
         self.bytes += chunk.bytes.len();
         self.chunks.push_back(chunk);
@@ -156,29 +176,75 @@
             return;
         }
     };
-    let counted = shared.clone();
-    serve_pages(shared, listener, move |req| {
-        let (kind, resp) = answer(req, &told);
-        let bytes = resp.body().size_hint().exact().unwrap_or(0);
-        counted.metrics.feed_given(kind.map_or("-", Kind::as_str), bytes);
-        resp
-    })
-    .await;
+    let giving = Rc::new(RefCell::new(Giving::new(shared.settings.link)));
+    let answering = shared.clone();
+    serve_pages(shared, listener, move |req| answer(&answering, &giving, req, &told)).await;
 }
 
 fn answer(
+    shared: &Shared,
+    giving: &Rc<RefCell<Giving>>,
     req: &Request<Incoming>,
     told: &impl Fn(Kind, u64) -> Option<Told>,
-) -> (Option<Kind>, Response<Full<Bytes>>) {
+) -> Response<GivenBody> {
     let asked = question(req.uri().path());
-    let found = asked.and_then(|(kind, after)| told(kind, after));
-    let bytes = found.and_then(|told| postcard::to_allocvec(&told).ok());
-    let mut resp = Response::new(Full::new(Bytes::new()));
-    match bytes {
-        Some(bytes) => *resp.body_mut() = Full::new(Bytes::from(bytes)),
-        None => *resp.status_mut() = StatusCode::NOT_FOUND,
+    let found = asked.and_then(|(kind, after)| Some((kind, told(kind, after)?)));
+    let bytes = found.and_then(|(kind, told)| Some((kind, postcard::to_allocvec(&told).ok()?)));
+    let Some((kind, bytes)) = bytes else { return refusal(StatusCode::NOT_FOUND) };
+    let len = bytes.len() as u64;
+    if !giving.borrow_mut().begin(len) {
+        shared.metrics.feed_given(kind.as_str(), "declined", len);
+        return refusal(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    shared.metrics.feed_given(kind.as_str(), "given", len);
+    let share = Share { giving: giving.clone(), bytes: len };
+    Response::new(GivenBody { left: Bytes::from(bytes), _share: Some(share) })
+}
+
+fn refusal(status: StatusCode) -> Response<GivenBody> {
+    let mut resp = Response::new(GivenBody { left: Bytes::new(), _share: None });
+    *resp.status_mut() = status;
+    resp
+}
+
+/// A reply's part in what the host gives, until dropped.
+struct Share {
+    giving: Rc<RefCell<Giving>>,
+    bytes: u64,
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.giving.borrow_mut().end(self.bytes);
+    }
+}
+
+/// A body that goes out in pieces, so that it lives about as long as its reply is under way.
+struct GivenBody {
+    left: Bytes,
+    _share: Option<Share>,
+}
+
+impl Body for GivenBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Infallible>>> {
+        let len = self.left.len().min(PIECE);
+        let piece = self.left.split_to(len);
+        Poll::Ready((len > 0).then(|| Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left.len() as u64)
     }
-    (asked.map(|(kind, _)| kind), resp)
 }
 
 /// Reads which changes are asked for.
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -113,9 +113,10 @@
         self.feed_bytes.add(bytes as u64, &labels);
     }
 
-    /// Counts bytes of changes of the store given to other hosts.
-    pub fn feed_given(&self, kind: &'static str, bytes: u64) {
-        self.feed_given.add(bytes, &[KeyValue::new("kind", kind)]);
+    /// Counts bytes of changes of the store that other hosts asked for, given to them or declined.
+    pub fn feed_given(&self, kind: &'static str, outcome: &'static str, bytes: u64) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
+        self.feed_given.add(bytes, &labels);
     }
 
     /// Counts tokens of shared parts of prompts sent to endpoints, by where the part was.
--- a/crates/tidetrack-plane/src/settings.rs
+++ b/crates/tidetrack-plane/src/settings.rs
@@ -4,7 +4,7 @@
 
 use tidetrack_core::ids::{FailureDomain, HostId};
 use tidetrack_core::traffic::cascade::CascadeOptions;
-use tidetrack_core::units::Millis;
+use tidetrack_core::units::{Bandwidth, Millis};
 
 /// The settings of a host's process.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +27,8 @@
     pub store_address: SocketAddr,
     /// Most files the process may have open.
     pub most_files: usize,
+    /// What the host's link passes, each way.
+    pub link: Bandwidth,
     /// Bounds that the fleet keeps to.
     pub bounds: Bounds,
     /// What the choice of the model rests on.
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -96,7 +96,7 @@
             shared: shared.clone(),
             store,
             hosts: Pool::default(),
-            logs: RefCell::default(),
+            logs: RefCell::new(Kind::ALL.map(FeedLog::of)),
             newest: RefCell::default(),
             large: Default::default(),
             returns,
@@ -148,6 +148,8 @@
         let result = match catch.source {
             _ if self.newest(kind) > after => Err(needless()),
             Source::Host(address) => self.ask_host(kind, after, address).await,
+            // Of several versions only the newest is wanted.
+            Source::Store if kind.is_one_object() => self.read_all(kind, Some(after)).await,
             Source::Store => self.read_store(kind, after).await,
         };
         self.shared.metrics.feed_call(match (&result, catch.source) {
@@ -174,7 +176,7 @@
     /// Reads the changes after a revision from the store, or the whole kind if they are forgotten.
     async fn read_store(&self, kind: Kind, after: u64) -> Result<()> {
         match self.read_changes(kind, after, Millis(0)).await {
-            Err(e) if e.code == Code::HistoryGone => self.read_all(kind).await,
+            Err(e) if e.code == Code::HistoryGone => self.read_all(kind, None).await,
             result => result,
         }
     }
@@ -359,7 +361,7 @@
 
     /// Lists a kind and follows its changes until a call fails.
     async fn follow(&self, kind: Kind) -> Error {
-        if let Err(e) = self.read_all(kind).await {
+        if let Err(e) = self.read_all(kind, None).await {
             return e;
         }
         self.back(kind);
@@ -391,12 +393,13 @@
     }
 
     /// Lists a kind. The first list may be a little old, for the changes since follow; a later one is
-    /// news to other hosts, for it may hold changes that were not told one by one.
-    async fn read_all(&self, kind: Kind) -> Result<()> {
+    /// news to other hosts, for it may hold changes that were not told one by one. `after` is the
+    /// revision whose next change is wanted, where anything but that is not.
+    async fn read_all(&self, kind: Kind, after: Option<u64>) -> Result<()> {
         let is_first = self.position(kind) == 0;
         let age = if is_first && kind != Kind::Catalog { Age::OfLate } else { Age::Newest };
         loop {
-            let listed = self.store.list(kind, age, &self.gate(kind, None)).await?;
+            let listed = self.store.list(kind, age, &self.gate(kind, after)).await?;
             let at = listed.revision;
             let pages: Vec<Vec<u8>> = listed.pages.iter().map(|page| page.to_vec()).collect();
             let bytes = pages.iter().map(Vec::len).sum();
--- a/crates/tidetrack-plane/tests/feed.rs
+++ b/crates/tidetrack-plane/tests/feed.rs
@@ -78,3 +78,16 @@
         assert_eq!(question(path), None, "{path}");
     }
 }
+
+#[test]
+fn of_a_kind_with_one_object_only_the_newest_state_is_given() {
+    let mut log = FeedLog::of(Kind::Catalog);
+    log.listed(list(10));
+    log.push(chunk(20));
+    log.push(chunk(30));
+
+    let told: Vec<_> = [5, 10, 20].map(|after| log.after(after).expect("the newest")).into();
+
+    assert!(told.iter().all(|t| t.list.is_none() && t.chunks == vec![chunk(30)]), "{told:?}");
+    assert!(log.after(30).expect("nothing new").chunks.is_empty());
+}
