Apply a connection's limit only to the state that it belongs to

Change: a limit that runs out counts only if the connection still is in the state whose limit it is; and a connection reads what has come before its limits and a planned stop are looked at, so that a request that waits unread is not closed away.

--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -72,7 +72,8 @@
     /// Waits until the connection has overstepped a limit.
     async fn overstepped(&self, limits: CallerLimits) {
         loop {
-            let until = match self.doing.get() {
+            let doing = self.doing.get();
+            let until = match doing {
                 Doing::Resting(since) => Some(since + Duration::from_millis(limits.idle_time.0)),
                 Doing::SendingHead(since) => {
                     Some(since + Duration::from_millis(limits.head_time.0))
@@ -86,7 +87,13 @@
             let sleep = tokio::time::sleep_until(tokio::time::Instant::from_std(until));
             tokio::select! {
                 () = self.changed.notified() => {}
-                () = sleep => return,
+                // In a late turn the time runs out and a request is read at once; only the state
+                // that the time belongs to can overstep it.
+                () = sleep => {
+                    if doing == self.doing.get() {
+                        return;
+                    }
+                }
             }
         }
     }
@@ -240,6 +247,9 @@
     let mut is_closing = false;
     loop {
         tokio::select! {
+            // What has come is read before a limit is looked at, so that no request that waits unread
+            // is closed away.
+            biased;
             // An error here is the caller's leaving or a break that was logged where it was made.
             _ = conn.as_mut() => return,
             () = state.overstepped(limits), if !is_closing => {
--- a/crates/tidetrack-plane/tests/server.rs
+++ b/crates/tidetrack-plane/tests/server.rs
@@ -147,3 +147,18 @@
 
     assert_eq!((f.dropped.get(), f.answered()), (0, CONNECTIONS));
 }
+
+/// The same for a head: its last bytes had come before its limit passed, but were read after it.
+#[test]
+fn a_head_whose_end_is_read_as_its_time_runs_out_is_answered() {
+    let mut f = fixture();
+    let (start, end) = REQUEST.split_at(REQUEST.len() / 2);
+    f.send(start);
+    f.run();
+
+    f.send(end);
+    std::thread::sleep(HELD_UP);
+    f.run();
+
+    assert_eq!((f.dropped.get(), f.answered()), (0, CONNECTIONS));
+}
