Let the virtual fleet's hosts decline what their links don't soon pass

Cause: the plane's hosts now give others no more at once than their link passes in 0.3 s (core's Giving), and of the configuration only the newest state; the virtual fleet's hosts gave to all who asked, and each version they lacked.

Change: each host has a Giving of its link's bandwidth; a catch that is declined fails. A configuration has one size however many versions are lacking. The links tell what is not given any more.

--- a/crates/tidetrack-core/tests/large_fleet.rs
+++ b/crates/tidetrack-core/tests/large_fleet.rs
@@ -235,10 +235,10 @@
 /// an endpoint while it is on its way.
 fn large_change(seed: u64) -> LargeChange {
     let mut fleet = Fleet::start(LINKED_HOSTS as u32, seed);
-    fleet.links.hosts.fill(NARROW);
+    let mut links = vec![NARROW; LINKED_HOSTS];
     // The wide ones are spread over the fleet.
-    (0..WIDE_HOSTS).for_each(|n| fleet.links.hosts[n * LINKED_HOSTS / WIDE_HOSTS] = WIDE);
-    fleet.links.store = OF_STORE;
+    (0..WIDE_HOSTS).for_each(|n| links[n * LINKED_HOSTS / WIDE_HOSTS] = WIDE);
+    fleet.set_links(links, OF_STORE);
     fleet.run(4_000, |_, _| {});
     fleet.calls = 0;
     fleet.change_catalog(LARGE);
--- a/crates/tidetrack-core/tests/support/fleet.rs
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -10,12 +10,12 @@
 use tidetrack_core::ids::ServiceId;
 use tidetrack_core::traffic::control::{Action, Beliefs, Input};
 use tidetrack_core::traffic::exposure::SessionDraw;
-use tidetrack_core::traffic::feeds::{Catch, Kind, Source};
+use tidetrack_core::traffic::feeds::{Catch, Giving, Kind, Source};
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::peers::PeerMessage;
 use tidetrack_core::traffic::trial::{ProgressWrite, RolloutOrder, Side};
 use tidetrack_core::traffic::view::FleetView;
-use tidetrack_core::units::Millis;
+use tidetrack_core::units::{Bandwidth, Millis};
 
 use super::links::{End, Ended, Links};
 use super::{host, id, with_endpoints};
@@ -75,6 +75,8 @@
     pub known_catalog: Vec<u64>,
     /// Replies with the newest configuration that each host began to get.
     pub copies: Vec<usize>,
+    /// What each host gives to others.
+    pub giving: Vec<Giving>,
     /// The links, and the changes that are under way over them.
     pub links: Links<Coming>,
     /// Hosts that do not answer others.
@@ -110,6 +112,7 @@
             catalog: (10, 0),
             known_catalog: vec![10; hosts as usize],
             copies: vec![0; hosts as usize],
+            giving: vec![Giving::new(Bandwidth(f64::INFINITY)); hosts as usize],
             links: Links::wide(hosts as usize),
             deaf: Vec::new(),
             store_is_down: false,
@@ -168,7 +171,8 @@
             if self.links.is_wide(i) {
                 self.caught_up(i, kind, newest);
             } else {
-                let bytes = self.bytes(i, kind, known, newest);
+                let bytes = self.bytes_of(kind, known, newest);
+                self.note_copy(i, kind, known, Some(newest));
                 let load = Coming::Watched(i, kind, newest);
                 self.links.begin(self.now, End::Store, i, bytes, load);
             }
@@ -193,13 +197,28 @@
         }
     }
 
-    /// Gets the bytes of the changes of a kind after a revision; a host takes note of each copy of the
-    /// newest configuration that it begins to get.
-    fn bytes(&mut self, i: usize, kind: Kind, after: u64, to: u64) -> u64 {
-        let is_copy = kind == Kind::Catalog && to > after && to == self.catalog.0;
-        self.copies[i] += usize::from(is_copy);
-        let each = if kind == Kind::Catalog { self.catalog.1 } else { ENDPOINT_BYTES };
-        each * to.saturating_sub(after)
+    /// Takes note of a copy of the newest configuration that a host begins to get.
+    fn note_copy(&mut self, i: usize, kind: Kind, after: u64, to: Option<u64>) {
+        let is_newest = to.is_some_and(|to| to > after && to == self.catalog.0);
+        self.copies[i] += usize::from(kind == Kind::Catalog && is_newest);
+    }
+
+    /// Gets the bytes of the changes of a kind after a revision.
+    fn bytes_of(&self, kind: Kind, after: u64, to: u64) -> u64 {
+        match kind {
+            // Only the newest is given.
+            Kind::Catalog => self.catalog.1 * u64::from(to > after),
+            Kind::Endpoints | Kind::Rollouts => ENDPOINT_BYTES * to.saturating_sub(after),
+        }
+    }
+
+    /// Gives all hosts links of so many bytes a millisecond.
+    pub fn set_links(&mut self, links: Vec<f64>, store: f64) {
+        const BITS_A_BYTE: f64 = 8.0;
+        // Bytes a millisecond are thousands a second, and a link is told in millions of bits.
+        let giving = |link: &f64| Giving::new(Bandwidth(link * BITS_A_BYTE / 1e3));
+        self.giving = links.iter().map(giving).collect();
+        (self.links.hosts, self.links.store) = (links, store);
     }
 
     pub fn caught_up(&mut self, i: usize, kind: Kind, to: u64) {
@@ -232,6 +251,9 @@
                 Ended::Late(Coming::Watched(..)) => {}
             }
         }
+        for (from, bytes) in std::mem::take(&mut self.links.given) {
+            self.giving[from].end(bytes);
+        }
         if self.now.is_multiple_of(WORD_EVERY) {
             let is_coming = |i: &usize| self.links.is_large_coming(*i);
             let told: Vec<usize> = (0..self.hosts.len()).filter(is_coming).collect();
@@ -254,7 +276,15 @@
                 (End::Host(from), is_heard.then(|| self.known(from, catch.kind)))
             }
         };
-        let bytes = to.map_or(0, |to| self.bytes(i, catch.kind, catch.after, to));
+        let mut to = to;
+        let mut bytes = to.map_or(0, |to| self.bytes_of(catch.kind, catch.after, to));
+        if let End::Host(from) = from {
+            if !self.giving[from].begin(bytes) {
+                // It declines, because its link has enough to do.
+                (to, bytes) = (None, 0);
+            }
+        }
+        self.note_copy(i, catch.kind, catch.after, to);
         self.links.begin(self.now, from, i, bytes, Coming::Caught(i, catch, to));
     }
 
--- a/crates/tidetrack-core/tests/support/links.rs
+++ b/crates/tidetrack-core/tests/support/links.rs
@@ -40,6 +40,7 @@
     head_at: u64,
     /// When it counts as failed, if its head has not come.
     fails_at: u64,
+    bytes: u64,
     left: f64,
     is_large: bool,
     /// What it brings.
@@ -64,6 +65,8 @@
     pub store: f64,
     /// Bytes of large replies that came to each host.
     pub large_bytes: Vec<f64>,
+    /// What hosts gave that is not under way any more, and its bytes.
+    pub given: Vec<(usize, u64)>,
     under_way: Vec<Transfer<T>>,
     now: u64,
 }
@@ -75,6 +78,7 @@
             hosts: vec![f64::INFINITY; hosts],
             store: f64::INFINITY,
             large_bytes: vec![0.0; hosts],
+            given: Vec::new(),
             under_way: Vec::new(),
             now: 0,
         }
@@ -103,7 +107,8 @@
         let fails_at = now + within;
         let left = bytes as f64;
         let is_large = left >= LARGE_REPLY;
-        self.under_way.push(Transfer { from, to, head_at, fails_at, left, is_large, load });
+        let reply = Transfer { from, to, head_at, fails_at, bytes, left, is_large, load };
+        self.under_way.push(reply);
     }
 
     /// Tells whether a large reply is coming in to a host.
@@ -113,9 +118,20 @@
 
     /// Drops large replies to a host that wait for their turn and are not needed any more.
     pub fn drop_large(&mut self, host: usize, is_needless: impl Fn(&T) -> bool) {
-        let now = self.now;
-        let waits = |t: &Transfer<T>| t.to == host && t.is_large && t.head_at <= now;
-        self.under_way.retain(|t| !(waits(t) && is_needless(&t.load)));
+        for transfer in std::mem::take(&mut self.under_way) {
+            let waits = transfer.to == host && transfer.is_large && transfer.head_at <= self.now;
+            if waits && is_needless(&transfer.load) {
+                self.note_given(&transfer);
+            } else {
+                self.under_way.push(transfer);
+            }
+        }
+    }
+
+    fn note_given(&mut self, transfer: &Transfer<T>) {
+        if let End::Host(from) = transfer.from {
+            self.given.push((from, transfer.bytes));
+        }
     }
 
     /// Lists what is under way to a host.
@@ -133,8 +149,10 @@
         let mut ended = Vec::new();
         for transfer in std::mem::take(&mut self.under_way) {
             if transfer.head_at > transfer.fails_at && transfer.fails_at <= until {
+                self.note_given(&transfer);
                 ended.push(Ended::Late(transfer.load));
             } else if transfer.head_at <= until && transfer.left <= 0.0 {
+                self.note_given(&transfer);
                 ended.push(Ended::Whole(transfer.load));
             } else {
                 self.under_way.push(transfer);
