A configuration that is listed again is no news, and small replies always go out

Cause: a list told its store's revision as the newest change of its kind.

Change: a page tells the newest change of its objects, and for a kind with one object that counts. Replies up to 64 KB are always given.

Tests: a_configuration_that_is_listed_again_is_no_news (new), small_changes_go_out_beside_a_large_one (more strict).

--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -77,11 +77,15 @@
 /// store gives it to them in a tenth of one.
 const GIVES_WITHIN: Millis = Millis(300);
 
+/// Size up to which a reply always goes out, in bytes: it takes 50 ms at 10 Mbit/s, and news of endpoints,
+/// a few hundred bytes each, is not to wait for a configuration.
+const ALWAYS_GIVEN: u64 = 64 << 10;
+
 /// What a host gives to others at present.
 #[derive(Clone, Debug)]
 pub struct Giving {
     most: u64,
-    /// Sizes of the replies under way.
+    /// Sizes of the large replies under way.
     sizes: Vec<u64>,
 }
 
@@ -91,8 +95,11 @@
         Giving { most: link.bytes_in(GIVES_WITHIN), sizes: Vec::new() }
     }
 
-    /// Begins a reply; `false` if the link has enough to do with others. One reply may always go out.
+    /// Begins a reply; `false` if the link has enough to do with others. One large reply may always go out.
     pub fn begin(&mut self, bytes: u64) -> bool {
+        if bytes <= ALWAYS_GIVEN {
+            return true;
+        }
         let others: u64 = self.sizes.iter().sum();
         let may_begin = others == 0 || others + bytes <= self.most;
         if may_begin {
--- a/crates/tidetrack-core/tests/feeds.rs
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -94,8 +94,9 @@
 }
 
 #[test]
-fn small_changes_go_out_beside_others() {
+fn small_changes_go_out_beside_a_large_one() {
     let mut narrow = Giving::new(Bandwidth(10.0));
+    assert!(narrow.begin(1_000_000));
 
     let begun = (0..60).filter(|_| narrow.begin(4_000)).count();
 
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -118,6 +118,8 @@
     pub continues_after: Option<String>,
     /// The store's revision.
     pub revision: u64,
+    /// Revision of the newest change of an object that is listed.
+    pub newest: u64,
 }
 
 /// One change of a watched kind.
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -41,6 +41,8 @@
     pub pages: Vec<Bytes>,
     /// The revision of the first page: a watch goes on from there.
     pub revision: u64,
+    /// Revision of the newest change of a listed object.
+    pub newest: u64,
     /// When the read began.
     pub began: Millis,
     /// Time in which the bodies of the replies came.
@@ -103,7 +105,7 @@
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
         let (objects, pages, body_time) = (Vec::new(), Vec::new(), Duration::ZERO);
-        let mut listed = Listed { objects, pages, revision: 0, began, body_time };
+        let mut listed = Listed { objects, pages, revision: 0, newest: 0, began, body_time };
         let mut after: Option<String> = None;
         loop {
             let call = (dialect.list)(kind, after.as_deref(), age);
@@ -111,6 +113,7 @@
             let page: Page = (dialect.read_page)(kind, &reply.body)?;
             self.note_unreadable(&page.unreadable);
             listed.objects.extend(page.objects);
+            listed.newest = listed.newest.max(page.newest);
             listed.pages.push(reply.body);
             listed.body_time += reply.body_time;
             if after.is_none() {
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -186,13 +186,14 @@
         let (told, reply) = feed::ask(&self.hosts, address, kind, after, &gate).await?;
         let before = self.newest(kind);
         if let Some(list) = told.list {
-            let mut objects = Vec::new();
+            let (mut objects, mut newest) = (Vec::new(), 0);
             for page in &list.pages {
                 let page = (self.shared.dialect.store.read_page)(kind, page)?;
                 self.store.note_unreadable(&page.unreadable);
+                newest = page.newest.max(newest);
                 objects.extend(page.objects);
             }
-            self.take_list(kind, objects, list);
+            self.take_list(kind, objects, list, newest);
         }
         for chunk in told.chunks {
             let changes = (self.shared.dialect.store.read_changes)(kind, &chunk.bytes)?;
@@ -403,8 +404,11 @@
             let at = listed.revision;
             let pages: Vec<Vec<u8>> = listed.pages.iter().map(|page| page.to_vec()).collect();
             let bytes = pages.iter().map(Vec::len).sum();
-            let is_taken = self.take_list(kind, listed.objects, ListChunk { at, pages });
-            self.note_reply(kind, FROM_STORE, bytes, listed.body_time, is_taken);
+            let before = self.newest(kind);
+            let list = ListChunk { at, pages };
+            let is_taken = self.take_list(kind, listed.objects, list, listed.newest);
+            let is_new = is_taken && self.newest(kind) > before;
+            self.note_reply(kind, FROM_STORE, bytes, listed.body_time, is_new);
             if kind == Kind::Catalog {
                 self.catalog_read(listed.began);
             }
@@ -416,18 +420,22 @@
             let since = self.read_changes(kind, self.position(kind), Millis(0)).await;
             since.or_else(unless_needless)?;
         } else if !is_first {
-            self.caught_up(kind, Some(self.position(kind)));
+            self.caught_up(kind, Some(self.newest(kind)));
         }
         Ok(())
     }
 
-    /// Takes a whole list, unless newer changes are known already: these must not be undone.
-    fn take_list(&self, kind: Kind, objects: Vec<Stored>, list: ListChunk) -> bool {
-        let at = list.at;
+    /// Takes a whole list, unless newer changes are known already: these must not be undone. `newest` is
+    /// the newest change of a listed object.
+    fn take_list(&self, kind: Kind, objects: Vec<Stored>, list: ListChunk, newest: u64) -> bool {
+        // What was removed is not listed, so a list is news up to the revision it was taken at. A kind
+        // with one object is only news if that was changed: hosts told otherwise would each get another
+        // copy of a configuration they know.
+        let newest = if kind.is_one_object() { newest } else { list.at };
         if !self.log(kind, |log| log.listed(list)) {
             return false;
         }
-        self.newest.borrow_mut().raise(kind, at);
+        self.newest.borrow_mut().raise(kind, newest);
         let mut endpoints = Vec::new();
         let mut rollouts = Vec::new();
         for object in objects {
