--- /dev/null
+++ b/crates/tidetrack-core/tests/keeper.rs
@@ -0,0 +1,101 @@
+//! What a host's bills go through when their holder changes while many are pending.
+//!
+//! What users would see: answers whose last byte comes late or not at all, after a failure domain is
+//! lost while the object API cannot be written. Order of events: thousands of bills are pending; the
+//! holder goes; the next one is given all of them anew, oldest first, and the few bills that requests
+//! wait for come last; a call that is too large for the path is given up and made again in the same
+//! size. Evidence: the bills of the calls below.
+
+use tidetrack_core::ids::Incarnation;
+use tidetrack_core::keeper::{HoldCall, Holder, Keeper, KeeperAction};
+use tidetrack_core::ledger::{Bill, Ended, Part};
+use tidetrack_core::units::{Micros, Millis, Tokens};
+
+/// Bills pending when the holder goes: about a minute of a busy host's.
+const PENDING: u64 = 5_000;
+
+fn bill(number: u64) -> Bill {
+    let part = Part("m@1".parse().expect("a version"), Tokens(1), Tokens(1), Micros(1));
+    Bill(number, "w".parse().expect("a workspace"), vec![part], Ended::Whole)
+}
+
+fn holder(life: &str) -> Holder {
+    Holder { life: life.parse().expect("an incarnation"), address: life[..1].into() }
+}
+
+/// Gets the one call to a holder among the actions.
+fn call_of(actions: &[KeeperAction]) -> (u64, &HoldCall) {
+    let calls: Vec<(u64, &HoldCall)> = actions
+        .iter()
+        .filter_map(|action| match action {
+            KeeperAction::Hold { batch, call, .. } => Some((*batch, call)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(calls.len(), 1, "{calls:?}");
+    calls[0]
+}
+
+/// Makes a keeper whose bills are all held by `b`, at 1,000 ms.
+fn keeper_with_pending() -> Keeper {
+    let origin: Incarnation = "a~1".parse().expect("an incarnation");
+    // No segment is written: the object API cannot be reached.
+    let mut keeper = Keeper::new(Millis(0), origin, Millis(1_000_000));
+    keeper.set_holders(vec![holder("b~1")]);
+    (1..=PENDING).for_each(|n| keeper.keep(bill(n)));
+    let mut safe = 0;
+    while safe < PENDING {
+        let actions = keeper.pump(Millis(1_000));
+        let (batch, call) = call_of(&actions);
+        safe += call.bills.len() as u64;
+        keeper.hold_done(Millis(1_000), batch, true);
+    }
+    keeper.pump(Millis(1_000));
+    keeper
+}
+
+#[test]
+fn a_bill_that_a_request_waits_for_goes_before_those_that_were_safe() {
+    let mut keeper = keeper_with_pending();
+    keeper.set_holders(vec![holder("c~1")]);
+    keeper.keep(bill(PENDING + 1));
+
+    let actions = keeper.pump(Millis(2_000));
+
+    let (_, call) = call_of(&actions);
+    assert!(call.bills.iter().any(|b| b.number() == PENDING + 1), "{} bills", call.bills.len());
+}
+
+#[test]
+fn a_call_that_failed_is_made_again_for_fewer_bills() {
+    let mut keeper = keeper_with_pending();
+    keeper.set_holders(vec![holder("c~1"), holder("d~1")]);
+    let actions = keeper.pump(Millis(2_000));
+    let (batch, call) = call_of(&actions);
+    let first = call.bills.len();
+
+    keeper.hold_done(Millis(3_500), batch, false);
+    let actions = keeper.pump(Millis(3_500));
+
+    let (_, call) = call_of(&actions);
+    assert!(call.bills.len() * 2 <= first, "{first} bills, then {}", call.bills.len());
+}
+
+#[test]
+fn all_bills_that_were_safe_reach_the_new_holder_while_requests_go_on() {
+    let mut keeper = keeper_with_pending();
+    keeper.set_holders(vec![holder("c~1")]);
+    let mut held = 0;
+
+    for round in 0..40 {
+        // As many new bills as a call may carry come meanwhile.
+        (0..2_000).for_each(|n| keeper.keep(bill(PENDING + 1 + round * 2_000 + n)));
+        let now = Millis(2_000 + 300 * round);
+        let actions = keeper.pump(now);
+        let (batch, call) = call_of(&actions);
+        held += call.bills.iter().filter(|b| b.number() <= PENDING).count();
+        keeper.hold_done(now, batch, true);
+    }
+
+    assert_eq!(held, PENDING as usize);
+}
