Ask one host at a time for a large change, for as much as the path carries

Cause: a host that lacks changes asked every host that announced them, while the first answer was still on its way, and every reply to any exchange carried the run, up to 256 KB. Calls end after a fixed 1.5 s, so on a slow link the copies made each other fail and were begun again in the same size. Ruled out: a lost message (none is lost in the test), the host's own processing (no cost in the test). Change: an exchange names the bytes that the asker has room for; one host at a time is asked with room (`node/pulls.rs`), all others say 0 and get small runs only. A host of an earlier release names no room and is served as before.

--- a/crates/tidetrack-core/src/node/links.rs
+++ b/crates/tidetrack-core/src/node/links.rs
@@ -7,6 +7,7 @@
 use crate::units::Millis;
 
 use super::messages::{Item, ItemKey};
+use super::pulls::NO_ROOM;
 use super::{Action, Link, Node};
 
 /// Hosts asked to probe a silent one.
@@ -42,11 +43,7 @@
     pub(super) fn exchange_due(&mut self, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
         let mut wanted = self.peers();
-        let pull = self
-            .pull_from
-            .take()
-            .and_then(|h| self.members.lookup(&h))
-            .map(|m| (m.incarnation.host.clone(), m.peer.clone()));
+        let pull = self.source(now);
         if let Some(lost) = self.lost_host(now) {
             wanted.push(lost);
         }
@@ -63,7 +60,8 @@
             let pulls = pull.as_ref().is_some_and(|(h, _)| *h == host);
             let beats = i < opened;
             if self.is_due(now, &host, !asks.is_empty(), pulls, beats) {
-                let message = self.message_for(now, &host, asks);
+                let room = if pulls { self.pulls.begin(now, &host) } else { NO_ROOM };
+                let message = self.message_for(now, &host, asks, room);
                 let link = self.links.entry(host.clone()).or_default();
                 link.sent_at = now;
                 link.waiting = true;
@@ -73,12 +71,17 @@
         actions
     }
 
+    /// Gets the time within which a host that calls this one is heard again.
+    pub(super) fn heard_lately(&self) -> Millis {
+        Millis(self.options.beat_ms * 2 + self.options.beat_ms / 2)
+    }
+
     /// Lists the hosts that call this one and that it has no link of its own to, if there is news.
     ///
     /// They are told at once like the others: a host that nobody links to would otherwise learn of a
     /// change only with its own next beat.
     fn callers_with_news(&self, now: Millis, known: &[(HostId, String)]) -> Vec<(HostId, String)> {
-        let heard = Millis(self.options.beat_ms * 2 + self.options.beat_ms / 2);
+        let heard = self.heard_lately();
         let calls = |(host, link): &(&HostId, &Link)| {
             let told = link.told_complete_to.max(link.peer_complete_to);
             let news = link.acked_by_peer < self.urgent_seq || told < self.store.complete_to();
--- a/crates/tidetrack-core/src/node/messages.rs
+++ b/crates/tidetrack-core/src/node/messages.rs
@@ -62,6 +62,10 @@
     /// Time since the sender's configuration was confirmed to be the newest.
     #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
     pub fresh_age_ms: Option<u64>,
+    /// Bytes of changes that the asker has room for in the reply; 0 is room for a small run only, and
+    /// absent is what hosts of an earlier release say.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub room: Option<usize>,
     /// Changes of the configuration that the receiver lacks.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub objects: Option<Delta>,
--- a/crates/tidetrack-core/src/node/mod.rs
+++ b/crates/tidetrack-core/src/node/mod.rs
@@ -25,9 +25,11 @@
 mod duties;
 mod links;
 mod messages;
+mod pulls;
 
 use messages::ItemKey;
 pub use messages::{Exchange, Item};
+use pulls::{Pulls, NO_ROOM};
 
 /// Times and sizes of a node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -152,8 +154,7 @@
     watched: BTreeSet<VersionRef>,
     /// Sequence number of the last news that should not wait for a beat.
     urgent_seq: u64,
-    /// A host that has changes of the configuration which this one lacks.
-    pull_from: Option<HostId>,
+    pulls: Pulls,
     sought_at: Millis,
     items: Journal<ItemKey, Item>,
     links: BTreeMap<HostId, Link>,
@@ -184,7 +185,7 @@
             own_counts: BTreeMap::new(),
             watched: BTreeSet::new(),
             urgent_seq: 0,
-            pull_from: None,
+            pulls: Pulls::default(),
             sought_at: Millis(0),
             items,
             links: BTreeMap::new(),
@@ -272,15 +273,20 @@
         self.log.push(Action::Log(event, text));
     }
 
-    fn message_for(&mut self, now: Millis, host: &HostId, asks: Vec<LoanAsk>) -> Exchange {
+    fn message_for(
+        &mut self,
+        now: Millis,
+        host: &HostId,
+        asks: Vec<LoanAsk>,
+        room: usize,
+    ) -> Exchange {
         self.nonce = self.nonce.wrapping_add(1);
         let link = self.links.get(host).cloned().unwrap_or_default();
         let (seq, items) = self.items_for(link.peer_life.as_ref(), link.acked_by_peer);
         let complete_to = self.store.complete_to();
         let behind = link.peer_life.is_some() && link.peer_complete_to < complete_to;
-        let objects = behind.then(|| self.objects_since(link.peer_complete_to));
         // A large run of changes is only announced: of many who have it, one will be asked for it.
-        let objects = objects.filter(|delta| delta.body_bytes() <= self.options.push_bytes);
+        let objects = behind.then(|| self.small_run_since(link.peer_complete_to)).flatten();
         if let Some(link) = self.links.get_mut(host) {
             link.told_complete_to = complete_to;
         }
@@ -292,6 +298,7 @@
             acked: link.acked_of_peer,
             complete_to,
             fresh_age_ms: self.fresh_age(now).map(|a| a.0),
+            room: Some(room),
             objects,
             items,
             asks,
@@ -310,14 +317,29 @@
         (seq, items.into_iter().map(|(_, i)| i).collect())
     }
 
-    fn objects_since(&self, from: u64) -> Delta {
-        self.store.since(from, self.options.objects_most, self.options.object_bytes)
+    /// Gets the changes after `from` if they are few enough to be told to whoever lacks them.
+    fn small_run_since(&self, from: u64) -> Option<Delta> {
+        let most = self.options.push_bytes;
+        let run = self.store.since(from, self.options.objects_most, most);
+        let is_whole = run.to == self.store.complete_to();
+        (is_whole && run.body_bytes() <= most).then_some(run)
+    }
+
+    /// Gets the changes after `from` that the other side has room for; one that names none is a host
+    /// of an earlier release, which takes what it is given.
+    fn run_for(&self, from: u64, room: Option<usize>) -> Option<Delta> {
+        let bytes = match room {
+            Some(NO_ROOM) => return self.small_run_since(from),
+            Some(room) => room.min(self.options.object_bytes),
+            None => self.options.object_bytes,
+        };
+        Some(self.store.since(from, self.options.objects_most, bytes))
     }
 
     /// Answers another host's half of an exchange.
     pub fn on_exchange(&mut self, now: Millis, message: Exchange) -> Exchange {
         let host = message.from.host.clone();
-        let (nonce, peer_complete_to) = (message.nonce, message.complete_to);
+        let (nonce, peer_complete_to, room) = (message.nonce, message.complete_to, message.room);
         let loans = self.limits().grant(now, &message.asks);
         self.absorb(now, None, message);
         let link = self.links.get(&host).cloned().unwrap_or_default();
@@ -331,7 +353,8 @@
             acked: link.acked_of_peer,
             complete_to: self.store.complete_to(),
             fresh_age_ms: self.fresh_age(now).map(|a| a.0),
-            objects: behind.then(|| self.objects_since(peer_complete_to)),
+            room: None,
+            objects: behind.then(|| self.run_for(peer_complete_to, room)).flatten(),
             items,
             asks: Vec::new(),
             loans,
@@ -343,6 +366,7 @@
         if let Some(link) = self.links.get_mut(to) {
             link.waiting = false;
         }
+        self.pulls.answered(now, to, self.options.object_bytes);
         if r.from.host == *to && r.nonce == nonce {
             self.limits().accept(sent_at, &r.loans);
             self.absorb(now, Some(sent_at), r);
@@ -351,6 +375,7 @@
 
     /// Takes note that an exchange failed.
     pub fn on_failed(&mut self, to: &HostId) {
+        self.pulls.failed(to);
         if let Some(link) = self.links.get_mut(to) {
             link.waiting = false;
         }
@@ -381,9 +406,6 @@
         for item in message.items {
             self.merge_item(now, &from, item);
         }
-        if complete_to > self.store.complete_to() {
-            self.pull_from = Some(from.host);
-        }
         // The other side's word holds from when it was asked, never from when it arrived.
         if let (Some(asked_at), Some(age)) = (asked_at, fresh) {
             if complete_to <= self.store.complete_to() {
@@ -618,7 +640,7 @@
     fn freshness_counts_from_when_it_was_asked() {
         let (mut a, mut b) = pair();
         b.on_list(Millis(10_500), 7, vec![]);
-        let message = a.message_for(Millis(11_000), &"b".parse().expect("a host"), vec![]);
+        let message = a.message_for(Millis(11_000), &"b".parse().expect("a host"), vec![], NO_ROOM);
         let nonce = message.nonce;
         let reply = b.on_exchange(Millis(11_500), message);
         a.on_reply(Millis(60_000), &"b".parse().expect("a host"), Millis(11_000), nonce, reply);
