Ask the object API for what follows the last change handed over

Cause: the reader asked again by the revision that the control thread had published, which was still the one before, and the object API answered at once with the same change. Ruled out: a watch that ends early (the second answer carries the same bytes), other hosts (one alone). Change: the reader keeps the revision up to which it has handed everything over; the control thread takes that in in order.

--- a/crates/tidetrack-router/src/platform_io.rs
+++ b/crates/tidetrack-router/src/platform_io.rs
@@ -41,6 +41,7 @@
     let hosts_every = Duration::from_millis(shared.settings.times.hosts_ms);
     let mut hosts_at: Option<Instant> = None;
     let mut rng = rand::rng();
+    let mut read_to = 0;
     loop {
         let duty = shared.gate.duty();
         let hosts_due = hosts_at.is_none_or(|at| at.elapsed() >= hosts_every);
@@ -50,17 +51,17 @@
                 let _ = shared.control.send(Msg::Hosts(hosts));
             }
         }
-        let wait = match read_once(&shared, duty) {
+        let wait = match read_once(&shared, duty, &mut read_to) {
             Ok(true) => {
                 if failures > 0 {
                     shared.log(Event::PlatformBack, "");
                 }
                 failures = 0;
-                // A first list is taken in before the next question.
-                if duty.complete_to == 0 {
-                    IDLE
-                } else {
+                // A watch waits at the object API; whoever reads once waits until that is taken in.
+                if duty.watcher {
                     Duration::ZERO
+                } else {
+                    IDLE
                 }
             }
             Ok(false) => IDLE,
@@ -80,29 +81,35 @@
 }
 
 /// Reads what is due; tells whether anything was read.
-fn read_once(shared: &Shared, duty: PlatformDuty) -> Result<bool> {
+///
+/// `read_to` is the revision up to which everything was handed to the control thread. It takes that in
+/// in order but later: to ask by its own revision alone would read the same changes again.
+fn read_once(shared: &Shared, duty: PlatformDuty, read_to: &mut u64) -> Result<bool> {
     let asked_at = shared.now();
-    if duty.complete_to == 0 {
-        return list(shared);
+    let after = duty.complete_to.max(*read_to);
+    if after == 0 {
+        return list(shared, read_to);
     }
     if !duty.watcher && !duty.poll {
         return Ok(false);
     }
     let wait = if duty.watcher { WATCH_MS } else { 0 };
-    match shared.platform.watch_config(duty.complete_to, wait) {
+    match shared.platform.watch_config(after, wait) {
         Ok(delta) => {
+            *read_to = after.max(delta.to);
             // A watch says what was newest when it answered; what it was asked at is the safe side.
             let _ = shared.control.send(Msg::Changes { asked_at, delta });
             Ok(true)
         }
-        Err(e) if e.code == Code::ObjectGone => list(shared),
+        Err(e) if e.code == Code::ObjectGone => list(shared, read_to),
         Err(e) => Err(e),
     }
 }
 
-fn list(shared: &Shared) -> Result<bool> {
+fn list(shared: &Shared, read_to: &mut u64) -> Result<bool> {
     let asked_at = shared.now();
     let (revision, entries) = shared.platform.list_config()?;
+    *read_to = revision.max(*read_to);
     let _ = shared.control.send(Msg::List { asked_at, revision, entries });
     Ok(true)
 }
