--- /dev/null
+++ b/crates/tidetrack-router/tests/slow_store.rs
@@ -0,0 +1,63 @@
+//! The object API behind a slow link.
+//!
+//! What users would see: a host alone, or whose neighbours are as slow, decides on an old configuration
+//! for good once a change is large, and bills that were kept through an outage are never written. Order
+//! of events: a read or a write begins; it is given up after a fixed two or three seconds, however much
+//! of it has passed; the next try begins from nothing and is given up as well. Evidence: the tries and
+//! the bytes below.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use tidetrack_core::config::{Kind, Model, Object, ObjectKey};
+use tidetrack_standin::objects::Platform;
+use tidetrack_testkit::fleet::{Fleet, FleetOptions};
+use tidetrack_testkit::proxy::{Fault, Proxy};
+use tidetrack_wire::platform::{config_name, PlatformClient};
+
+/// Bytes a second of a link of 1 Mbit/s.
+const SLOW: u64 = 125_000;
+
+/// Bytes of a change: 4.8 s over the slow link.
+const LARGE: usize = 600_000;
+
+/// Bytes of a segment with 5,000 bills, the most that one carries: 2.4 s over the slow link.
+const SEGMENT: usize = 300_000;
+
+#[test]
+fn a_change_that_is_large_for_the_link_is_read_all_the_same() {
+    let options = FleetOptions { hosts: 1, ..FleetOptions::default() };
+    let fleet =
+        Fleet::start(Path::new(env!("CARGO_BIN_EXE_tidetrack-router")), options).expect("a fleet");
+    let serving = "model@1".parse().expect("a version");
+    let object = Object::Model(Model { serving, about: "x".repeat(LARGE) });
+    let name = config_name(&ObjectKey::new(Kind::Model, "large"));
+    fleet.hosts[0].to_platform.set(Fault::Rate(SLOW));
+    let (began, before) = (Instant::now(), fleet.hosts[0].to_platform.bytes());
+
+    let version = fleet.platform.write(&name, 0, &object.to_json()).expect("a write").version;
+    let in_force = || fleet.hosts[0].status().is_some_and(|s| s.in_force >= version);
+    while !in_force() && began.elapsed() < Duration::from_secs(20) {
+        std::thread::sleep(Duration::from_millis(100));
+    }
+
+    let read = (fleet.hosts[0].to_platform.bytes() - before) as f64 / LARGE as f64;
+    println!("{:?} in force: {}, {read:.2} times the change", began.elapsed(), in_force());
+    assert!(in_force(), "{read:.2} times the change were read in {:?}", began.elapsed());
+}
+
+#[test]
+fn a_segment_that_is_large_for_the_link_is_written_all_the_same() {
+    let store = Platform::default();
+    let running = store.serve("127.0.0.1:0").expect("a store");
+    let proxy = Proxy::before(&running.address()).expect("a proxy");
+    proxy.set(Fault::Rate(SLOW));
+    let client = PlatformClient::new(&proxy.address());
+    let began = Instant::now();
+
+    let written = client.write_settled("ledger/a~1/1", 0, &"x".repeat(SEGMENT));
+
+    println!("{written:?} after {:?}, {} bytes", began.elapsed(), proxy.bytes());
+    assert!(written.is_ok(), "{written:?}");
+    assert!(proxy.bytes() < 2 * SEGMENT as u64, "{} bytes", proxy.bytes());
+}
--- a/crates/tidetrack-testkit/src/proxy.rs
+++ b/crates/tidetrack-testkit/src/proxy.rs
@@ -16,6 +16,8 @@
     None,
     /// Passes it on after so many milliseconds.
     Delay(u64),
+    /// Passes on so many bytes a second, each connection and way by itself.
+    Rate(u64),
     /// Holds it back until told otherwise.
     Freeze,
     /// Passes requests on and holds answers back until told otherwise.
@@ -137,7 +139,7 @@
         let mut buf = [0; 16 * 1024];
         let mut answered = 0u64;
         while let Ok(n) = from.read(&mut buf) {
-            if n == 0 || !self.pass(answered + n as u64, is_answer) {
+            if n == 0 || !self.pass(n as u64, answered + n as u64, is_answer) {
                 break;
             }
             answered += n as u64;
@@ -151,7 +153,7 @@
     }
 
     /// Waits as the fault says; tells whether the bytes may pass.
-    fn pass(&self, answered: u64, is_answer: bool) -> bool {
+    fn pass(&self, bytes: u64, answered: u64, is_answer: bool) -> bool {
         loop {
             let fault = *lock(&self.fault);
             match fault {
@@ -160,6 +162,10 @@
                     std::thread::sleep(Duration::from_millis(ms));
                     return true;
                 }
+                Fault::Rate(rate) => {
+                    std::thread::sleep(Duration::from_micros(bytes * 1_000_000 / rate.max(1)));
+                    return true;
+                }
                 Fault::FreezeAnswers if !is_answer => return true,
                 Fault::Freeze | Fault::FreezeAnswers if self.stopped.load(Ordering::Acquire) => {
                     return false
