Hold bills that requests wait for first, and fewer after a slow or failed call

Cause: a new holder was given all that is pending, oldest first, 2,000 bills a call, so a bill that a request waits for came last; a call given up after its fixed time was made again in the same size. Ruled out: the segment's writer (it stands in only when no holder can hold). Change: bills that requests wait for go first, a quarter of a call is left to those to be moved; a call that failed or took more than 250 ms is followed by one of half the size, down to 62 bills, one in time by one of twice the size. Before and after, `tests/keeper.rs`, 5,000 bills pending, a new holder: the waiting bill comes with the third call, now with the first; after a failed call of 2,000 bills the next has 2,000, now 1,000.

--- a/crates/tidetrack-core/src/keeper.rs
+++ b/crates/tidetrack-core/src/keeper.rs
@@ -1,7 +1,9 @@
 //! The keeper of the bills: a copy on another host before the last byte, segments in the object API.
 //!
 //! Bills that arrive while a call to the holder is under way go together in the next one, so the
-//! cost of a copy is shared under load. Where no host can hold a copy, a segment is written at once.
+//! cost of a copy is shared under load. Bills that requests wait for go before those that an earlier
+//! holder has, and a call that failed or was slow is followed by a smaller one: a new holder is given all
+//! that is pending, over a path that may be slow. Where no host can hold a copy, a segment is written at once.
 //! The keeper never waits: it gives back actions, and the ends of calls come in as messages.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -22,9 +24,18 @@
 /// domain many hosts lack one at the same time, and the object API takes about 100 writes a second.
 const DIRECT_EVERY: Millis = Millis(100);
 
-/// Most bills in one call to the holder.
+/// Most bills in one call to the holder: about 100 KB.
 const HOLD_MOST: usize = 2_000;
 
+/// Fewest bills that a call is cut down to: about 3 KB, a few packets.
+const HOLD_LEAST: usize = 62;
+
+/// A call should take no longer than this: a bill that comes meanwhile waits for its end.
+const HOLD_AIM: Millis = Millis(250);
+
+/// Of a call, a part in so many is left to bills that an earlier holder has: requests never starve them.
+const MOVED_PART: usize = 4;
+
 /// Written bills that are worth a call of their own to the holder.
 const WRITTEN_WORTH: usize = 200;
 
@@ -80,6 +91,7 @@
 #[derive(Debug)]
 struct Holding {
     batch: u64,
+    began: Millis,
     bills: Vec<u64>,
     written: Vec<u64>,
 }
@@ -97,6 +109,8 @@
     /// Bills that the present holder does not have.
     unheld: BTreeMap<u64, Bill>,
     holding: Option<Holding>,
+    /// Most bills in the next call.
+    hold_most: usize,
     batches: u64,
     hold_after: Option<Millis>,
     /// Bills whose requests wait for them to be safe.
@@ -127,6 +141,7 @@
             failures: 0,
             unheld: BTreeMap::new(),
             holding: None,
+            hold_most: HOLD_MOST,
             batches: 0,
             hold_after: None,
             waiting: BTreeSet::new(),
@@ -243,11 +258,12 @@
             return;
         }
         let Some(holder) = self.holders.front().map(|h| h.address.clone()) else { return };
-        let bills: Vec<Bill> = self.unheld.values().take(HOLD_MOST).cloned().collect();
+        let bills = self.next_to_hold();
         self.batches += 1;
         let written = std::mem::take(&mut self.written);
         self.holding = Some(Holding {
             batch: self.batches,
+            began: now,
             bills: bills.iter().map(Bill::number).collect(),
             written: written.clone(),
         });
@@ -256,6 +272,19 @@
         self.out.push(KeeperAction::Hold { holder, batch: self.batches, call });
     }
 
+    /// Chooses the bills of the next call: what requests wait for first, then what is to be moved.
+    fn next_to_hold(&self) -> Vec<Bill> {
+        let waited = self.waiting.iter().filter(|n| self.unheld.contains_key(n)).count();
+        let moved = self.unheld.len() - waited;
+        let left_to_moved = moved.min(self.hold_most / MOVED_PART);
+        let waited = self.waiting.iter().filter_map(|n| self.unheld.get(n));
+        let mut bills: Vec<Bill> = waited.take(self.hold_most - left_to_moved).cloned().collect();
+        let moved = self.unheld.values().filter(|b| !self.waiting.contains(&b.number()));
+        bills.extend(moved.take(self.hold_most - bills.len()).cloned());
+        bills.sort_by_key(Bill::number);
+        bills
+    }
+
     /// Takes the end of a call to the holder.
     pub fn hold_done(&mut self, now: Millis, batch: u64, held: bool) {
         if batch == NO_BATCH && !held {
@@ -263,6 +292,11 @@
             self.passed_on.clear();
         }
         let Some(call) = self.holding.take_if(|h| h.batch == batch) else { return };
+        let in_time = held && now - call.began <= HOLD_AIM;
+        self.hold_most = match in_time {
+            true => (self.hold_most * 2).min(HOLD_MOST),
+            false => (self.hold_most / 2).max(HOLD_LEAST),
+        };
         if !held {
             self.written.extend(call.written);
             self.failures += 1;
