Give calls to the object API time by their size

Cause: reads were given up after a fixed 2 to 10 s and writes after 2 s, however much had passed, and begun again from nothing; on a slow link a large one never ended. Ruled out: a stand-in that is slow by itself (the same calls end at once without the proxy's rate). Change: a write gets a second more for each 64 KiB of its body. A list, a watch or a read of hosts whose answer was cut by time while it came gets twice the time the next time, up to 60 s more, each kind by itself, and the usual time again once one ended within it. An API that gives no answer gets no more time. Dearer: a write of 300 KB to an API that is silent is given up after 6 s a try, not 2 s.

--- a/crates/tidetrack-wire/src/platform.rs
+++ b/crates/tidetrack-wire/src/platform.rs
@@ -1,7 +1,14 @@
 //! The platform's API: objects with versions, conditional updates and watches, and a list of hosts.
 //!
 //! A write whose reply is lost is settled by reading back and comparing the body, which its writer
-//! made distinct; it is never blindly written again.
+//! made distinct; it is never blindly written again. The time for a call takes account of its size: a
+//! write's body is known, and a read whose answer was cut by time while it came gets more the next time,
+//! lest it be begun again from nothing for good. An API that gives no answer gets no more.
+
+use std::io::Read;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -20,9 +27,15 @@
 /// Where claims on callers' keys stand.
 pub const CLAIM_PREFIX: &str = "claim/";
 
-/// Seconds that one call to the platform may take.
+/// Seconds that one call to the platform may take, besides what its size takes.
 const CALL_SECONDS: u64 = 2;
 
+/// A write gets a second more for so many bytes: half of what a link of 1 Mbit/s carries.
+const WRITE_BYTES_A_SECOND: u64 = 64 * 1024;
+
+/// Most seconds more for a read: 7.5 MB over a link of 1 Mbit/s, past any list of the size aimed at.
+const MOST_MORE_SECONDS: u64 = 60;
+
 /// Tries to settle a write whose reply was lost.
 const SETTLE_TRIES: usize = 5;
 
@@ -91,36 +104,76 @@
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
     base: String,
+    list: Patience,
+    watch: Patience,
+    hosts: Patience,
+}
+
+/// Seconds more for a read that may be large, after one was cut by time while its answer came.
+#[derive(Clone, Debug, Default)]
+struct Patience(Arc<AtomicU64>);
+
+impl Patience {
+    /// Reads JSON within `seconds` and what there is more.
+    fn read<T: DeserializeOwned>(&self, req: minreq::Request, seconds: u64) -> Result<T> {
+        let more = self.0.load(Ordering::Relaxed);
+        let began = Instant::now();
+        let mut resp = req.with_timeout(seconds + more).send_lazy().map_err(down)?;
+        check(resp.status_code)?;
+        let mut body = Vec::new();
+        if let Err(e) = resp.read_to_end(&mut body) {
+            let is_late = began.elapsed() >= Duration::from_secs(seconds + more);
+            if is_late && !body.is_empty() {
+                let next = (seconds + more * 2).min(MOST_MORE_SECONDS);
+                self.0.store(next, Ordering::Relaxed);
+            }
+            let message = format!("an answer was cut after {} bytes: {e}", body.len());
+            return Err(Error::new(Code::PlatformDown, message).with_ran(Ran::Unknown));
+        }
+        if began.elapsed() < Duration::from_secs(seconds) {
+            self.0.store(0, Ordering::Relaxed);
+        }
+        parse(&body)
+    }
 }
 
 fn down(e: minreq::Error) -> Error {
     Error::new(Code::PlatformDown, e.to_string()).with_ran(Ran::Unknown)
 }
 
+fn check(status: u16) -> Result<()> {
+    match status {
+        200 => Ok(()),
+        404 => Err(Error::new(Code::ObjectGone, "no such object")),
+        409 => Err(Error::new(Code::Conflict, "the object has another version")),
+        429 => Err(Error::new(Code::PlatformBusy, "over its rate").with_retry_after(1_000)),
+        status => {
+            let message = format!("the object API answered {status}");
+            Err(Error::new(Code::PlatformDown, message).with_ran(Ran::Unknown))
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body)
+        .map_err(|e| Error::new(Code::PlatformDown, e.to_string()).with_ran(Ran::Unknown))
+}
+
 impl PlatformClient {
     /// Makes a client of the API at `ip:port`.
     pub fn new(address: &str) -> PlatformClient {
-        PlatformClient { base: format!("http://{address}/v1") }
-    }
-
-    fn call(&self, req: minreq::Request, seconds: u64) -> Result<minreq::Response> {
-        let resp = req.with_timeout(seconds).send().map_err(down)?;
-        match resp.status_code {
-            200 => Ok(resp),
-            404 => Err(Error::new(Code::ObjectGone, "no such object")),
-            409 => Err(Error::new(Code::Conflict, "the object has another version")),
-            429 => Err(Error::new(Code::PlatformBusy, "over its rate").with_retry_after(1_000)),
-            status => {
-                let message = format!("the object API answered {status}");
-                Err(Error::new(Code::PlatformDown, message).with_ran(Ran::Unknown))
-            }
+        PlatformClient {
+            base: format!("http://{address}/v1"),
+            list: Patience::default(),
+            watch: Patience::default(),
+            hosts: Patience::default(),
         }
     }
 
     fn read<T: DeserializeOwned>(&self, req: minreq::Request, seconds: u64) -> Result<T> {
-        let resp = self.call(req, seconds)?;
-        serde_json::from_slice(resp.as_bytes())
-            .map_err(|e| Error::new(Code::PlatformDown, e.to_string()).with_ran(Ran::Unknown))
+        let resp = req.with_timeout(seconds).send().map_err(down)?;
+        check(resp.status_code)?;
+        parse(resp.as_bytes())
     }
 
     /// Gets one object.
@@ -131,14 +184,14 @@
     /// Lists the objects whose names begin with `prefix`.
     pub fn list(&self, prefix: &str) -> Result<ObjectList> {
         let url = format!("{}/list?prefix={prefix}", self.base);
-        self.read(minreq::get(url), CALL_SECONDS * 5)
+        self.list.read(minreq::get(url), CALL_SECONDS * 5)
     }
 
     /// Waits up to `wait_ms` for changes after a revision. `ObjectGone` asks for a new list.
     pub fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Result<Changes> {
         let base = &self.base;
         let url = format!("{base}/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        self.read(minreq::get(url), CALL_SECONDS + wait_ms.div_ceil(1000))
+        self.watch.read(minreq::get(url), CALL_SECONDS + wait_ms.div_ceil(1000))
     }
 
     /// Writes an object if its version is `if_version`; 0 creates it if absent.
@@ -146,7 +199,7 @@
         let req = minreq::put(format!("{}/objects/{name}", self.base))
             .with_header(headers::IF_VERSION, if_version.to_string())
             .with_body(body);
-        self.read(req, CALL_SECONDS)
+        self.read(req, CALL_SECONDS + body.len() as u64 / WRITE_BYTES_A_SECOND)
     }
 
     /// Writes like `write` and settles a lost reply by reading back.
@@ -181,7 +234,7 @@
 
     /// Gets the list of hosts.
     pub fn hosts(&self) -> Result<Vec<ListedHost>> {
-        self.read(minreq::get(format!("{}/hosts", self.base)), CALL_SECONDS)
+        self.hosts.read(minreq::get(format!("{}/hosts", self.base)), CALL_SECONDS)
     }
 
     /// Lists the configuration as entries of a store.
