--- a/crates/tidetrack-core/tests/slow_link.rs
+++ b/crates/tidetrack-core/tests/slow_link.rs
@@ -10,10 +10,11 @@
 use std::collections::BTreeMap;
 
 use tidetrack_core::config::{Kind, ObjectKey};
+use tidetrack_core::evidence::{CellKey, Counts};
 use tidetrack_core::facts::{Fact, Subject};
-use tidetrack_core::ids::HostId;
+use tidetrack_core::ids::{HostId, VersionRef};
 use tidetrack_core::membership::{Member, MemberState};
-use tidetrack_core::node::{Action, Exchange, Node, NodeOptions};
+use tidetrack_core::node::{Action, Exchange, Item, Node, NodeOptions};
 use tidetrack_core::store::{Delta, Entry};
 use tidetrack_core::units::Millis;
 
@@ -71,7 +72,34 @@
 }
 
 fn withdrawal() -> Fact {
-    Fact { subject: Subject::Withdrawn("m@1".parse().expect("a version")), generation: 1 }
+    Fact { subject: Subject::Withdrawn(version()), generation: 1 }
+}
+
+/// What a host that nobody else meets says of `count` others' requests on a version.
+fn evidence(count: u64) -> Exchange {
+    let item = |n: u64| {
+        let seen_by = format!("host-{n:04}~1").parse().expect("an incarnation");
+        let counts = Counts { started: 1, ..Counts::default() };
+        Item::Evidence(CellKey { version: version(), generation: 1, seen_by }, counts)
+    };
+    Exchange {
+        from: "x~1".parse().expect("an incarnation"),
+        nonce: 1,
+        after: 0,
+        seq: count,
+        acked: 0,
+        complete_to: 0,
+        fresh_age_ms: None,
+        room: Some(0),
+        objects: None,
+        items: (0..count).map(item).collect(),
+        asks: Vec::new(),
+        loans: Vec::new(),
+    }
+}
+
+fn version() -> VersionRef {
+    "m@1".parse().expect("a version")
 }
 
 /// A message on its way over the slow link.
@@ -262,8 +290,7 @@
     }
 
     fn knows_withdrawal(&self) -> bool {
-        let version = "m@1".parse().expect("a version");
-        self.nodes[SLOW].facts.bars_version(&version, 1)
+        self.nodes[SLOW].facts.bars_version(&version(), 1)
     }
 }
 
@@ -343,3 +370,37 @@
     assert!(net.paused.is_some());
     assert!(took.is_some_and(|ms| ms < 1_500), "{took:?}");
 }
+
+#[test]
+fn what_a_large_fleet_knows_reaches_a_host_behind_a_slow_link() {
+    // Two versions under roll-out, seen by 540 hosts.
+    let cells = 1_080;
+    let mut net = Net::settled(1_000_000, Serves::Evenly);
+    let now = net.clock();
+    (1..HOSTS).for_each(|i| drop(net.nodes[i].on_exchange(now, evidence(cells))));
+
+    let began = net.now;
+    let known = |net: &Net| net.nodes[SLOW].evidence.total(&version(), 1).started;
+    let took = net.run_while(60_000, |net| known(net) < cells);
+
+    println!("{cells} cells: {took:?}, {} known, {} calls failed", known(&net), net.failed);
+    assert!(net.now > began);
+    assert!(took.is_some_and(|ms| ms < 10_000), "{took:?}, {} calls failed", net.failed);
+}
+
+#[test]
+fn a_withdrawal_does_not_wait_behind_what_a_large_fleet_knows() {
+    let took: Vec<Option<u64>> = (1..HOSTS)
+        .map(|at| {
+            let mut net = Net::settled(1_000_000, Serves::InTurn);
+            let now = net.clock();
+            (1..HOSTS).for_each(|i| drop(net.nodes[i].on_exchange(now, evidence(1_080))));
+            net.run_until(net.now + 100);
+            net.nodes[at].learn(withdrawal());
+            net.run_while(60_000, |net| !net.knows_withdrawal())
+        })
+        .collect();
+
+    println!("withdrawn after {took:?}");
+    assert!(took.iter().all(|took| took.is_some_and(|ms| ms < 500)), "{took:?}");
+}
