Begin a link with few items, and let narrowing facts go first

Cause: a message gave up to 400 items in the order of their change, and all neighbours began with 400 of the same at once, so a withdrawal waited behind evidence that can wait. Ruled out: the calls' patience (no call failed), the configuration (none changes in the test). Change (`node/items.rs`): a link begins with 50 items, carries twice as many after an acknowledgement in time (a reply within 250 ms), half after a late or failed one; what was left out follows at once, not with the next beat; facts go with every message until acknowledged, ahead of their turn.

--- a/crates/tidetrack-core/src/node/links.rs
+++ b/crates/tidetrack-core/src/node/links.rs
@@ -133,7 +133,7 @@
             return false;
         }
         let told = link.told_complete_to.max(link.peer_complete_to);
-        let news = link.acked_by_peer < urgent || told < complete_to;
+        let news = link.acked_by_peer < urgent || told < complete_to || link.items.is_cut();
         pulls
             || (beats && passed.0 >= self.options.beat_ms)
             || ((news || asking) && passed.0 >= self.options.news_ms)
--- a/crates/tidetrack-core/src/node/mod.rs
+++ b/crates/tidetrack-core/src/node/mod.rs
@@ -23,13 +23,15 @@
 use crate::view::{facts_of_store, View, ViewBuilder};
 
 mod duties;
+mod items;
 mod links;
 mod messages;
 mod pulls;
 
+use items::ItemRoom;
 use messages::ItemKey;
 pub use messages::{Exchange, Item};
-use pulls::{Pulls, NO_ROOM};
+use pulls::{Pulls, ANSWER_AIM, NO_ROOM};
 
 /// Times and sizes of a node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -123,6 +125,7 @@
     sent_at: Millis,
     waiting: bool,
     probed: bool,
+    items: ItemRoom,
 }
 
 /// What this host saw of a version, and what it has told of it.
@@ -282,7 +285,7 @@
     ) -> Exchange {
         self.nonce = self.nonce.wrapping_add(1);
         let link = self.links.get(host).cloned().unwrap_or_default();
-        let (seq, items) = self.items_for(link.peer_life.as_ref(), link.acked_by_peer);
+        let (seq, items) = self.items_for(host, &link);
         let complete_to = self.store.complete_to();
         let behind = link.peer_life.is_some() && link.peer_complete_to < complete_to;
         // A large run of changes is only announced: of many who have it, one will be asked for it.
@@ -306,17 +309,6 @@
         }
     }
 
-    fn items_for(&self, peer: Option<&Incarnation>, cursor: u64) -> (u64, Vec<Item>) {
-        let most = self.options.items_most;
-        let news = self.items.news_for(peer, cursor).take(most + 1);
-        let mut items: Vec<(u64, Item)> = news.map(|(s, i)| (s, i.clone())).collect();
-        let cut = items.len() > most;
-        items.truncate(most);
-        let last = items.last().map_or(cursor, |(s, _)| *s);
-        let seq = if cut { last } else { self.items.seq() };
-        (seq, items.into_iter().map(|(_, i)| i).collect())
-    }
-
     /// Gets the changes after `from` if they are few enough to be told to whoever lacks them.
     fn small_run_since(&self, from: u64) -> Option<Delta> {
         let most = self.options.push_bytes;
@@ -343,7 +335,7 @@
         let loans = self.limits().grant(now, &message.asks);
         self.absorb(now, None, message);
         let link = self.links.get(&host).cloned().unwrap_or_default();
-        let (seq, items) = self.items_for(link.peer_life.as_ref(), link.acked_by_peer);
+        let (seq, items) = self.items_for(&host, &link);
         let behind = peer_complete_to < self.store.complete_to();
         Exchange {
             from: self.own.clone(),
@@ -378,6 +370,7 @@
         self.pulls.failed(to);
         if let Some(link) = self.links.get_mut(to) {
             link.waiting = false;
+            link.items.narrow();
         }
     }
 
@@ -391,7 +384,11 @@
         }
         link.heard_at = now;
         link.probed = false;
-        link.acked_by_peer = link.acked_by_peer.max(message.acked);
+        if message.acked > link.acked_by_peer {
+            let is_late = asked_at.is_some_and(|at| now - at > ANSWER_AIM);
+            link.items.acknowledged(is_late, self.options.items_most);
+            link.acked_by_peer = message.acked;
+        }
         link.peer_complete_to = link.peer_complete_to.max(message.complete_to);
         // Items that begin past what this life has would leave a gap: they count for nothing.
         if message.after <= link.acked_of_peer {
--- a/crates/tidetrack-core/src/node/pulls.rs
+++ b/crates/tidetrack-core/src/node/pulls.rs
@@ -17,7 +17,7 @@
 const LEAST_ROOM: usize = 2 * 1024;
 
 /// An answer should take no longer than this, for what is urgent may have to wait behind it.
-const ANSWER_AIM: Millis = Millis(250);
+pub(super) const ANSWER_AIM: Millis = Millis(250);
 
 /// A host that has not answered for so long, three times the aim, is held silent: another is asked.
 const PATIENCE: Millis = Millis(750);
