--- a/crates/tidetrack-router/tests/slow_store.rs
+++ b/crates/tidetrack-router/tests/slow_store.rs
@@ -10,10 +10,12 @@
 use std::time::{Duration, Instant};
 
 use tidetrack_core::config::{Kind, Model, Object, ObjectKey};
+use tidetrack_router::settings::Times;
 use tidetrack_standin::objects::Platform;
 use tidetrack_testkit::fleet::{Fleet, FleetOptions};
 use tidetrack_testkit::proxy::{Fault, Proxy};
-use tidetrack_wire::platform::{config_name, PlatformClient};
+use tidetrack_testkit::wait_for;
+use tidetrack_wire::platform::{config_name, ListedHost, ListedState, PlatformClient};
 
 /// Bytes a second of a link of 1 Mbit/s.
 const SLOW: u64 = 125_000;
@@ -61,3 +63,38 @@
     assert!(written.is_ok(), "{written:?}");
     assert!(proxy.bytes() < 2 * SEGMENT as u64, "{} bytes", proxy.bytes());
 }
+
+#[test]
+fn a_change_does_not_wait_for_the_list_of_a_large_fleet() {
+    let times = Times { hosts_ms: 1_000, ..FleetOptions::default().times };
+    let options = FleetOptions { hosts: 1, times, ..FleetOptions::default() };
+    let fleet =
+        Fleet::start(Path::new(env!("CARGO_BIN_EXE_tidetrack-router")), options).expect("a fleet");
+    // The size aimed at: 4,200 endpoints before 540 hosts.
+    let endpoint = |n: usize| ListedHost {
+        name: format!("endpoint-of-a-large-fleet-{n:04}"),
+        role: "endpoint".into(),
+        address: format!("10.0.{}.{}:8000", n / 250, n % 250),
+        state: ListedState::Live,
+    };
+    fleet.objects.set_hosts((0..4_740).map(endpoint).collect());
+    fleet.hosts[0].to_platform.set(Fault::Rate(SLOW));
+    let serving = "model@1".parse().expect("a version");
+    let small = Object::Model(Model { serving, about: String::new() }).to_json();
+
+    let took: Vec<Duration> = (0..12)
+        .map(|n| {
+            let name = config_name(&ObjectKey::new(Kind::Model, format!("small-{n}")));
+            let began = Instant::now();
+            let version = fleet.platform.write(&name, 0, &small).expect("a write").version;
+            wait_for("the change in force", || {
+                fleet.hosts[0].status().filter(|s| s.in_force >= version).map(|_| ())
+            });
+            std::thread::sleep(Duration::from_millis(400));
+            began.elapsed() - Duration::from_millis(400)
+        })
+        .collect();
+
+    println!("{took:?}");
+    assert!(took.iter().all(|took| *took < Duration::from_millis(1_000)), "{took:?}");
+}
