Read the list of hosts on a thread of its own

Cause: one thread read the list of hosts and the watch in turn, so each change of the configuration waited for a list that grows with the fleet, and a slow one was due again as soon as it had ended. Ruled out: the link itself (the watch's answer is small; before the first such read it took 10 to 108 ms). Change: `hosts_loop`; the time to the next read counts from the end of the last, and a first failure is logged.

--- a/crates/tidetrack-router/src/platform_io.rs
+++ b/crates/tidetrack-router/src/platform_io.rs
@@ -1,4 +1,7 @@
-//! The threads that talk with the object API: one that reads, one that writes roll-out states.
+//! The threads that talk with the object API: one reads the configuration, one the list of hosts, one
+//! writes roll-out states.
+//!
+//! The list of hosts grows with the fleet and can wait; a change of the configuration cannot.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -35,22 +38,44 @@
     pub state: RolloutState,
 }
 
-/// Reads the configuration and the list of hosts until `stop` is closed.
+/// Reads the list of hosts until `stop` is closed.
+///
+/// The time to the next read counts from the end of the last: a slow one is not begun again at once.
+pub fn hosts_loop(shared: Arc<Shared>, stop: Receiver<()>) {
+    let every = Duration::from_millis(shared.settings.times.hosts_ms);
+    let mut read_at: Option<Instant> = None;
+    let mut is_lost = false;
+    loop {
+        let duty = shared.gate.duty();
+        let is_due = read_at.is_none_or(|at| at.elapsed() >= every);
+        if is_due && (duty.watcher || duty.alone || read_at.is_none()) {
+            match shared.platform.hosts() {
+                Ok(hosts) => {
+                    is_lost = false;
+                    // The control thread is gone only when the process ends.
+                    let _ = shared.control.send(Msg::Hosts(hosts));
+                }
+                Err(e) if !is_lost => {
+                    is_lost = true;
+                    shared.log(Event::PlatformLost, &format!("the list of hosts: {e}"));
+                }
+                Err(_) => {}
+            }
+            read_at = Some(Instant::now());
+        }
+        if stop.recv_timeout(IDLE) == Err(RecvTimeoutError::Disconnected) {
+            return;
+        }
+    }
+}
+
+/// Reads the configuration until `stop` is closed.
 pub fn read_loop(shared: Arc<Shared>, stop: Receiver<()>) {
     let mut failures = 0;
-    let hosts_every = Duration::from_millis(shared.settings.times.hosts_ms);
-    let mut hosts_at: Option<Instant> = None;
     let mut rng = rand::rng();
     let mut read_to = 0;
     loop {
         let duty = shared.gate.duty();
-        let hosts_due = hosts_at.is_none_or(|at| at.elapsed() >= hosts_every);
-        if hosts_due && (duty.watcher || duty.alone || hosts_at.is_none()) {
-            hosts_at = Some(Instant::now());
-            if let Ok(hosts) = shared.platform.hosts() {
-                let _ = shared.control.send(Msg::Hosts(hosts));
-            }
-        }
         let wait = match read_once(&shared, duty, &mut read_to) {
             Ok(true) => {
                 if failures > 0 {
--- a/crates/tidetrack-router/src/router.rs
+++ b/crates/tidetrack-router/src/router.rs
@@ -156,6 +156,8 @@
         threads.push(spawn("control", SMALL_STACK * 4, move || control.run(control_rx))?);
         let (s, stop) = (shared.clone(), stop_rx.clone());
         spawn("platform", SMALL_STACK, move || platform_io::read_loop(s, stop))?;
+        let (s, stop) = (shared.clone(), stop_rx.clone());
+        spawn("hosts", SMALL_STACK, move || platform_io::hosts_loop(s, stop))?;
         let s = shared.clone();
         spawn("states", SMALL_STACK, move || platform_io::write_loop(s, states_rx))?;
         let (s, stop) = (shared.clone(), stop_rx);
