--- a/crates/tidetrack-bench/src/virtual_fleet/checks.rs
+++ b/crates/tidetrack-bench/src/virtual_fleet/checks.rs
@@ -7,9 +7,9 @@
 use tidetrack_core::ledger::{total_up, Bill};
 use tidetrack_core::view::Chosen;
 
+use super::platform::{new_version, workspace};
 use super::{
-    new_version, workspace, Host, World, CAP, IN_FORCE_MS, LIMIT, LOAN_MS, MOST_CHECKED, SETTLE_MS,
-    STALE_MS, TICK_MS,
+    Host, World, CAP, IN_FORCE_MS, LIMIT, LOAN_MS, MOST_CHECKED, SETTLE_MS, STALE_MS, TICK_MS,
 };
 
 impl World {
--- /dev/null
+++ b/crates/tidetrack-bench/src/virtual_fleet/host.rs
@@ -0,0 +1,94 @@
+//! A host of the world: the core's state machines and what a process keeps beside them.
+
+use std::collections::BTreeMap;
+
+use tidetrack_core::config::ObjectKey;
+use tidetrack_core::ids::{HostId, Incarnation};
+use tidetrack_core::keeper::Keeper;
+use tidetrack_core::membership::{Member, MemberState};
+use tidetrack_core::node::{Node, NodeOptions};
+use tidetrack_core::tickets::{TicketBook, TicketOptions};
+use tidetrack_core::units::Millis;
+use tidetrack_core::view::{View, ViewBuilder};
+
+use super::platform::new_version;
+
+pub(super) struct Host {
+    pub(super) name: HostId,
+    pub(super) domain: usize,
+    pub(super) offset: u64,
+    pub(super) life: u64,
+    pub(super) up: bool,
+    pub(super) paused_until: u64,
+    pub(super) cut_platform: bool,
+    pub(super) cut_peers: bool,
+    pub(super) node: Node,
+    pub(super) builder: ViewBuilder,
+    pub(super) view: View,
+    pub(super) keeper: Keeper,
+    pub(super) holders_epoch: Option<u64>,
+    pub(super) tickets: TicketBook,
+    pub(super) asked_platform_at: u64,
+    pub(super) writing_state: bool,
+    pub(super) rollout_since: (u64, u64),
+    pub(super) next_bill: u64,
+    pub(super) spent_told: u64,
+    pub(super) seen: BTreeMap<ObjectKey, u64>,
+    pub(super) born_at: u64,
+}
+
+fn member(name: &HostId, domain: usize, life: u64) -> Member {
+    Member {
+        incarnation: Incarnation { host: name.clone(), life },
+        beat: 1,
+        state: MemberState::Alive,
+        peer: name.to_string(),
+        caller: name.to_string(),
+        failure_domain: format!("d{domain}").parse().expect("a failure domain"),
+    }
+}
+
+impl Host {
+    pub(super) fn new(
+        index: usize,
+        domain: usize,
+        life: u64,
+        offset: u64,
+        now: u64,
+        all: usize,
+    ) -> Host {
+        let name: HostId = format!("h{index}").parse().expect("a host");
+        let own = member(&name, domain, life);
+        let incarnation = own.incarnation.clone();
+        let mut node = Node::new(own, NodeOptions::default(), life);
+        let seeds = (0..all).map(|i| format!("h{i}"));
+        node.set_seeds(seeds.map(|h| (h.parse().expect("a host"), h)).collect());
+        Host {
+            name,
+            domain,
+            offset,
+            life,
+            up: true,
+            paused_until: 0,
+            cut_platform: false,
+            cut_peers: false,
+            node,
+            builder: ViewBuilder::default(),
+            view: View::default(),
+            keeper: Keeper::new(Millis(now + offset), incarnation.clone(), Millis(2_000)),
+            holders_epoch: None,
+            tickets: TicketBook::new(incarnation, TicketOptions::default()),
+            asked_platform_at: 0,
+            writing_state: false,
+            rollout_since: (0, 0),
+            next_bill: 0,
+            spent_told: 0,
+            seen: BTreeMap::new(),
+            born_at: now,
+        }
+    }
+
+    pub(super) fn spent(&self) -> u64 {
+        self.builder.credits(&new_version(), 1).map_or(0, |c| c.spent())
+    }
+}
--- /dev/null
+++ b/crates/tidetrack-bench/src/virtual_fleet/platform.rs
@@ -0,0 +1,124 @@
+//! The fake object API, what it begins with, and the operator who writes to it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::RngExt;
+
+use tidetrack_core::config::{
+    Kind, Object, ObjectKey, Pool, Rollout, Stage, Version, WhenStale, Withdrawal, Workspace,
+};
+use tidetrack_core::ids::{VersionRef, WorkspaceId};
+use tidetrack_core::ledger::Segment;
+use tidetrack_core::rollout::first_state;
+use tidetrack_core::store::Entry;
+use tidetrack_core::units::Micros;
+
+use super::{Event, World, CAP, LIMIT, STALE_MS};
+
+pub(super) struct Platform {
+    pub(super) up: bool,
+    pub(super) revision: u64,
+    pub(super) objects: BTreeMap<ObjectKey, Entry>,
+    pub(super) writes: Vec<(u64, ObjectKey, u64)>,
+    pub(super) segments: BTreeMap<String, Segment>,
+}
+
+pub(super) fn old_version() -> VersionRef {
+    "m@1".parse().expect("a version")
+}
+
+pub(super) fn new_version() -> VersionRef {
+    "m@2".parse().expect("a version")
+}
+
+pub(super) fn workspace() -> WorkspaceId {
+    "w".parse().expect("a workspace")
+}
+
+pub(super) fn first_objects() -> Vec<(ObjectKey, Object)> {
+    let pool = Pool { endpoints: BTreeMap::new(), slots: 1, fenced: false };
+    let version = |_: &str| {
+        Object::Version(Version {
+            pool: "p".parse().expect("a pool"),
+            generation: 1,
+            price_in: Micros(1),
+            price_out: Micros(1),
+            context_tokens: 1,
+        })
+    };
+    let stage = |share| Stage { share, cap: CAP, judged: 1_000_000 };
+    let rollout = Rollout {
+        from: old_version(),
+        to: new_version(),
+        stages: vec![stage(0.5)],
+        when_stale: WhenStale::ProvenOnly,
+        stale_ms: STALE_MS,
+    };
+    let allow = [old_version(), new_version()].into();
+    let caller = Workspace {
+        key_digests: BTreeSet::new(),
+        allow,
+        requests_per_second: LIMIT,
+        concurrency: 1_000,
+    };
+    let model = tidetrack_core::config::Model { serving: old_version(), about: String::new() };
+    vec![
+        (ObjectKey::new(Kind::Pool, "p"), Object::Pool(pool)),
+        (ObjectKey::new(Kind::Version, "m@1"), version("m@1")),
+        (ObjectKey::new(Kind::Version, "m@2"), version("m@2")),
+        (ObjectKey::new(Kind::Model, "m"), Object::Model(model)),
+        (ObjectKey::new(Kind::Workspace, "w"), Object::Workspace(caller)),
+        (ObjectKey::new(Kind::Rollout, "r"), Object::Rollout(rollout)),
+        (ObjectKey::new(Kind::RolloutState, "r"), Object::RolloutState(first_state(1))),
+    ]
+}
+
+impl Platform {
+    pub(super) fn write(
+        &mut self,
+        now: u64,
+        key: &ObjectKey,
+        expected: u64,
+        body: Option<String>,
+    ) -> Option<u64> {
+        let present = self.objects.get(key).map_or(0, |e| e.version);
+        if present != expected {
+            return None;
+        }
+        self.revision += 1;
+        let version = self.revision;
+        let entry = Entry { key: key.clone(), version, body: body.map(Into::into) };
+        self.objects.insert(key.clone(), entry);
+        self.writes.push((now, key.clone(), version));
+        Some(version)
+    }
+}
+
+impl World {
+    /// The operator touches an object, and withdraws a version in the second half.
+    pub(super) fn operate(&mut self) {
+        if self.now > self.schedule.length_ms {
+            return;
+        }
+        let gap = self.rng.random_range(1_000..5_000);
+        self.at(self.now + gap, Event::Operator);
+        if !self.platform.up {
+            return;
+        }
+        let withdraws = self.now > self.schedule.length_ms / 2;
+        let version =
+            if self.schedule.seed.is_multiple_of(3) { old_version() } else { new_version() };
+        let (key, object) = match withdraws {
+            true => {
+                let withdrawal = Withdrawal { generation: 1, reason: String::new() };
+                (ObjectKey::new(Kind::Withdrawal, version), Object::Withdrawal(withdrawal))
+            }
+            false => first_objects().swap_remove(3),
+        };
+        let present = self.platform.objects.get(&key).map_or(0, |e| e.version);
+        if let Some(revision) = self.platform.write(self.now, &key, present, Some(object.to_json()))
+        {
+            self.in_force.insert(revision, self.now);
+        }
+    }
+}
--- a/crates/tidetrack-bench/src/virtual_fleet/requests.rs
+++ b/crates/tidetrack-bench/src/virtual_fleet/requests.rs
@@ -10,7 +10,8 @@
 use tidetrack_core::units::{Micros, Tokens};
 use tidetrack_core::view::{Chosen, Freshness};
 
-use super::{new_version, workspace, Broken, Event, World, CALL_TIMEOUT_MS, HEALED_TRAFFIC_MS};
+use super::platform::{new_version, workspace};
+use super::{Broken, Event, World, CALL_TIMEOUT_MS, HEALED_TRAFFIC_MS};
 
 impl World {
     pub(super) fn traffic(&mut self, h: usize) -> Result<(), String> {
