--- a/crates/tidetrack-core/src/node/mod.rs
+++ b/crates/tidetrack-core/src/node/mod.rs
@@ -9,82 +9,31 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use serde::{Deserialize, Serialize};
-
 use crate::events::Event;
-use crate::evidence::{CellKey, Counts, Evidence};
-use crate::facts::{Fact, Facts};
+use crate::evidence::{Counts, Evidence};
+use crate::facts::Facts;
 use crate::ids::{HostId, Incarnation, VersionRef};
 use crate::journal::Journal;
-use crate::limits::{Limits, LoanAsk};
-use crate::membership::{Member, MemberNews, MemberState, Members};
-use crate::store::{Delta, Entry, Store};
+use crate::limits::Limits;
+use crate::membership::{Member, Members};
+use crate::store::Store;
 use crate::units::Millis;
-use crate::view::{facts_of_store, View, ViewBuilder};
+use crate::view::{View, ViewBuilder};
 
 mod duties;
+mod exchange;
 mod items;
+mod knowledge;
 mod links;
 mod messages;
+mod options;
 mod pulls;
 
 use items::ItemRoom;
 use messages::ItemKey;
 pub use messages::{Exchange, Item};
-use pulls::{Pulls, ANSWER_AIM, NO_ROOM};
-
-/// Times and sizes of a node.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct NodeOptions {
-    /// A link exchanges at least this often, in milliseconds.
-    pub beat_ms: u64,
-    /// A link with news exchanges after this many milliseconds.
-    pub news_ms: u64,
-    /// Silence on a link after which others are asked to probe.
-    pub silent_ms: u64,
-    /// A suspect is held dead after this many milliseconds.
-    pub suspect_ms: u64,
-    /// A host held dead, or listed and never met, is called this often, one at a time.
-    pub seek_ms: u64,
-    /// A dead host is forgotten after this many milliseconds.
-    pub forget_ms: u64,
-    /// Hosts of each failure domain that watch the object API.
-    pub watchers: usize,
-    /// The other hosts read the object API when nothing confirmed their copy for so long.
-    pub poll_ms: u64,
-    /// Own evidence of a version under roll-out is passed on at most this often; the time is
-    /// multiplied by the number of hosts, so that what all of them send each host stays the same.
-    pub evidence_ms_a_host: u64,
-    /// Larger runs of changes are announced, and sent to those who ask.
-    pub push_bytes: usize,
-    /// Most objects in one message.
-    pub objects_most: usize,
-    /// Most bytes of objects in one message.
-    pub object_bytes: usize,
-    /// Most items in one message.
-    pub items_most: usize,
-}
-
-impl Default for NodeOptions {
-    fn default() -> Self {
-        NodeOptions {
-            beat_ms: 2_000,
-            news_ms: 25,
-            silent_ms: 5_000,
-            suspect_ms: 4_000,
-            seek_ms: 2_000,
-            forget_ms: 120_000,
-            watchers: 2,
-            poll_ms: 15_000,
-            evidence_ms_a_host: 150,
-            push_bytes: 2_048,
-            objects_most: 200,
-            object_bytes: 256 * 1024,
-            items_most: 400,
-        }
-    }
-}
+pub use options::NodeOptions;
+use pulls::Pulls;
 
 /// What a node wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -276,274 +225,6 @@
         self.log.push(Action::Log(event, text));
     }
 
-    fn message_for(
-        &mut self,
-        now: Millis,
-        host: &HostId,
-        asks: Vec<LoanAsk>,
-        room: usize,
-    ) -> Exchange {
-        self.nonce = self.nonce.wrapping_add(1);
-        let link = self.links.get(host).cloned().unwrap_or_default();
-        let (seq, items) = self.items_for(host, &link);
-        let complete_to = self.store.complete_to();
-        let behind = link.peer_life.is_some() && link.peer_complete_to < complete_to;
-        // A large run of changes is only announced: of many who have it, one will be asked for it.
-        let objects = behind.then(|| self.small_run_since(link.peer_complete_to)).flatten();
-        if let Some(link) = self.links.get_mut(host) {
-            link.told_complete_to = complete_to;
-        }
-        Exchange {
-            from: self.own.clone(),
-            nonce: self.nonce,
-            after: link.acked_by_peer,
-            seq,
-            acked: link.acked_of_peer,
-            complete_to,
-            fresh_age_ms: self.fresh_age(now).map(|a| a.0),
-            room: Some(room),
-            objects,
-            items,
-            asks,
-            loans: Vec::new(),
-        }
-    }
-
-    /// Gets the changes after `from` if they are few enough to be told to whoever lacks them.
-    fn small_run_since(&self, from: u64) -> Option<Delta> {
-        let most = self.options.push_bytes;
-        let run = self.store.since(from, self.options.objects_most, most);
-        let is_whole = run.to == self.store.complete_to();
-        (is_whole && run.body_bytes() <= most).then_some(run)
-    }
-
-    /// Gets the changes after `from` that the other side has room for; one that names none is a host
-    /// of an earlier release, which takes what it is given.
-    fn run_for(&self, from: u64, room: Option<usize>) -> Option<Delta> {
-        let bytes = match room {
-            Some(NO_ROOM) => return self.small_run_since(from),
-            Some(room) => room.min(self.options.object_bytes),
-            None => self.options.object_bytes,
-        };
-        Some(self.store.since(from, self.options.objects_most, bytes))
-    }
-
-    /// Answers another host's half of an exchange.
-    pub fn on_exchange(&mut self, now: Millis, message: Exchange) -> Exchange {
-        let host = message.from.host.clone();
-        let (nonce, peer_complete_to, room) = (message.nonce, message.complete_to, message.room);
-        let loans = self.limits().grant(now, &message.asks);
-        self.absorb(now, None, message);
-        let link = self.links.get(&host).cloned().unwrap_or_default();
-        let (seq, items) = self.items_for(&host, &link);
-        let behind = peer_complete_to < self.store.complete_to();
-        Exchange {
-            from: self.own.clone(),
-            nonce,
-            after: link.acked_by_peer,
-            seq,
-            acked: link.acked_of_peer,
-            complete_to: self.store.complete_to(),
-            fresh_age_ms: self.fresh_age(now).map(|a| a.0),
-            room: None,
-            objects: behind.then(|| self.run_for(peer_complete_to, room)).flatten(),
-            items,
-            asks: Vec::new(),
-            loans,
-        }
-    }
-
-    /// Takes the reply to an exchange that was sent at `sent_at` with `nonce`.
-    pub fn on_reply(&mut self, now: Millis, to: &HostId, sent_at: Millis, nonce: u64, r: Exchange) {
-        if let Some(link) = self.links.get_mut(to) {
-            link.waiting = false;
-        }
-        self.pulls.answered(now, to, self.options.object_bytes);
-        if r.from.host == *to && r.nonce == nonce {
-            self.limits().accept(sent_at, &r.loans);
-            self.absorb(now, Some(sent_at), r);
-        }
-    }
-
-    /// Takes note that an exchange failed.
-    pub fn on_failed(&mut self, to: &HostId) {
-        self.pulls.failed(to);
-        if let Some(link) = self.links.get_mut(to) {
-            link.waiting = false;
-            link.items.narrow();
-        }
-    }
-
-    /// Merges what the other side says. `asked_at` is there if this is a reply.
-    fn absorb(&mut self, now: Millis, asked_at: Option<Millis>, message: Exchange) {
-        let own_life = self.own.clone();
-        let link = self.links.entry(message.from.host.clone()).or_default();
-        if link.peer_life.as_ref() != Some(&message.from) {
-            *link = Link { sent_at: link.sent_at, ..Link::default() };
-            link.peer_life = Some(message.from.clone());
-        }
-        link.heard_at = now;
-        link.probed = false;
-        if message.acked > link.acked_by_peer {
-            let is_late = asked_at.is_some_and(|at| now - at > ANSWER_AIM);
-            link.items.acknowledged(is_late, self.options.items_most);
-            link.acked_by_peer = message.acked;
-        }
-        link.peer_complete_to = link.peer_complete_to.max(message.complete_to);
-        // Items that begin past what this life has would leave a gap: they count for nothing.
-        if message.after <= link.acked_of_peer {
-            link.acked_of_peer = link.acked_of_peer.max(message.seq);
-        }
-        debug_assert!(message.from != own_life);
-        let (complete_to, fresh) = (message.complete_to, message.fresh_age_ms);
-        if let Some(delta) = message.objects {
-            self.merge_objects(delta);
-        }
-        let from = message.from;
-        for item in message.items {
-            self.merge_item(now, &from, item);
-        }
-        // The other side's word holds from when it was asked, never from when it arrived.
-        if let (Some(asked_at), Some(age)) = (asked_at, fresh) {
-            if complete_to <= self.store.complete_to() {
-                self.confirm(asked_at - Millis(age));
-            }
-        }
-    }
-
-    fn confirm(&mut self, at: Millis) {
-        self.fresh_at = Some(self.fresh_at.map_or(at, |old| old.max(at)));
-    }
-
-    fn merge_objects(&mut self, delta: Delta) {
-        if self.store.merge(delta) {
-            self.configuration_changed();
-        }
-    }
-
-    /// Has the view built anew, and lets accepted withdrawals spread as facts.
-    fn configuration_changed(&mut self) {
-        self.changed = true;
-        for fact in facts_of_store(&self.store) {
-            self.learn(fact);
-        }
-    }
-
-    fn merge_item(&mut self, now: Millis, from: &Incarnation, item: Item) {
-        let news = match &item {
-            Item::Fact(fact) => {
-                self.learn_from(fact.clone(), Some(from.clone()));
-                return;
-            }
-            Item::Evidence(key, counts) => self.evidence.merge(key.clone(), counts),
-            Item::Member(member) => match self.members.merge(now, member.clone()) {
-                MemberNews::Old => false,
-                MemberNews::New => {
-                    self.say_member(member);
-                    true
-                }
-                MemberNews::Refute => {
-                    let own = Item::Member(self.members.own().clone());
-                    self.put_urgent(own, None);
-                    false
-                }
-            },
-        };
-        if news && matches!(item, Item::Evidence(..)) {
-            self.items.put_from(item.key(), item, Some(from.clone()));
-        } else if news {
-            self.put_urgent(item, Some(from.clone()));
-        }
-    }
-
-    /// Records news that should not wait for a beat.
-    fn put_urgent(&mut self, item: Item, from: Option<Incarnation>) {
-        self.items.put_from(item.key(), item, from);
-        self.urgent_seq = self.items.seq();
-    }
-
-    fn say_member(&mut self, member: &Member) {
-        let event = match member.state {
-            MemberState::Alive | MemberState::Leaving => Event::PeerAlive,
-            MemberState::Suspect => Event::PeerSuspect,
-            MemberState::Dead => Event::PeerDead,
-        };
-        self.say(event, format!("{} {:?}", member.incarnation, member.state));
-    }
-
-    /// Learns a narrowing fact; tells whether it was news.
-    pub fn learn(&mut self, fact: Fact) -> bool {
-        self.learn_from(fact, None)
-    }
-
-    fn learn_from(&mut self, fact: Fact, from: Option<Incarnation>) -> bool {
-        let news = self.facts.merge(fact.clone());
-        if news {
-            self.changed = true;
-            self.say(Event::VersionBarred, format!("{:?} {}", fact.subject, fact.generation));
-            self.put_urgent(Item::Fact(fact), from);
-        }
-        news
-    }
-
-    /// Takes a full list from the object API, asked for at `asked_at`.
-    pub fn on_list(&mut self, asked_at: Millis, revision: u64, entries: Vec<Entry>) {
-        if self.store.merge_list(revision, entries) {
-            self.configuration_changed();
-        }
-        if revision >= self.store.complete_to() {
-            self.confirm(asked_at);
-        }
-    }
-
-    /// Takes the changes that the object API gave for a question asked at `asked_at`.
-    pub fn on_changes(&mut self, asked_at: Millis, delta: Delta) {
-        let to = delta.to;
-        self.merge_objects(delta);
-        if to >= self.store.complete_to() {
-            self.confirm(asked_at);
-        }
-    }
-
-    /// Takes an object that this host wrote itself, ahead of the watch.
-    pub fn on_written(&mut self, delta: Delta) {
-        self.merge_objects(delta);
-    }
-
-    /// Counts what this host saw of a version. An unproven version's counts are passed on sooner.
-    pub fn count(&mut self, version: &VersionRef, generation: u64, unproven: bool, add: &Counts) {
-        let own = self.own_counts.entry((version.clone(), generation)).or_default();
-        own.counts.add(add);
-        own.untold = true;
-        own.unproven = unproven;
-        let counts = own.counts;
-        let seen_by = self.own.clone();
-        self.evidence.merge(CellKey { version: version.clone(), generation, seen_by }, &counts);
-    }
-
-    /// Passes on own evidence of the versions that a running roll-out is about.
-    fn publish_evidence(&mut self, now: Millis) {
-        let every = self.hosts() as u64 * self.options.evidence_ms_a_host;
-        for ((version, generation), own) in &mut self.own_counts {
-            let every = if own.unproven { every } else { every * PROVEN_FACTOR };
-            let due = own.untold && now - own.told_at >= Millis(every);
-            if due && self.watched.contains(version) {
-                own.untold = false;
-                own.told_at = now;
-                let seen_by = self.own.clone();
-                let key = CellKey { version: version.clone(), generation: *generation, seen_by };
-                let item = Item::Evidence(key, own.counts);
-                self.items.put(item.key(), item);
-            }
-        }
-    }
-
-    /// Says to all that this host is leaving, or has left.
-    pub fn announce(&mut self, state: MemberState) {
-        let own = Item::Member(self.members.set_own_state(state));
-        self.put_urgent(own, None);
-    }
-
     /// Builds the traffic threads' view.
     pub fn view(&mut self, now: Millis, builder: &mut ViewBuilder) -> View {
         let (view, unreadable) = builder.build(&self.own, &self.store, &self.facts);
@@ -572,14 +253,15 @@
     }
 }
 
-/// Evidence of the proven version is passed on so much more seldom than of the new one.
-const PROVEN_FACTOR: u64 = 3;
-
 #[cfg(test)]
 mod tests {
     use super::*;
     use crate::config::{Kind, ObjectKey};
-    use crate::facts::Subject;
+    use crate::facts::{Fact, Subject};
+    use crate::membership::MemberState;
+    use crate::store::Entry;
+
+    use super::pulls::NO_ROOM;
 
     fn node(host: &str) -> Node {
         let own = Member {
