--- a/crates/tidetrack-core/tests/keeper.rs
+++ b/crates/tidetrack-core/tests/keeper.rs
@@ -99,3 +99,59 @@
 
     assert_eq!(held, PENDING as usize);
 }
+
+/// Gives the keeper the bills of a host that is gone, and lets the write of its segment fail.
+fn fail_to_write_for(keeper: &mut Keeper, gone: &Incarnation) {
+    keeper.take_over(std::slice::from_ref(gone));
+    let actions = keeper.pump(Millis(2_000));
+    assert!(actions.iter().any(|a| matches!(a, KeeperAction::Write(_))), "{actions:?}");
+    keeper.write_done(Millis(2_000), gone, None);
+}
+
+#[test]
+fn bills_of_a_gone_host_are_passed_on_a_call_at_a_time_and_each_once() {
+    let gone: Incarnation = "g~1".parse().expect("an incarnation");
+    let mut keeper = keeper_with_pending();
+    let bills = (1..=PENDING).map(bill).collect();
+    let call = HoldCall { origin: gone.clone(), bills, written: vec![], next_segment: 1 };
+    assert!(keeper.hold_for(call));
+    fail_to_write_for(&mut keeper, &gone);
+
+    let mut passed: Vec<u64> = Vec::new();
+    for _ in 0..20 {
+        let actions = keeper.pump(Millis(2_000));
+        if actions.is_empty() {
+            break;
+        }
+        let (batch, call) = call_of(&actions);
+        assert!(call.bills.len() <= 2_000, "{} bills in a call", call.bills.len());
+        passed.extend(call.bills.iter().map(Bill::number));
+        keeper.hold_done(Millis(2_010), batch, true);
+    }
+    fail_to_write_for(&mut keeper, &gone);
+    let again = keeper.pump(Millis(2_020));
+
+    assert_eq!(passed, (1..=PENDING).collect::<Vec<_>>());
+    assert!(again.is_empty(), "{again:?}");
+}
+
+#[test]
+fn a_failed_call_to_pass_bills_on_is_made_again_for_fewer() {
+    let gone: Incarnation = "g~1".parse().expect("an incarnation");
+    let mut keeper = keeper_with_pending();
+    let bills = (1..=PENDING).map(bill).collect();
+    let call = HoldCall { origin: gone.clone(), bills, written: vec![], next_segment: 1 };
+    assert!(keeper.hold_for(call));
+    fail_to_write_for(&mut keeper, &gone);
+    let actions = keeper.pump(Millis(2_000));
+    let (batch, call) = call_of(&actions);
+    let first = call.bills.len();
+
+    keeper.hold_done(Millis(3_500), batch, false);
+    fail_to_write_for(&mut keeper, &gone);
+    let actions = keeper.pump(Millis(3_500));
+
+    let (_, call) = call_of(&actions);
+    assert_eq!(call.bills[0].number(), 1);
+    assert!(call.bills.len() * 2 <= first, "{first} bills, then {}", call.bills.len());
+}
--- a/crates/tidetrack-router/tests/slow_store.rs
+++ b/crates/tidetrack-router/tests/slow_store.rs
@@ -11,7 +11,7 @@
 
 use tidetrack_core::config::{Kind, Model, Object, ObjectKey};
 use tidetrack_router::settings::Times;
-use tidetrack_standin::objects::Platform;
+use tidetrack_standin::objects::{Platform, PlatformFaults};
 use tidetrack_testkit::fleet::{Fleet, FleetOptions};
 use tidetrack_testkit::proxy::{Fault, Proxy};
 use tidetrack_testkit::wait_for;
@@ -64,6 +64,21 @@
     assert!(proxy.bytes() < 2 * SEGMENT as u64, "{} bytes", proxy.bytes());
 }
 
+#[test]
+fn a_write_whose_reply_is_lost_is_settled_over_a_slow_link() {
+    let store = Platform::default();
+    let running = store.serve("127.0.0.1:0").expect("a store");
+    let proxy = Proxy::before(&running.address()).expect("a proxy");
+    proxy.set(Fault::Rate(SLOW));
+    store.set_faults(PlatformFaults { lose_replies: 1, ..PlatformFaults::default() });
+    let client = PlatformClient::new(&proxy.address());
+
+    let written = client.write_settled("ledger/a~1/1", 0, &"x".repeat(SEGMENT));
+
+    println!("{written:?}, {} bytes", proxy.bytes());
+    assert!(written.is_ok(), "{written:?}");
+}
+
 #[test]
 fn a_change_does_not_wait_for_the_list_of_a_large_fleet() {
     let times = Times { hosts_ms: 1_000, ..FleetOptions::default().times };
