Pass a gone host's bills on a call at a time

Cause: all that is held for a gone host, up to 50,000 bills, went on in one call over the connection that own bills use, and again in the same size after a failure; past 4 MiB a call is refused for good. Ruled out: a second such call beside the first (there was one a host; the next one came with a failed write). Change: a call carries as many bills as one for own bills does, the next follows its end, and both learn from how the last went; a failed one is made again from the start with the next failed write.

--- a/crates/tidetrack-core/src/keeper.rs
+++ b/crates/tidetrack-core/src/keeper.rs
@@ -39,9 +39,6 @@
 /// Written bills that are worth a call of their own to the holder.
 const WRITTEN_WORTH: usize = 200;
 
-/// Number of a call whose end matters to no request.
-const NO_BATCH: u64 = 0;
-
 /// Bills to hold, and numbers of those that need not be held any more.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HoldCall {
@@ -96,6 +93,18 @@
     written: Vec<u64>,
 }
 
+/// How far the bills of a gone origin were passed on.
+#[derive(Debug, Default)]
+struct Passing {
+    holder: String,
+    /// Bills held for the origin when it began; once they are others, it begins anew.
+    held: usize,
+    /// Bills below this number were taken.
+    next: u64,
+    /// The call under way: its number, when it began, and its last bill.
+    call: Option<(u64, Millis, u64)>,
+}
+
 /// The keeper of one host's bills and of the copies it holds for others.
 #[derive(Debug)]
 pub struct Keeper {
@@ -119,8 +128,8 @@
     written: Vec<u64>,
     /// Origins with a segment being written.
     writing: BTreeSet<Incarnation>,
-    /// Bills of gone origins that were passed on, and to whom.
-    passed_on: BTreeMap<Incarnation, (String, usize)>,
+    /// Bills of gone origins that were passed on.
+    passed_on: BTreeMap<Incarnation, Passing>,
     flushing: bool,
     flush_every: Millis,
     flushed_at: Millis,
@@ -287,16 +296,13 @@
 
     /// Takes the end of a call to the holder.
     pub fn hold_done(&mut self, now: Millis, batch: u64, held: bool) {
-        if batch == NO_BATCH && !held {
-            // Passed on again at the next failed write.
-            self.passed_on.clear();
+        let is_of = |p: &Passing| p.call.is_some_and(|(number, ..)| number == batch);
+        let origin = self.passed_on.iter().find(|(_, p)| is_of(p)).map(|(o, _)| o.clone());
+        if let Some(origin) = origin {
+            return self.pass_done(now, &origin, held);
         }
         let Some(call) = self.holding.take_if(|h| h.batch == batch) else { return };
-        let in_time = held && now - call.began <= HOLD_AIM;
-        self.hold_most = match in_time {
-            true => (self.hold_most * 2).min(HOLD_MOST),
-            false => (self.hold_most / 2).max(HOLD_LEAST),
-        };
+        self.resize(held && now - call.began <= HOLD_AIM);
         if !held {
             self.written.extend(call.written);
             self.failures += 1;
@@ -317,6 +323,14 @@
         }
     }
 
+    /// Sets the size of the next call by how the last one went.
+    fn resize(&mut self, in_time: bool) {
+        self.hold_most = match in_time {
+            true => (self.hold_most * 2).min(HOLD_MOST),
+            false => (self.hold_most / 2).max(HOLD_LEAST),
+        };
+    }
+
     fn tell_safe(&mut self, number: u64) {
         if self.waiting.remove(&number) {
             self.out.push(KeeperAction::Safe(number));
@@ -344,7 +358,7 @@
                     pending.stands(&segment);
                     self.write(origin);
                 }
-                _ => self.pass_on(origin),
+                _ => self.pass_on(now, origin),
             }
             return self.held.sweep();
         }
@@ -361,20 +375,37 @@
         }
     }
 
-    /// Has the own holder hold a gone origin's bills too, while they cannot be written.
-    fn pass_on(&mut self, origin: &Incarnation) {
+    /// Has the own holder hold a gone origin's bills too, while they cannot be written, a call at a time.
+    fn pass_on(&mut self, now: Millis, origin: &Incarnation) {
         let Some(holder) = self.holders.front().map(|h| h.address.clone()) else { return };
         let Some(pending) = self.held.pending(origin) else { return };
-        let state = (holder.clone(), pending.len());
-        let call = HoldCall {
-            origin: origin.clone(),
-            bills: pending.from(0).cloned().collect(),
-            written: Vec::new(),
-            next_segment: pending.next_segment(),
-        };
-        if self.passed_on.get(origin) != Some(&state) {
-            self.passed_on.insert(origin.clone(), state);
-            self.out.push(KeeperAction::Hold { holder, batch: NO_BATCH, call });
+        let held = pending.len();
+        let passing = self.passed_on.entry(origin.clone()).or_default();
+        if passing.call.is_some() {
+            return;
+        }
+        if passing.holder != holder || passing.held != held {
+            *passing = Passing { holder: holder.clone(), held, ..Passing::default() };
+        }
+        let bills: Vec<Bill> = pending.from(passing.next).take(self.hold_most).cloned().collect();
+        let Some(last) = bills.last().map(Bill::number) else { return };
+        self.batches += 1;
+        passing.call = Some((self.batches, now, last));
+        let (origin, next_segment) = (origin.clone(), pending.next_segment());
+        let call = HoldCall { origin, bills, written: Vec::new(), next_segment };
+        self.out.push(KeeperAction::Hold { holder, batch: self.batches, call });
+    }
+
+    /// Takes the end of a call that passed bills on.
+    fn pass_done(&mut self, now: Millis, origin: &Incarnation, held: bool) {
+        let Some(passing) = self.passed_on.get_mut(origin) else { return };
+        let Some((_, began, last)) = passing.call.take() else { return };
+        passing.next = last + 1;
+        self.resize(held && now - began <= HOLD_AIM);
+        match held {
+            true => self.pass_on(now, origin),
+            // Passed on again at the next failed write.
+            false => drop(self.passed_on.remove(origin)),
         }
     }
 
