Read back what stands within a time by its size

Cause: a write whose reply was lost is settled by reading the object back, within a fixed 2 s however large. Ruled out: the repeated write itself (it met the conflict that it should). Change: the read gets the time that a body of the same size gets; other reads of one object get more time after one that was cut while it came, as lists do.

--- a/crates/tidetrack-wire/src/platform.rs
+++ b/crates/tidetrack-wire/src/platform.rs
@@ -30,8 +30,8 @@
 /// Seconds that one call to the platform may take, besides what its size takes.
 const CALL_SECONDS: u64 = 2;
 
-/// A write gets a second more for so many bytes: half of what a link of 1 Mbit/s carries.
-const WRITE_BYTES_A_SECOND: u64 = 64 * 1024;
+/// A body gets a second more for so many bytes: half of what a link of 1 Mbit/s carries.
+const BODY_BYTES_A_SECOND: u64 = 64 * 1024;
 
 /// Most seconds more for a read: 7.5 MB over a link of 1 Mbit/s, past any list of the size aimed at.
 const MOST_MORE_SECONDS: u64 = 60;
@@ -104,6 +104,7 @@
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
     base: String,
+    fetch: Patience,
     list: Patience,
     watch: Patience,
     hosts: Patience,
@@ -154,6 +155,11 @@
     }
 }
 
+/// Gets the seconds that a call with a body of this size may take.
+fn seconds_for(body: &str) -> u64 {
+    CALL_SECONDS + body.len() as u64 / BODY_BYTES_A_SECOND
+}
+
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
     serde_json::from_slice(body)
         .map_err(|e| Error::new(Code::PlatformDown, e.to_string()).with_ran(Ran::Unknown))
@@ -164,6 +170,7 @@
     pub fn new(address: &str) -> PlatformClient {
         PlatformClient {
             base: format!("http://{address}/v1"),
+            fetch: Patience::default(),
             list: Patience::default(),
             watch: Patience::default(),
             hosts: Patience::default(),
@@ -178,7 +185,11 @@
 
     /// Gets one object.
     pub fn fetch(&self, name: &str) -> Result<StoredObject> {
-        self.read(minreq::get(format!("{}/objects/{name}", self.base)), CALL_SECONDS)
+        self.fetch_within(name, CALL_SECONDS)
+    }
+
+    fn fetch_within(&self, name: &str, seconds: u64) -> Result<StoredObject> {
+        self.fetch.read(minreq::get(format!("{}/objects/{name}", self.base)), seconds)
     }
 
     /// Lists the objects whose names begin with `prefix`.
@@ -199,7 +210,7 @@
         let req = minreq::put(format!("{}/objects/{name}", self.base))
             .with_header(headers::IF_VERSION, if_version.to_string())
             .with_body(body);
-        self.read(req, CALL_SECONDS + body.len() as u64 / WRITE_BYTES_A_SECOND)
+        self.read(req, seconds_for(body))
     }
 
     /// Writes like `write` and settles a lost reply by reading back.
@@ -215,7 +226,8 @@
                     last = Some(e);
                 }
                 Err(e) if e.code == Code::Conflict && unsettled => {
-                    let found = self.fetch(name)?;
+                    // If it is ours it is as large.
+                    let found = self.fetch_within(name, seconds_for(body))?;
                     let ours = found.body.as_deref() == Some(body);
                     return if ours { Ok(Written { version: found.version }) } else { Err(e) };
                 }
