A large reply that comes slowly lets another one in beside it

Its giver's way may be crowded while the receiver's is free.

Change: a reply under 400 KB/s after 0.5 s lets one more in beside it, does not count as coming in, and is dropped once another has brought the change. One try of a kind waits for its turn, not each that hosts' words begin (18 were seen). Bytes given to a host that stands still are given up after 2 s (TCP_USER_TIMEOUT), so that it does not keep others from what a host gives. A list of the configuration that is older than what is known is not read again at once.

--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -1,12 +1,13 @@
 //! One HTTP call on a kept connection: to the store, or to another host.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use tokio::sync::Mutex;
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::Instant;
 
 use tidetrack_core::codes::{Code, Ran};
@@ -24,6 +25,16 @@
 /// is heard is made again.
 const WORD_EVERY: Duration = Duration::from_millis(200);
 
+/// Rate below which a large reply is slow, in bytes a second: a third of a link of 10 Mbit/s. A
+/// configuration of 1 MB is then 2.5 s on its way, and a fleet's bound on it is 3 s.
+const LEAST_RATE: f64 = 400_000.0;
+
+/// Time in which a reply may gather pace.
+const SLOW_AFTER: Duration = Duration::from_millis(500);
+
+/// Slow replies beside which another one is let in, at a time.
+const MOST_SLOW: usize = 1;
+
 /// Makes the error of a call that led to no usable reply.
 pub fn down(text: impl Into<String>) -> Error {
     Error::new(Code::PlatformDown, text).with_ran(Ran::Unknown)
@@ -39,28 +50,75 @@
 pub struct Patience {
     /// Until the head of the reply.
     pub head: Duration,
-    /// Until each next part of its body. A large reply that comes slowly, because many ask at once, is
-    /// waited for: asking anew would only add to the crowd.
+    /// Until each next part of its body.
     pub part: Duration,
 }
 
 /// Lets large replies about one matter in one at a time. Two copies of the same bytes share the way:
 /// each takes twice as long, and what is small and urgent waits behind both. On a link of 10 Mbit/s six
 /// copies of a configuration of 1 MB held the news of endpoints up for four seconds.
-#[derive(Default)]
+///
+/// A reply that comes too slowly lets another one in beside it: it is often its giver's way that is
+/// crowded, and elsewhere the same bytes may be had at once.
 pub struct OneAtATime {
-    turn: Mutex<()>,
+    turns: Semaphore,
+    /// Replies that have let another one in.
+    slow: Cell<usize>,
+}
+
+impl Default for OneAtATime {
+    fn default() -> OneAtATime {
+        OneAtATime { turns: Semaphore::new(1), slow: Cell::new(0) }
+    }
 }
 
 impl OneAtATime {
-    /// Tells whether a large reply is coming in.
+    /// Tells whether a large reply is coming in, and another one would not be let in.
     pub fn is_taken(&self) -> bool {
-        self.turn.try_lock().is_err()
+        self.turns.available_permits() == 0
     }
 
-    /// Waits until no large reply is coming in.
+    /// Waits until a large reply would be let in.
     pub async fn is_free(&self) {
-        drop(self.turn.lock().await);
+        // The semaphore is never closed.
+        drop(self.turns.acquire().await);
+    }
+
+    async fn turn(&self) -> Turn<'_> {
+        let permit = self.turns.acquire().await.ok();
+        Turn { turns: self, permit, began: Instant::now(), is_slow: false }
+    }
+}
+
+/// The turn of one large reply.
+struct Turn<'a> {
+    turns: &'a OneAtATime,
+    permit: Option<SemaphorePermit<'a>>,
+    began: Instant,
+    is_slow: bool,
+}
+
+impl Turn<'_> {
+    /// Takes note that so many bytes have come in this turn; tells whether they come fast enough.
+    fn has_come(&mut self, bytes: usize) -> bool {
+        let took = self.began.elapsed();
+        let is_slow = took >= SLOW_AFTER && (bytes as f64) < LEAST_RATE * took.as_secs_f64();
+        if is_slow && !self.is_slow && self.turns.slow.get() < MOST_SLOW {
+            self.is_slow = true;
+            self.turns.slow.set(self.turns.slow.get() + 1);
+            self.turns.turns.add_permits(1);
+        }
+        !is_slow
+    }
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        if let Some(permit) = self.permit.take().filter(|_| self.is_slow) {
+            // The turn was given to another reply already.
+            self.turns.slow.set(self.turns.slow.get() - 1);
+            permit.forget();
+        }
     }
 }
 
@@ -117,17 +175,23 @@
     let least = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let mut body = std::pin::pin!(Limited::new(body, MOST_REPLY));
     let mut all = BytesMut::new();
-    let mut turn = None;
+    let mut turn: Option<Turn<'_>> = None;
+    let mut before = 0;
     let mut told_at = Instant::now();
     loop {
         if let Some(gate) = gate.filter(|_| turn.is_none() && all.len().max(least) >= LARGE_REPLY) {
-            turn = Some(gate.turns.turn.lock().await);
+            turn = Some(gate.turns.turn().await);
+            before = all.len();
             if (gate.is_needless)() {
                 // Dropped, its connection is closed, and nothing more of it comes.
                 return Err(needless());
             }
         }
-        if let Some(gate) = gate.filter(|_| told_at.elapsed() >= WORD_EVERY) {
+        let is_fast = turn.as_mut().is_none_or(|turn| turn.has_come(all.len() - before));
+        if gate.is_some_and(|gate| !is_fast && (gate.is_needless)()) {
+            return Err(needless());
+        }
+        if let Some(gate) = gate.filter(|_| is_fast && told_at.elapsed() >= WORD_EVERY) {
             told_at = Instant::now();
             (gate.is_coming)();
         }
--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -32,6 +32,10 @@
 /// Pause before accepting again after a connection could not be accepted.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
+/// Longest time that a page's bytes wait unacknowledged: whoever asked stands still or is cut off, and
+/// keeps others from what a host gives at a time.
+const PAGE_TAKEN_WITHIN: Duration = Duration::from_millis(2_000);
+
 /// Smallest buffer that the HTTP library takes for a head.
 const LEAST_HEAD_BUFFER: usize = 8_192;
 
@@ -309,6 +313,11 @@
             }
         };
         let page = page.clone();
+        let socket = socket2::SockRef::from(&stream);
+        if let Err(e) = socket.set_tcp_user_timeout(Some(PAGE_TAKEN_WITHIN)) {
+            shared.journal.line(Event::AcceptFailed, &[("why", &e)]);
+            continue;
+        }
         tokio::task::spawn_local(async move {
             let service = service_fn(|req| {
                 let resp = page(&req);
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -76,6 +76,8 @@
     newest: RefCell<Revisions>,
     /// By kind, where large replies wait for each other.
     large: [OneAtATime; 3],
+    /// By kind, whether a try waits until no large reply is coming in.
+    is_waiting: RefCell<[bool; 3]>,
     /// Counts the returns of the store, for the other kinds to start again.
     returns: watch::Sender<u64>,
     duties: watch::Receiver<Duties>,
@@ -99,6 +101,7 @@
             logs: RefCell::new(Kind::ALL.map(FeedLog::of)),
             newest: RefCell::default(),
             large: Default::default(),
+            is_waiting: RefCell::default(),
             returns,
             duties,
             is_lost: RefCell::default(),
@@ -143,8 +146,12 @@
     /// Gets changes that another host told of.
     pub async fn catch(self: Rc<Self>, catch: Catch) {
         let (kind, after) = (catch.kind, catch.after);
-        // What is coming in already may bring it.
+        // What is coming in already may bring it, to one that waits as to several.
+        if std::mem::replace(&mut self.is_waiting.borrow_mut()[kind as usize], true) {
+            return;
+        }
         self.large[kind as usize].is_free().await;
+        self.is_waiting.borrow_mut()[kind as usize] = false;
         let result = match catch.source {
             _ if self.newest(kind) > after => Err(needless()),
             Source::Host(address) => self.ask_host(kind, after, address).await,
@@ -412,7 +419,8 @@
             if kind == Kind::Catalog {
                 self.catalog_read(listed.began);
             }
-            if is_taken {
+            // A list that is older than what is known has nothing new; of one object nothing is missing.
+            if is_taken || kind.is_one_object() {
                 break;
             }
         }
