Judge a small run of changes by its bodies alone, as before

The mend that asks one host at a time counted 64 bytes an object as well, so a run of many tiny objects within 2 KiB was announced where it had been told to everyone.

--- a/crates/tidetrack-core/src/node/exchange.rs
+++ b/crates/tidetrack-core/src/node/exchange.rs
@@ -45,10 +45,9 @@
 
     /// Gets the changes after `from` if they are few enough to be told to whoever lacks them.
     fn small_run_since(&self, from: u64) -> Option<Delta> {
-        let most = self.options.push_bytes;
-        let run = self.store.since(from, self.options.objects_most, most);
+        let run = self.run_for(from, None)?;
         let is_whole = run.to == self.store.complete_to();
-        (is_whole && run.body_bytes() <= most).then_some(run)
+        (is_whole && run.body_bytes() <= self.options.push_bytes).then_some(run)
     }
 
     /// Gets the changes after `from` that the other side has room for; one that names none is a host
