A proof of the configuration holds only once that one is in force

The proof was noted as soon as the reply was read, while the versions were put in force one after the other for 11 ms; a request in that time was judged by an older one and denied (401) though its key had been given since. A key taken away meanwhile would have run past the bound on revocation. Ruled out: the stand-in store, which was busy too long after its silence and is another matter.

Change: the read's proof goes the same way as the configuration, to the control thread, and is noted after the view is shown; of several versions in one reply only the last is told.

Test: a_proof_holds_only_once_the_configuration_it_proves_is_shown (new input, so with the mend).

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -78,6 +78,9 @@
         /// The newest change; `None` if the changes were not told one by one.
         changed: Option<u64>,
     },
+    /// The configuration was read; the read began at this time. It is told after the configuration, so
+    /// that the proof holds only once traffic decides on that one.
+    Proved(Millis),
     /// A large reply with changes of a kind is coming in.
     Coming(Kind),
     /// Changes could not be got.
@@ -101,7 +104,7 @@
     Publish(Arc<FleetView>),
     /// A roll-out's progress is to be written.
     Write(ProgressWrite),
-    /// Another host's proof of the configuration holds for this host too; it began at this time.
+    /// The configuration that traffic decides on was the newest at this time.
     Proved(Millis),
     /// Changes of the store are to be got.
     Catch(Catch),
@@ -285,6 +288,10 @@
                 }
                 Bearing::None
             }
+            Input::Proved(began) => {
+                actions.push(Action::Proved(began));
+                Bearing::None
+            }
             Input::Coming(kind) => {
                 self.feeds.coming(now, kind);
                 Bearing::None
--- a/crates/tidetrack-core/tests/feeds.rs
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -1,10 +1,17 @@
 //! Where a host gets changes that it lacks, and when it asks again.
 
+mod support;
+
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use tidetrack_core::traffic::control::{Action, Input};
 use tidetrack_core::traffic::feeds::{Catch, Feeds, Giving, Kind, Revisions, Source};
+use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::units::{Bandwidth, Millis};
 
+use support::{catalog, with_endpoints};
+
 /// Time between messages of other hosts that tell of the change.
 const STEP: u64 = 50;
 
@@ -102,3 +109,19 @@
 
     assert_eq!(begun, 60);
 }
+
+/// A host that had lost the store read a configuration in which a key had been given, and for 10 ms denied
+/// requests with it by the one before: its proof was young already, and the configuration not yet shown.
+#[test]
+fn a_proof_holds_only_once_the_configuration_it_proves_is_shown() {
+    let fresh = Freshness::default();
+    let mut beliefs = with_endpoints(1, &fresh);
+
+    let mut actions = beliefs.take(Millis(10), Input::Catalog(Arc::new(catalog(4))), &fresh);
+    actions.extend(beliefs.take(Millis(10), Input::Proved(Millis(5)), &fresh));
+
+    let is_shown = |a: &Action| matches!(a, Action::Publish(view) if view.catalog.as_ref().is_some_and(|c| c.version == 4));
+    let shown = actions.iter().position(is_shown).expect("a view with the configuration");
+    let proved = actions.iter().position(|a| matches!(a, Action::Proved(Millis(5))));
+    assert!(proved.is_some_and(|proved| proved > shown), "{actions:?}");
+}
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -247,7 +247,11 @@
             return;
         }
         self.newest.borrow_mut().raise(kind, newest);
-        for change in changes.changes {
+        // Of several states of one object the last one counts; the others must not be in force, not even
+        // for a moment.
+        let last = changes.changes.len().saturating_sub(1);
+        let skipped = if kind.is_one_object() { last } else { 0 };
+        for change in changes.changes.into_iter().skip(skipped) {
             match change {
                 Change::Put(Stored::Catalog(c)) => self.shared.tell(Input::Catalog(Arc::new(c))),
                 Change::Put(Stored::Endpoint(r)) => self.shared.tell(Input::Endpoint(r)),
@@ -464,7 +468,9 @@
 
     /// Takes note of a read of the configuration.
     fn catalog_read(&self, began: Millis) {
-        self.shared.fresh.proved(began);
+        // Not taken note of here: what was read may wait to be put in force, and a proof that holds
+        // before that would be one of the configuration before.
+        self.shared.tell(Input::Proved(began));
         self.back(Kind::Catalog);
     }
 
