A silent stream is kept until another endpoint has begun to go on

Cause: silence was handled as a break. The host looked for another endpoint, and when none could be had (connection refused or late, no endpoint, no budget, a refusal, an answer that is no success, silence there too) it cut the caller, though the stream's own endpoint was at work. While it looked it did not read its endpoint either. Before the first event, and before the head (impatience), an attempt was dropped before it was known that another could be made.

Ruled out: endpoints' breaks. The scripted endpoints of the tests go on after the pause and see that they were left.

Change: - relay: the silent endpoint is read on while another one is asked. What it says comes first; the other is dropped then. Once the other's head is here the silent one is dropped at once, so that not both work on the answer. The same before the first event. - relay: events without ids: the stream is waited for, as it can't go on elsewhere. One failed send ends the search only when no attempt is left. - send: an attempt without a head is given up only after another endpoint was found and the further send taken from the budget. - patience: time in which the process stood still is not the endpoint's silence.

Not changed: an answer that is dropped for a larger model's is dropped when the second send is allowed, not when it has begun; keeping it would keep its model at work for each of them.

--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -33,16 +33,15 @@
 /// after its end.
 const RUN_TIME: Millis = Millis(8_000);
 
-/// Checks, right before a send, that the request may still be passed on; `is_paid` tells that the
-/// send was taken from the budget before.
+/// Checks, right before a send, that the request may still be passed on.
 ///
 /// The proof of the configuration is asked for before the first send only: a key that was held when
 /// the request came is held for all of its attempts, and a stream that breaks while the store is away
 /// may go on.
-pub fn check_before_send(traffic: &Traffic, job: &Job, tries: &Tries, is_paid: bool) -> Result<()> {
+pub fn check_before_send(traffic: &Traffic, job: &Job, tries: &Tries) -> Result<()> {
     let shared = &traffic.shared;
     let now = shared.now();
-    if is_paid {
+    if tries.is_paid {
         return Ok(());
     }
     let bound = shared.settings.bounds.revoke_within;
@@ -83,10 +82,7 @@
     let sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
     let prompt = Prompt::new(traffic, job, service, model);
     let mut last = full("no endpoint can be used");
-    // Where all endpoints were tried, all but the last are tried again.
-    let tried = tries.tried.as_slice();
-    let last_tried = &tried[tried.len().saturating_sub(1)..];
-    for (side, avoided) in sides.flat_map(|side| [(side, tried), (side, last_tried)]) {
+    for (side, avoided) in sides.flat_map(|side| tries.avoided().map(|avoided| (side, avoided))) {
         match pick(traffic, job, avoided, service, side, &prompt) {
             Ok(chosen) => {
                 if let Some(part) = prompt.part {
@@ -104,6 +100,32 @@
     Err(last)
 }
 
+/// Takes a further send in place of an attempt that is still waited for; tells whether there is an
+/// endpoint for it and the budget allows it.
+pub fn take_next_send(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &mut Tries,
+    model: Option<&ModelId>,
+) -> bool {
+    tries.is_paid =
+        has_another(traffic, job, tries, model) && check_before_send(traffic, job, tries).is_ok();
+    tries.is_paid
+}
+
+/// Tells whether an endpoint can be chosen for one more attempt. Nothing is counted for it.
+fn has_another(traffic: &Traffic, job: &Job, tries: &Tries, model: Option<&ModelId>) -> bool {
+    let view = traffic.shared.view.load();
+    let Some(service) = view.services.get(&job.service) else { return false };
+    let prompt = Prompt::new(traffic, job, service, model);
+    let sides = [Side::Proven, Side::New].into_iter();
+    let mut sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
+    sides.any(|side| {
+        let mut avoided = tries.avoided().into_iter();
+        avoided.any(|avoided| pick(traffic, job, avoided, service, side, &prompt).is_ok())
+    })
+}
+
 /// Makes the refusal for want of an endpoint with room.
 pub fn full(text: &str) -> Error {
     Error::new(Code::Overloaded, text).with_retry_after(RETRY_FULL_MS)
@@ -232,7 +254,7 @@
         return Err(Error::new(Code::EndpointFailed, "no attempt is left"));
     }
     let chosen = choose(traffic, job, tries, model)?;
-    check_before_send(traffic, job, tries, false)?;
+    check_before_send(traffic, job, tries)?;
     let share = WorkShare::new(&chosen, job, weight_of(traffic, job, model));
     Ok((chosen, share))
 }
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -195,37 +195,31 @@
     let route = &job.admitted.route;
     let mut tries = Tries::default();
     let mut model = cascade::first_model(route).cloned();
-    // A second opinion is paid for before the answer at hand is dropped.
-    let mut is_paid = false;
     let mut fallback: Option<Response<AnswerBody>> = None;
     loop {
-        let sent = match try_once(traffic, job, &mut tries, model.as_ref(), is_paid).await {
+        let sent = match try_once(traffic, job, &mut tries, model.as_ref()).await {
             Ok(sent) => sent,
             Err(Stop::Final(e)) => return fallback.ok_or(e),
-            Err(Stop::Again) => {
-                is_paid = false;
-                continue;
-            }
+            Err(Stop::Again) => continue,
         };
-        is_paid = false;
         let Sent { answered, chosen, share, began } = sent;
         let status = answered.head.status;
         if status.is_success() {
             if let Some(larger) =
                 larger_model(traffic, job, &tries, model.as_ref(), &chosen, &answered)
             {
-                is_paid = true;
+                // The second run was taken from the budget before the answer at hand is dropped.
+                tries.is_paid = true;
                 tries.note_ran(Ran::Yes);
                 chosen.live.note(traffic.shared.now(), true);
                 model = Some(larger);
                 // Dropping the answer closes its connection, and the endpoint stops.
                 continue;
             }
-            let sent = Sent { answered, chosen: chosen.clone(), share, began };
-            match pass_on(traffic, job, &tries, model.as_ref(), sent).await {
+            let sent = Sent { answered, chosen, share, began };
+            match pass_on(traffic, job, &mut tries, model.as_ref(), sent).await {
                 Ok(resp) => return Ok(resp),
                 Err(e) => {
-                    failed_attempt(traffic, job, &chosen, model.as_ref(), &e, began.elapsed());
                     tries.note_ran(Ran::Yes);
                     if !may_go_on(job, &tries) {
                         return Err(gave_up(job, &tries, e));
@@ -269,13 +263,12 @@
     job: &Job,
     tries: &mut Tries,
     model: Option<&ModelId>,
-    is_paid: bool,
 ) -> std::result::Result<Sent, Stop> {
     let chosen = match choose(traffic, job, tries, model) {
         Ok(chosen) => chosen,
         Err(e) => return Err(Stop::Final(gave_up(job, tries, e))),
     };
-    if let Err(e) = check_before_send(traffic, job, tries, is_paid) {
+    if let Err(e) = check_before_send(traffic, job, tries) {
         return Err(Stop::Final(gave_up(job, tries, e)));
     }
     let mut share = WorkShare::new(&chosen, job, weight_of(traffic, job, model));
@@ -294,9 +287,6 @@
         Err(e) => {
             failed_attempt(traffic, job, &chosen, model, &e, began.elapsed());
             tries.note_ran(e.ran);
-            if e.code == Code::EndpointUnreachable {
-                reached_nobody(traffic, job, tries);
-            }
             match may_go_on(job, tries) {
                 true => Err(Stop::Again),
                 false => Err(Stop::Final(gave_up(job, tries, e))),
@@ -305,20 +295,6 @@
     }
 }
 
-/// Takes an attempt back that reached no endpoint: it counts neither as one of the request's nor in
-/// the budget. Each request has as many of these for nothing as it has attempts.
-fn reached_nobody(traffic: &Traffic, job: &Job, tries: &mut Tries) {
-    if tries.unreached >= job.admitted.route.most_attempts {
-        return;
-    }
-    tries.unreached += 1;
-    tries.sent -= 1;
-    if tries.sent > 0 {
-        let now = traffic.shared.now();
-        traffic.with_budget(&job.service, |b| b.give_back(now));
-    }
-}
-
 /// Tells whether another attempt may follow a failed one.
 fn may_go_on(job: &Job, tries: &Tries) -> bool {
     let route = &job.admitted.route;
@@ -346,11 +322,12 @@
     }
 }
 
-/// Passes a successful answer on, as a whole or as a stream.
+/// Passes a successful answer on, as a whole or as a stream. Whichever endpoint fails here has that
+/// counted.
 async fn pass_on(
     traffic: &Rc<Traffic>,
     job: &Rc<Job>,
-    tries: &Tries,
+    tries: &mut Tries,
     model: Option<&ModelId>,
     sent: Sent,
 ) -> Result<Response<AnswerBody>> {
@@ -358,9 +335,15 @@
     if job.admitted.route.work.is_stream() {
         let model = model.cloned();
         let stream = relay::Stream::new(traffic, job, model, answered, chosen, share, began);
-        return stream.begin(tries.clone()).await;
+        return stream.begin(tries).await;
     }
-    let resp = whole_answer(traffic, job, answered, &chosen, model).await?;
+    let resp = match whole_answer(traffic, job, answered, &chosen, model).await {
+        Ok(resp) => resp,
+        Err(e) => {
+            failed_attempt(traffic, job, &chosen, model, &e, began.elapsed());
+            return Err(e);
+        }
+    };
     chosen.live.note(traffic.shared.now(), true);
     observe(traffic, job, &chosen, model, false, Some(began.elapsed()), None);
     drop(share);
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -266,9 +266,19 @@
     pub unreached: u32,
     /// Whether the request has run, as far as is known.
     pub ran: Option<Ran>,
+    /// Whether the next send was taken from the budget already: what is at hand is given up only once
+    /// the next send is sure to be allowed.
+    pub is_paid: bool,
 }
 
 impl Tries {
+    /// Gets which endpoints the next attempt avoids, in the order of preference: where all were tried,
+    /// all but the last are tried again.
+    pub fn avoided(&self) -> [&[EndpointId]; 2] {
+        let tried = self.tried.as_slice();
+        [tried, &tried[tried.len().saturating_sub(1)..]]
+    }
+
     /// Takes note of whether an attempt ran.
     pub fn note_ran(&mut self, ran: Ran) {
         let worst = match (self.ran, ran) {
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod job;
 pub mod journal;
 pub mod metrics;
+pub mod patience;
 pub mod peers;
 pub mod pool;
 pub mod relay;
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -4,6 +4,9 @@
 //! stream that breaks before it is an attempt like any other. After that the answer keeps its head;
 //! a break is mended by a run at another endpoint that goes on after the last event passed on, or
 //! the caller's connection is broken off too.
+//!
+//! Silence is no break. An endpoint that falls silent may still make the answer, and often the way to it
+//! is only crowded. It is listened to until another one has begun to go on, and on if none does.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,6 +29,7 @@
 use crate::choose::choose_again;
 use crate::events::{EventSplitter, StreamEvent};
 use crate::job::{Chosen, Job, Traffic, Tries, WorkShare};
+use crate::patience::wait_running;
 use crate::pool::Lease;
 use crate::report::{answered_line, failed_attempt, observe};
 use crate::send::send;
@@ -49,8 +53,6 @@
     head: Option<http::response::Parts>,
     last_event: Option<u64>,
     events: u32,
-    /// Whether the stream can go on elsewhere. If not, a silent endpoint is waited for.
-    can_move: bool,
 }
 
 /// Where the events come from.
@@ -93,16 +95,18 @@
             head: Some(head),
             last_event,
             events: 0,
-            can_move: true,
         }
     }
 
     /// Waits for the first event and makes the caller's answer; the rest is passed on by a task.
-    pub async fn begin(mut self, tries: Tries) -> Result<Response<AnswerBody>> {
-        self.can_move = tries.sent < self.job.admitted.route.most_attempts;
-        let first = match self.next().await {
+    pub async fn begin(mut self, tries: &mut Tries) -> Result<Response<AnswerBody>> {
+        let first = match self.next(tries).await {
             Ok(next) => next,
-            Err(e) => return Err(e.with_ran(Ran::Yes)),
+            Err(e) => {
+                let e = e.with_ran(Ran::Yes);
+                self.source_failed(&e);
+                return Err(e);
+            }
         };
         let (tx, body) = AnswerBody::piped();
         let head = self.head.take().ok_or_else(|| Error::new(Code::Internal, "no head"))?;
@@ -112,7 +116,7 @@
         let mut resp = Response::new(body);
         *resp.status_mut() = status;
         *resp.headers_mut() = (self.traffic.shared.dialect.caller_head)(head.headers);
-        tokio::task::spawn_local(self.run(tx, first, tries));
+        tokio::task::spawn_local(self.run(tx, first, tries.clone()));
         Ok(resp)
     }
 
@@ -136,9 +140,8 @@
                     }
                 }
             }
-            self.can_move = tries.sent < self.job.admitted.route.most_attempts;
             next = tokio::select! {
-                next = self.next() => next,
+                next = self.next(&mut tries) => next,
                 () = tx.closed() => return self.caller_left(),
             };
         }
@@ -157,68 +160,126 @@
         Ok(())
     }
 
-    /// Gets the next event, or an error if the endpoint breaks off or falls silent.
-    async fn next(&mut self) -> Result<Next> {
+    /// Gets the next event, or an error if the endpoint breaks off or the time is over.
+    async fn next(&mut self, tries: &mut Tries) -> Result<Next> {
         let until = tokio::time::Instant::from_std(self.job.until);
-        let silence = silence(&self.traffic, &self.job, self.source.chosen.live.clone());
-        let late = |text: &str| Error::new(Code::Deadline, text).with_ran(Ran::Yes);
-        let next = tokio::select! {
-            next = self.source.next() => next,
-            () = silence, if self.can_move => return Err(late("the stream fell silent")),
-            () = tokio::time::sleep_until(until) => return Err(late("the stream took too long")),
+        loop {
+            let can_move = self.can_move(tries);
+            let silence = silence(&self.traffic, &self.job, self.source.chosen.live.clone());
+            tokio::select! {
+                biased;
+                next = self.source.next() => return self.heard(next),
+                () = silence, if can_move => {}
+                () = tokio::time::sleep_until(until) => return Err(late("the stream took too long")),
+            }
+            if let Some(next) = self.leave_silent(tries).await {
+                return next;
+            }
+        }
+    }
+
+    /// Goes on at another endpoint in place of a silent one; gets what the silent one says meanwhile.
+    ///
+    /// The silent one is read on until the other has begun, for it may still make the answer, and the
+    /// other may never. If it speaks first, the other attempt is dropped; if the other begins, it is
+    /// dropped at once, so that not both work on the answer.
+    async fn leave_silent(&mut self, tries: &mut Tries) -> Option<Result<Next>> {
+        let (traffic, job, model) = (self.traffic.clone(), self.job.clone(), self.model.clone());
+        let asked = ask_another(&traffic, &job, model.as_ref(), self.last_event, tries);
+        let mut asked = std::pin::pin!(asked);
+        let mut broken = None;
+        let moved = loop {
+            tokio::select! {
+                biased;
+                next = self.source.next(), if broken.is_none() => match next {
+                    Ok(next) => {
+                        self.stayed("its endpoint spoke again");
+                        return Some(self.heard(Ok(next)));
+                    }
+                    Err(e) => broken = Some(e),
+                },
+                moved = asked.as_mut() => break moved,
+            }
         };
+        match (moved, broken) {
+            (Ok(other), broken) => {
+                let why = broken.unwrap_or_else(|| late("the stream fell silent"));
+                self.source_failed(&why);
+                self.go_on_at(other, &why);
+                None
+            }
+            (Err(_), Some(broken)) => Some(Err(broken)),
+            (Err(e), None) => {
+                self.stayed(&e.message);
+                None
+            }
+        }
+    }
+
+    /// Takes note that something came from the endpoint.
+    fn heard(&self, next: Result<Next>) -> Result<Next> {
         self.source.chosen.live.heard(self.traffic.shared.now());
         next
     }
 
-    /// Goes on at another endpoint after the last event that was passed on.
-    async fn resume(&mut self, tries: &mut Tries, mut why: Error) -> Result<()> {
-        let job = self.job.clone();
-        loop {
-            let took = self.source.sent_at.elapsed();
-            failed_attempt(
-                &self.traffic,
-                &job,
-                &self.source.chosen,
-                self.model.as_ref(),
-                &why,
-                took,
-            );
-            let is_resumable = job.admitted.route.work == Work::Stream { resumable: true };
-            if !is_resumable || self.last_event.is_none() || Instant::now() >= job.until {
-                return Err(why);
-            }
-            let model = self.model.clone();
-            let (chosen, share) = choose_again(&self.traffic, &job, tries, model.as_ref())?;
-            let last = self.last_event;
-            let sent_at = Instant::now();
-            let sent = send(&self.traffic, &job, tries, &chosen, model.as_ref(), last).await;
-            match sent {
-                Ok(answered) if answered.head.status.is_success() => {
-                    self.traffic.shared.journal.line(
-                        Event::StreamResumed,
-                        &[
-                            ("request", &job.id),
-                            ("endpoint", &chosen.id),
-                            ("after_event", &last.unwrap_or(0)),
-                            ("why", &why.message),
-                        ],
-                    );
-                    self.source = Source::new(answered, chosen, share, sent_at).1;
-                    return Ok(());
-                }
-                Ok(answered) => {
-                    let text = format!("resuming was answered with {}", answered.head.status);
-                    why = Error::new(Code::EndpointFailed, text).with_ran(Ran::Yes);
-                    self.source = Source::new(answered, chosen, share, sent_at).1;
-                }
-                Err(e) => {
-                    let took = sent_at.elapsed();
-                    failed_attempt(&self.traffic, &job, &chosen, model.as_ref(), &e, took);
-                    return Err(e);
-                }
-            }
+    /// Tells whether the answer can go on at another endpoint. One of which the caller holds events
+    /// needs their ids for that.
+    fn can_move(&self, tries: &Tries) -> bool {
+        let route = &self.job.admitted.route;
+        let is_resumable = route.work == Work::Stream { resumable: true };
+        let is_known = self.head.is_some() || self.last_event.is_some();
+        is_resumable && is_known && tries.sent < route.most_attempts
+    }
+
+    /// Logs that a silent endpoint is waited for.
+    fn stayed(&self, why: &str) {
+        self.traffic.shared.journal.line(
+            Event::StreamStayed,
+            &[
+                ("request", &self.job.id),
+                ("endpoint", &self.source.chosen.id),
+                ("after_event", &self.last_event.unwrap_or(0)),
+                ("why", &why),
+            ],
+        );
+    }
+
+    /// Logs that the present endpoint failed, and counts it.
+    fn source_failed(&self, why: &Error) {
+        let took = self.source.sent_at.elapsed();
+        let chosen = &self.source.chosen;
+        failed_attempt(&self.traffic, &self.job, chosen, self.model.as_ref(), why, took);
+    }
+
+    /// Goes on with another endpoint's answer. A caller that has no head yet gets that one's.
+    fn go_on_at(&mut self, (head, source): (http::response::Parts, Source), why: &Error) {
+        self.traffic.shared.journal.line(
+            Event::StreamResumed,
+            &[
+                ("request", &self.job.id),
+                ("endpoint", &source.chosen.id),
+                ("after_event", &self.last_event.unwrap_or(0)),
+                ("why", &why.message),
+            ],
+        );
+        if let Some(unsent) = &mut self.head {
+            *unsent = head;
+        }
+        self.source = source;
+    }
+
+    /// Goes on at another endpoint after the last event that was passed on, in place of one that broke
+    /// off.
+    async fn resume(&mut self, tries: &mut Tries, why: Error) -> Result<()> {
+        self.source_failed(&why);
+        if !self.can_move(tries) || Instant::now() >= self.job.until {
+            return Err(why);
         }
+        let model = self.model.clone();
+        let last = self.last_event;
+        let other = ask_another(&self.traffic, &self.job, model.as_ref(), last, tries).await?;
+        self.go_on_at(other, &why);
+        Ok(())
     }
 
     /// Ends a stream that came to its end.
@@ -254,18 +315,47 @@
     }
 }
 
+fn late(text: &str) -> Error {
+    Error::new(Code::Deadline, text).with_ran(Ran::Yes)
+}
+
 /// Waits until a silent stream is to go on elsewhere.
 async fn silence(traffic: &Traffic, job: &Job, live: Arc<EndpointLive>) {
-    let route = &job.admitted.route;
-    if !route.work.is_repeatable() {
-        return std::future::pending().await;
-    }
-    let gap = route.most_gap.map_or(USUAL_GAP, |gap| Duration::from_millis(gap.0));
+    let gap = job.admitted.route.most_gap.map_or(USUAL_GAP, |gap| Duration::from_millis(gap.0));
     let since = traffic.shared.now();
     let (silent, stalled) = (gap.mul_f64(SILENT_TIMES), gap.mul_f64(STALLED_TIMES));
-    tokio::time::sleep(silent).await;
+    wait_running(silent).await;
     if live.was_heard_since(since) {
-        tokio::time::sleep(stalled.saturating_sub(silent)).await;
+        wait_running(stalled.saturating_sub(silent)).await;
+    }
+}
+
+/// Asks other endpoints to go on after an event, one after another for as long as attempts are left,
+/// until one has begun to answer.
+async fn ask_another(
+    traffic: &Traffic,
+    job: &Job,
+    model: Option<&ModelId>,
+    last_event: Option<u64>,
+    tries: &mut Tries,
+) -> Result<(http::response::Parts, Source)> {
+    loop {
+        let (chosen, share) = choose_again(traffic, job, tries, model)?;
+        let sent_at = Instant::now();
+        let failed = match send(traffic, job, tries, &chosen, model, last_event).await {
+            Ok(answered) if answered.head.status.is_success() => {
+                return Ok(Source::new(answered, chosen, share, sent_at));
+            }
+            Ok(answered) => {
+                let text = format!("going on was answered with {}", answered.head.status);
+                Error::new(Code::EndpointFailed, text).with_ran(Ran::Yes)
+            }
+            Err(e) => e,
+        };
+        failed_attempt(traffic, job, &chosen, model, &failed, sent_at.elapsed());
+        if Instant::now() >= job.until {
+            return Err(failed);
+        }
     }
 }
 
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -13,8 +13,10 @@
 use tidetrack_core::units::{Millis, Tokens};
 
 use crate::attempt::{self, Answered, Attempt, Echo};
+use crate::choose::take_next_send;
 use crate::dialect::Handover;
 use crate::job::{Chosen, Job, Traffic, Tries};
+use crate::patience::wait_running;
 use crate::pool::most_rest;
 
 /// Work that one request counts as which an endpoint tells as running. An engine reads prompts one
@@ -38,18 +40,19 @@
 /// Least patience with an attempt, for objectives shorter than an endpoint's usual time.
 const LEAST_PATIENCE: Duration = Duration::from_millis(150);
 
-/// Sends a request to a chosen endpoint.
+/// Sends a request to a chosen endpoint; `goes_on_after` is the last event of a run that it goes on.
 pub async fn send(
     traffic: &Traffic,
     job: &Job,
     tries: &mut Tries,
     chosen: &Chosen,
     model: Option<&ModelId>,
-    last_event: Option<u64>,
+    goes_on_after: Option<u64>,
 ) -> Result<Answered> {
     let shared = &traffic.shared;
     tries.tried.push(chosen.id.clone());
     tries.sent += 1;
+    tries.is_paid = false;
     let load = chosen.live.load(shared.now()) as u64;
     let reported_at = chosen.live.reported_at();
     let load_age = match reported_at {
@@ -74,6 +77,12 @@
             ("load_age_ms", &load_age),
         ],
     );
+    // A run that goes on gets a new connection: where one comes up, the way to the endpoint is open, and
+    // its answer will be here soon after it begins.
+    let most_rest = match goes_on_after {
+        Some(_) => Duration::ZERO,
+        None => most_rest(job.admitted.route.work.is_repeatable()),
+    };
     let attempt = Attempt {
         pool: &traffic.pool,
         read_answer: shared.dialect.read_answer,
@@ -81,18 +90,37 @@
         address: &chosen.address,
         attempt_id: job.facts.attempt_id.as_deref(),
         echo: Echo::Always,
-        most_rest: most_rest(job.admitted.route.work.is_repeatable()),
+        most_rest,
         until: job.until,
     };
-    let make = || make_request(traffic, job, chosen, model, last_event);
+    let make = || make_request(traffic, job, chosen, model, goes_on_after);
     let sent = tokio::select! {
-        sent = attempt::send(&attempt, make) => sent?,
-        () = impatience(traffic, job, tries, chosen) => {
-            return Err(Error::new(Code::Deadline, "no answer in time").with_ran(Ran::Unknown));
+        biased;
+        sent = attempt::send(&attempt, make) => sent,
+        () = impatience(traffic, job, tries, chosen, model) => {
+            Err(Error::new(Code::Deadline, "no answer in time").with_ran(Ran::Unknown))
         }
     };
-    chosen.live.heard(shared.now());
-    Ok(sent)
+    match &sent {
+        Ok(_) => chosen.live.heard(shared.now()),
+        Err(e) if e.code == Code::EndpointUnreachable => reached_nobody(traffic, job, tries),
+        Err(_) => {}
+    }
+    sent
+}
+
+/// Takes an attempt back that reached no endpoint: it counts neither as one of the request's nor in
+/// the budget. Each request has as many of these for nothing as it has attempts.
+fn reached_nobody(traffic: &Traffic, job: &Job, tries: &mut Tries) {
+    if tries.unreached >= job.admitted.route.most_attempts {
+        return;
+    }
+    tries.unreached += 1;
+    tries.sent -= 1;
+    if tries.sent > 0 {
+        let now = traffic.shared.now();
+        traffic.with_budget(&job.service, |b| b.give_back(now));
+    }
 }
 
 fn make_request(
@@ -120,18 +148,30 @@
 }
 
 /// Waits until an attempt is to be given up for another one: soon if the endpoint has fallen silent
-/// altogether, later if it is only slow.
-async fn impatience(traffic: &Traffic, job: &Job, tries: &Tries, chosen: &Chosen) {
+/// altogether, later if it is only slow. Without another one to be had it is waited for, as the answer
+/// may still be made.
+async fn impatience(
+    traffic: &Traffic,
+    job: &Job,
+    tries: &mut Tries,
+    chosen: &Chosen,
+    model: Option<&ModelId>,
+) {
     let route = &job.admitted.route;
     if tries.sent >= route.most_attempts || !route.work.is_repeatable() {
         return std::future::pending().await;
     }
-    let sent_at = traffic.shared.now();
     let silent = job.objective().mul_f64(SILENT_TIMES).max(LEAST_PATIENCE);
     let slow = job.objective().mul_f64(SLOW_TIMES).max(LEAST_PATIENCE * 2);
-    tokio::time::sleep(silent).await;
-    if chosen.live.was_heard_since(sent_at) {
-        tokio::time::sleep(slow.saturating_sub(silent)).await;
+    loop {
+        let since = traffic.shared.now();
+        wait_running(silent).await;
+        if chosen.live.was_heard_since(since) {
+            wait_running(slow.saturating_sub(silent)).await;
+        }
+        if take_next_send(traffic, job, tries, model) {
+            return;
+        }
     }
 }
 
