An answer is dropped for a larger model's only once its endpoint is reached

Cause: a doubtful answer was dropped when the second send was allowed. On a full line no connection came up after that, and the caller got a failure in place of the answer that had been at hand.

Change: right before the drop a connection to the second run's endpoint must be kept or come up; if not, the answer is kept (E312, kept_for=connection), the send goes back to the budget, and the failure counts against the endpoint.

Not changed: an answer dropped for a run that is then refused, or that fails. To keep the first until the second begins would have both models at work.

--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -132,26 +132,27 @@
 }
 
 /// Finds where a run on a model would go on the side of an earlier attempt, and how it would stand
-/// there; nothing is counted for it.
+/// there. Nothing is counted for it.
 pub fn plan(
     traffic: &Traffic,
     job: &Job,
     tries: &Tries,
     model: &ModelId,
     earlier: &Chosen,
-) -> Option<Planned> {
+) -> Option<(Chosen, Planned)> {
     let view = traffic.shared.view.load();
     let service = view.services.get(&job.service)?;
     let side = if earlier.new_version.is_some() { Side::New } else { Side::Proven };
     let prompt = Prompt::new(traffic, job, service, Some(model));
     let chosen = pick(traffic, job, &tries.tried, service, side, &prompt).ok()?;
     let weight = weight_of(traffic, job, Some(model));
-    Some(Planned {
+    let planned = Planned {
         ahead: chosen.live.load(traffic.shared.now()),
         own: job.work(weight, chosen.prefix.is_at_hand()) as f64,
         elapsed: Millis(job.began.elapsed().as_millis() as u64),
         objective: job.admitted.route.objective,
-    })
+    };
+    Some((chosen, planned))
 }
 
 /// What a request's prompt means for the choice.
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -206,9 +206,10 @@
         let status = answered.head.status;
         if status.is_success() {
             if let Some(larger) =
-                larger_model(traffic, job, &tries, model.as_ref(), &chosen, &answered)
+                larger_model(traffic, job, &tries, model.as_ref(), &chosen, &answered).await
             {
-                // The second run was taken from the budget before the answer at hand is dropped.
+                // The second run was taken from the budget, and its endpoint reached, before the answer
+                // at hand is dropped.
                 tries.is_paid = true;
                 tries.note_ran(Ran::Yes);
                 chosen.live.note(traffic.shared.now(), true);
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -105,6 +105,23 @@
         open(address).await
     }
 
+    /// Sees to it that a connection is kept for a request that is about to be sent.
+    pub async fn prepare(&self, name: &str, address: &str, most_rest: Duration) -> Result<()> {
+        let now = Instant::now();
+        let is_usable = |newest: &Idle| {
+            newest.since.elapsed() <= most_rest
+                && now < newest.until
+                && !newest.lease.sender.is_closed()
+        };
+        let newest_is_usable =
+            self.idle.borrow().get(name).and_then(|of_end| of_end.last()).is_some_and(is_usable);
+        if !newest_is_usable {
+            let lease = open(address).await?;
+            self.keep(name, lease, None);
+        }
+        Ok(())
+    }
+
     /// Keeps a connection whose answer has come to its end.
     pub fn keep(&self, name: &str, lease: Lease, idle_time: Option<Duration>) {
         if lease.sender.is_closed() {
--- a/crates/tidetrack-plane/src/second_run.rs
+++ b/crates/tidetrack-plane/src/second_run.rs
@@ -1,7 +1,10 @@
 //! Whether an answer at hand is dropped for a larger model's.
 //!
 //! The core weighs; here is put together what it weighs: the answer's confidence, the endpoint that a
-//! second run would go to, what is expected of it there, and the budget.
+//! second run would go to, what is expected of it there, and the budget. An answer is dropped only once
+//! a connection to that endpoint is up: on a full line there is none to be had in time.
+
+use std::time::Instant;
 
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::ModelId;
@@ -11,9 +14,11 @@
 use crate::attempt::Answered;
 use crate::choose::plan;
 use crate::job::{Chosen, Job, Traffic, Tries};
+use crate::pool::most_rest;
+use crate::report::failed_attempt;
 
 /// Gets the larger model that an answer is to be dropped for.
-pub fn larger_model(
+pub async fn larger_model(
     traffic: &Traffic,
     job: &Job,
     tries: &Tries,
@@ -24,11 +29,11 @@
     let route = &job.admitted.route;
     let (model, size) = (model?, job.facts.size.as_ref()?);
     let confidence = answered.facts.confidence?;
-    let view = traffic.shared.view.load();
+    let view = traffic.shared.view.load_full();
     let service = view.catalog.as_ref()?.services.get(&job.service)?;
     let opts = &traffic.shared.settings.cascade;
     let larger = cascade::second_model(route, model)?;
-    let planned = plan(traffic, job, tries, larger, chosen)?;
+    let (next, planned) = plan(traffic, job, tries, larger, chosen)?;
     let expected = traffic.outlook.borrow().expect(&job.service, planned);
     let prospect = Prospect { confidence, in_time: expected.in_time(), wait: expected.wait };
     let weighed = cascade::weigh(route, service, model, prospect, size, opts)?;
@@ -39,6 +44,10 @@
         false => Some("cost"),
         true if !may_drop => Some("attempts"),
         true if !budget() => Some("budget"),
+        true if !is_reached(traffic, job, larger, &next).await => {
+            traffic.with_budget(&job.service, |b| b.give_back(now));
+            Some("connection")
+        }
         true => None,
     };
     let event = if kept_for.is_some() { Event::AnswerKept } else { Event::AnswerDropped };
@@ -62,3 +71,16 @@
     );
     kept_for.is_none().then(|| weighed.larger.clone())
 }
+
+/// Tells whether a connection to the endpoint of a second run is up, or comes up in time.
+async fn is_reached(traffic: &Traffic, job: &Job, model: &ModelId, next: &Chosen) -> bool {
+    let began = Instant::now();
+    let rest = most_rest(job.admitted.route.work.is_repeatable());
+    match traffic.pool.prepare(next.id.as_str(), &next.address, rest).await {
+        Ok(()) => true,
+        Err(e) => {
+            failed_attempt(traffic, job, next, Some(model), &e, began.elapsed());
+            false
+        }
+    }
+}
