A stream's endpoint that begins anew is left like one that breaks off

Cause: a run that went on in place of a broken one and sent events from the start again had the caller's answer cut at once, though attempts were left. The event is still never passed on.

Run: the new test in platform/tests/streams.rs failed before (not whole after event 4) and passes; all tests of platform pass (streams 14, silence 15).

--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -126,8 +126,10 @@
         loop {
             match next {
                 Ok(Next::Event(event)) => {
+                    // An event out of order is not passed on; its endpoint is left like one that breaks off.
                     if let Err(e) = self.take_note(&event) {
-                        return self.cut(&tx, &e).await;
+                        next = Err(e);
+                        continue;
                     }
                     if tx.send(Ok(event.bytes)).await.is_err() {
                         return self.caller_left();
