A wait for somebody silent ends where every timer is late

Cause: the time counted anew whenever the timer was more than 100 ms late. In a process whose timers are all late, as on a small part of a core, the wait never ended, and an endpoint that stands still was never left.

Change: the time counts anew twice at most.

Found by reading; no run of a host on a part of a core was made.

--- a/crates/tidetrack-plane/src/patience.rs
+++ b/crates/tidetrack-plane/src/patience.rs
@@ -6,12 +6,16 @@
 /// 100 ms.
 const LATEST_TIMER: Duration = Duration::from_millis(100);
 
+/// How often the time counts anew at most: a process whose timers are all late waits for an end too.
+const MOST_RENEWALS: u32 = 2;
+
 /// Waits for a time during which this process ran.
 ///
 /// A process that was stopped or had no core has read nothing meanwhile: what came waits in its
-/// sockets, so that the time counts anew.
+/// sockets, so that the time counts anew. It does so a few times only, for on a small part of a core
+/// each timer may be late, and whoever is gone for good must be left all the same.
 pub async fn wait_running(time: Duration) {
-    loop {
+    for _ in 0..=MOST_RENEWALS {
         let until = Instant::now() + time;
         tokio::time::sleep_until(tokio::time::Instant::from_std(until)).await;
         if until.elapsed() <= LATEST_TIMER {
