A silent endpoint and the one in its place don't both work for long

Cause: a silent stream was dropped only at the other endpoint's head, however late that came, so that two endpoints worked on one answer with no bound. Meanwhile the silent one could be asked to go on in its own place, and counted as another one to be had. An attempt that was dropped while it still connected cost an attempt and a further send; and a send that reached nobody was given back in the budget's present bucket, where there mostly is nothing to take it from, as a connection is given up after 400 ms and a bucket lasts 200 ms.

Change: the silent endpoint is listened to while a connection to the other comes up, and 250 ms after the request was written on it; then its connection is closed, and a failure of the other is a break like any other. Where the other fails, the time counts anew with the next. As long as it is listened to, it is avoided. An attempt that is dropped before its request was written costs nothing, its endpoint may be asked again, and a send is given back in the bucket that it was taken from.

--- a/crates/tidetrack-core/src/traffic/budget.rs
+++ b/crates/tidetrack-core/src/traffic/budget.rs
@@ -71,11 +71,15 @@
         granted
     }
 
-    /// Gives a further send back that reached nobody.
-    pub fn give_back(&mut self, now: Millis) {
-        let bucket = self.bucket(now);
-        // A send of an earlier bucket is given back there by its ageing.
-        bucket.further = bucket.further.saturating_sub(1);
+    /// Gives a further send back that was taken at a time and reached nobody.
+    pub fn give_back(&mut self, taken_at: Millis) {
+        let number = taken_at.0 / self.step();
+        // It is known to have reached nobody only some buckets later. One that left the window counts no
+        // more.
+        let mut buckets = self.buckets.iter_mut().rev();
+        if let Some(bucket) = buckets.find(|b| b.number <= number && b.further > 0) {
+            bucket.further -= 1;
+        }
     }
 
     fn totals(&mut self, now: Millis) -> (u32, u32) {
@@ -84,10 +88,14 @@
         (sum(|b| b.firsts), sum(|b| b.further))
     }
 
+    /// Gets the length of a bucket, in milliseconds.
+    fn step(&self) -> u64 {
+        (self.window.0 / BUCKETS).max(1)
+    }
+
     /// Gets the bucket of `now` and drops those that left the window.
     fn bucket(&mut self, now: Millis) -> &mut Bucket {
-        let step = (self.window.0 / BUCKETS).max(1);
-        let number = now.0 / step;
+        let number = now.0 / self.step();
         while self.buckets.front().is_some_and(|b| b.number + BUCKETS <= number) {
             self.buckets.pop_front();
         }
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -497,3 +497,27 @@
 
     assert_eq!((while_they_run, soon_after, later), (1, 1, 0));
 }
+
+/// What was seen: a stream that broke was cut for want of budget although no other endpoint had been sent
+/// its request. Cause: a send whose connection does not come up is given back some buckets after it was
+/// taken, where there was nothing to take it from. Evidence: E311 "the budget of further sends is spent"
+/// right after E302 "timed out", at a host that had sent nothing a second time.
+#[test]
+fn a_send_that_reached_nobody_is_given_back_after_a_while_too() {
+    let mut budget = SendBudget::new(0.0, Millis(10_000));
+    let at = |n: u64| Millis(n * 1_000);
+
+    let granted: Vec<bool> = (0..6)
+        .map(|n| {
+            let is_granted = budget.take(at(n), SendAgain::Failure);
+            // Others look at the budget before it is known.
+            budget.first(at(n) + Millis(400));
+            budget.give_back(at(n));
+            is_granted
+        })
+        .collect();
+    let real: Vec<bool> = (6..9).map(|n| budget.take(at(n), SendAgain::Failure)).collect();
+
+    assert_eq!(granted, [true; 6]);
+    assert_eq!(real, [true, true, false]);
+}
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -83,7 +83,7 @@
     let prompt = Prompt::new(traffic, job, service, model);
     let mut last = full("no endpoint can be used");
     for (side, avoided) in sides.flat_map(|side| tries.avoided().map(|avoided| (side, avoided))) {
-        match pick(traffic, job, avoided, service, side, &prompt) {
+        match pick(traffic, job, &avoided, service, side, &prompt) {
             Ok(chosen) => {
                 if let Some(part) = prompt.part {
                     service.prefixes.used(now, part, EndpointKey::from(&chosen.id));
@@ -122,7 +122,7 @@
     let mut sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
     sides.any(|side| {
         let mut avoided = tries.avoided().into_iter();
-        avoided.any(|avoided| pick(traffic, job, avoided, service, side, &prompt).is_ok())
+        avoided.any(|avoided| pick(traffic, job, &avoided, service, side, &prompt).is_ok())
     })
 }
 
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use tokio::sync::Notify;
 
 use tidetrack_core::codes::Ran;
 use tidetrack_core::ids::{EndpointId, ModelId, ServiceId, VersionName};
@@ -18,7 +19,7 @@
 use tidetrack_core::traffic::gate::Admitted;
 use tidetrack_core::traffic::outlook::Outlook;
 use tidetrack_core::traffic::prefixes::PartKey;
-use tidetrack_core::units::Tokens;
+use tidetrack_core::units::{Millis, Tokens};
 
 use crate::dialect::RequestFacts;
 use crate::pool::Pool;
@@ -255,6 +256,77 @@
     }
 }
 
+/// A silent endpoint that is listened to while another one is asked to go on in its place.
+pub struct Held {
+    id: EndpointId,
+    is_heard: Cell<bool>,
+    /// Whether the attempt under way has no connection yet.
+    is_connecting: Cell<bool>,
+    /// Since when another endpoint may work on the answer too.
+    shared_since: Cell<Option<Instant>>,
+    began_to_share: Notify,
+}
+
+impl Held {
+    /// Listens to an endpoint.
+    pub fn new(id: EndpointId) -> Held {
+        Held {
+            id,
+            is_heard: Cell::new(true),
+            is_connecting: Cell::new(false),
+            shared_since: Cell::new(None),
+            began_to_share: Notify::new(),
+        }
+    }
+
+    /// Takes note that it is not listened to any more.
+    pub fn let_go(&self) {
+        self.is_heard.set(false);
+    }
+
+    fn is_heard(&self) -> bool {
+        self.is_heard.get()
+    }
+
+    /// Takes note that a connection to another endpoint is sought.
+    pub fn connects(&self) {
+        self.is_connecting.set(true);
+    }
+
+    /// Tells whether the attempt under way has no connection yet.
+    pub fn is_connecting(&self) -> bool {
+        self.is_connecting.get()
+    }
+
+    /// Takes note that the request is about to be written to another endpoint.
+    pub fn writes(&self) {
+        self.is_connecting.set(false);
+        if self.shared_since.get().is_none() {
+            self.shared_since.set(Some(Instant::now()));
+            self.began_to_share.notify_one();
+        }
+    }
+
+    /// Takes note that the other endpoint has ended its work.
+    pub fn other_failed(&self) {
+        self.shared_since.set(None);
+    }
+
+    /// Waits until another endpoint may have worked on the answer for so long too.
+    pub async fn shared_for(&self, time: Duration) {
+        loop {
+            let Some(since) = self.shared_since.get() else {
+                self.began_to_share.notified().await;
+                continue;
+            };
+            if since.elapsed() >= time {
+                return;
+            }
+            tokio::time::sleep_until(tokio::time::Instant::from_std(since + time)).await;
+        }
+    }
+}
+
 /// What the attempts of a request have led to so far.
 #[derive(Clone, Default)]
 pub struct Tries {
@@ -262,6 +334,8 @@
     pub tried: Vec<EndpointId>,
     /// Endpoints that the request was sent to.
     pub sent: u32,
+    /// When the last attempt began.
+    pub sent_at: Millis,
     /// Attempts that reached no endpoint.
     pub unreached: u32,
     /// Whether the request has run, as far as is known.
@@ -269,14 +343,22 @@
     /// Whether the next send was taken from the budget already: what is at hand is given up only once
     /// the next send is sure to be allowed.
     pub is_paid: bool,
+    /// The endpoint in whose place another one is asked to go on.
+    pub held: Option<Rc<Held>>,
 }
 
 impl Tries {
     /// Gets which endpoints the next attempt avoids, in the order of preference: where all were tried,
-    /// all but the last are tried again.
-    pub fn avoided(&self) -> [&[EndpointId]; 2] {
+    /// all but the last are tried again. One that is still listened to is avoided always.
+    pub fn avoided(&self) -> [Vec<EndpointId>; 2] {
         let tried = self.tried.as_slice();
-        [tried, &tried[tried.len().saturating_sub(1)..]]
+        let last = &tried[tried.len().saturating_sub(1)..];
+        let held = self.held.as_ref().filter(|held| held.is_heard());
+        [tried, last].map(|avoided| {
+            let mut avoided = avoided.to_vec();
+            avoided.extend(held.map(|h| &h.id).filter(|id| !avoided.contains(id)).cloned());
+            avoided
+        })
     }
 
     /// Takes note of whether an attempt ran.
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -74,9 +74,16 @@
     pub is_reused: bool,
 }
 
+impl Lease {
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.task.abort();
+    }
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.task.abort();
+        self.close();
     }
 }
 
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -6,7 +6,8 @@
 //! the caller's connection is broken off too.
 //!
 //! Silence is no break. An endpoint that falls silent may still make the answer, and often the way to it
-//! is only crowded. It is listened to until another one has begun to go on, and on if none does.
+//! is only crowded. It is listened to until another one is at work in its place, and on if none can be
+//! had; but two don't work on one answer for long.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,11 +29,11 @@
 use crate::body::{AnswerBody, BrokenOff, Piece};
 use crate::choose::choose_again;
 use crate::events::{EventSplitter, StreamEvent};
-use crate::job::{Chosen, Job, Traffic, Tries, WorkShare};
+use crate::job::{Chosen, Held, Job, Traffic, Tries, WorkShare};
 use crate::patience::wait_running;
 use crate::pool::Lease;
 use crate::report::{answered_line, failed_attempt, observe};
-use crate::send::send;
+use crate::send::{drop_attempt, send};
 
 /// Multiple of the longest pause in time after which a stream goes on elsewhere, if nothing else came
 /// from its endpoint either. A new run reads the prompt again, so a short stall is better borne.
@@ -41,6 +42,10 @@
 /// The same for an endpoint that serves others meanwhile.
 const STALLED_TIMES: f64 = 3.0;
 
+/// How long a silent endpoint is listened to after the request was written to another one: two may not
+/// be at work on a stream for 400 ms, and a host on a part of a core sees its timers 100 ms late.
+const MOST_SHARED: Duration = Duration::from_millis(250);
+
 /// The longest pause where the route names none.
 const USUAL_GAP: Duration = Duration::from_millis(1_200);
 
@@ -61,7 +66,7 @@
     lease: Lease,
     idle_time: Option<Duration>,
     chosen: Chosen,
-    _share: WorkShare,
+    share: Option<WorkShare>,
     splitter: EventSplitter,
     sent_at: Instant,
     first_event: Option<Instant>,
@@ -182,27 +187,48 @@
 
     /// Goes on at another endpoint in place of a silent one; gets what the silent one says meanwhile.
     ///
-    /// The silent one is read on until the other has begun, for it may still make the answer, and the
-    /// other may never. If it speaks first, the other attempt is dropped; if the other begins, it is
-    /// dropped at once, so that not both work on the answer.
+    /// The silent one is read on while a connection to the other comes up, for it may still make the
+    /// answer, and the other may never be reached. If it speaks first, the other attempt is dropped. Once
+    /// the other has the request, the silent one is dropped at its first word, and soon in any case, so
+    /// that not both work on the answer.
     async fn leave_silent(&mut self, tries: &mut Tries) -> Option<Result<Next>> {
         let (traffic, job, model) = (self.traffic.clone(), self.job.clone(), self.model.clone());
-        let asked = ask_another(&traffic, &job, model.as_ref(), self.last_event, tries);
-        let mut asked = std::pin::pin!(asked);
+        let held = Rc::new(Held::new(self.source.chosen.id.clone()));
+        tries.held = Some(held.clone());
         let mut broken = None;
-        let moved = loop {
-            tokio::select! {
-                biased;
-                next = self.source.next(), if broken.is_none() => match next {
-                    Ok(next) => {
-                        self.stayed("its endpoint spoke again");
-                        return Some(self.heard(Ok(next)));
+        // What the other attempt led to, or else what the silent one said before.
+        let came = {
+            let asked = ask_another(&traffic, &job, model.as_ref(), self.last_event, tries);
+            let mut asked = std::pin::pin!(asked);
+            let mut shared = std::pin::pin!(held.shared_for(MOST_SHARED));
+            loop {
+                tokio::select! {
+                    biased;
+                    next = self.source.next(), if broken.is_none() => match next {
+                        Ok(next) => break Err(next),
+                        Err(e) => {
+                            held.let_go();
+                            broken = Some(e);
+                        }
+                    },
+                    moved = asked.as_mut() => break Ok(moved),
+                    () = shared.as_mut(), if broken.is_none() => {
+                        held.let_go();
+                        self.source.close();
+                        broken = Some(late("the stream fell silent"));
                     }
-                    Err(e) => broken = Some(e),
-                },
-                moved = asked.as_mut() => break moved,
+                }
             }
         };
+        tries.held = None;
+        let moved = match came {
+            Err(next) => {
+                drop_attempt(&traffic, &job, tries, &held);
+                self.stayed("its endpoint spoke again");
+                return Some(self.heard(Ok(next)));
+            }
+            Ok(moved) => moved,
+        };
         match (moved, broken) {
             (Ok(other), broken) => {
                 let why = broken.unwrap_or_else(|| late("the stream fell silent"));
@@ -355,6 +381,10 @@
             Err(e) => e,
         };
         failed_attempt(traffic, job, &chosen, model, &failed, sent_at.elapsed());
+        // One that was given up may be at work for a moment yet.
+        if let Some(held) = tries.held.as_ref().filter(|_| failed.code != Code::Deadline) {
+            held.other_failed();
+        }
         if Instant::now() >= job.until {
             return Err(failed);
         }
@@ -374,7 +404,7 @@
             lease,
             idle_time: facts.idle_time,
             chosen,
-            _share: share,
+            share: Some(share),
             splitter: EventSplitter::default(),
             sent_at,
             first_event: None,
@@ -383,6 +413,12 @@
         (head, source)
     }
 
+    /// Ends the endpoint's work.
+    fn close(&mut self) {
+        self.lease.close();
+        self.share = None;
+    }
+
     async fn next(&mut self) -> Result<Next> {
         let broken = |text: String| Error::new(Code::EndpointFailed, text).with_ran(Ran::Yes);
         loop {
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -15,7 +15,7 @@
 use crate::attempt::{self, Answered, Attempt, Echo};
 use crate::choose::take_next_send;
 use crate::dialect::Handover;
-use crate::job::{Chosen, Job, Traffic, Tries};
+use crate::job::{Chosen, Held, Job, Traffic, Tries};
 use crate::patience::wait_running;
 use crate::pool::most_rest;
 
@@ -52,6 +52,7 @@
     let shared = &traffic.shared;
     tries.tried.push(chosen.id.clone());
     tries.sent += 1;
+    tries.sent_at = shared.now();
     tries.is_paid = false;
     let load = chosen.live.load(shared.now()) as u64;
     let reported_at = chosen.live.reported_at();
@@ -93,7 +94,16 @@
         most_rest,
         until: job.until,
     };
-    let make = || make_request(traffic, job, chosen, model, goes_on_after);
+    let held = tries.held.clone();
+    if let Some(held) = &held {
+        held.connects();
+    }
+    let make = || {
+        if let Some(held) = &held {
+            held.writes();
+        }
+        make_request(traffic, job, chosen, model, goes_on_after)
+    };
     let sent = tokio::select! {
         biased;
         sent = attempt::send(&attempt, make) => sent,
@@ -118,8 +128,16 @@
     tries.unreached += 1;
     tries.sent -= 1;
     if tries.sent > 0 {
-        let now = traffic.shared.now();
-        traffic.with_budget(&job.service, |b| b.give_back(now));
+        traffic.with_budget(&job.service, |b| b.give_back(tries.sent_at));
+    }
+}
+
+/// Takes note that the attempt under way is dropped, as the endpoint in whose place it was made spoke
+/// again. Its endpoint may be asked again; before its request was written it cost nothing.
+pub fn drop_attempt(traffic: &Traffic, job: &Job, tries: &mut Tries, held: &Held) {
+    tries.tried.pop();
+    if held.is_connecting() {
+        reached_nobody(traffic, job, tries);
     }
 }
 
