Failing test: an endpoint's entry that lapsed stays for as long as a host is busy

The host had lost the store itself, kept the entry, was back 2.6 s before the request, and should have dropped it 0.3 s before.

Cause: entries that lapsed are looked at on a tick, and a tick is made only when no input came for 100 ms. On a host that serves one comes all the time. The test feeds one every 20 ms: after 3 s no view without the entry.

--- a/crates/tidetrack-core/tests/feeds.rs
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -5,12 +5,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use tidetrack_core::ids::{EndpointId, ServiceId};
 use tidetrack_core::traffic::control::{Action, Input};
 use tidetrack_core::traffic::feeds::{Catch, Feeds, Giving, Kind, Revisions, Source};
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::units::{Bandwidth, Millis};
 
-use support::{catalog, with_endpoints};
+use support::{catalog, id, view_of, with_endpoints};
 
 /// Time between messages of other hosts that tell of the change.
 const STEP: u64 = 50;
@@ -125,3 +126,27 @@
     let proved = actions.iter().position(|a| matches!(a, Action::Proved(Millis(5))));
     assert!(proved.is_some_and(|proved| proved > shown), "{actions:?}");
 }
+
+/// A request reached an endpoint 3.4 s after its entry had gone. The host had lost the store for a while, so
+/// it kept the entry for 2.3 s after the store's return, and for longer, as it looked at that only when
+/// nothing at all had come in for 100 ms. Evidence: the entry's end and the store's return in the log, 2.6 s
+/// before the request, and no word of the host's between.
+#[test]
+fn an_entry_that_lapsed_is_dropped_in_time_on_a_busy_host() {
+    let fresh = Freshness::default();
+    let mut beliefs = with_endpoints(1, &fresh);
+    beliefs.take(Millis(1_000), Input::StoreLost, &fresh);
+    beliefs.take(Millis(1_500), Input::EndpointGone(id("o1")), &fresh);
+    beliefs.take(Millis(2_000), Input::StoreBack, &fresh);
+
+    // Something comes in every 20 ms.
+    let mut shown = None;
+    for now in (2_000..5_000).step_by(20) {
+        let actions = beliefs.take(Millis(now), Input::Coming(Kind::Rollouts), &fresh);
+        shown = view_of(&actions).or(shown);
+    }
+
+    let shown = shown.expect("a view without the entry");
+    let endpoints = shown.services[&id::<ServiceId>("llm")].proven.endpoints();
+    assert!(endpoints.iter().all(|e| e.id != id::<EndpointId>("o1")), "it is still asked");
+}
