Drop entries that lapsed in a round, not when nothing else comes in

Change: the table of endpoints is swept in each round (250 ms), which any input brings on; a tick does nothing of its own any more.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -310,7 +310,7 @@
             }
             Input::Observed(seen) => Bearing::now_if(self.observe(now, &seen, actions)),
             Input::Heard(msg) => self.hear(now, msg, actions),
-            Input::Tick => Bearing::now_if(self.table.sweep(now)),
+            Input::Tick => Bearing::None,
         }
     }
 
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -50,6 +50,9 @@
         for host in self.peers.sweep(now) {
             actions.push(Action::Note(Event::PeerDead, format!("peer={host}")));
         }
+        // In a round and not on a tick: ticks come only when nothing else does, and a busy host would keep
+        // entries that lapsed.
+        let is_swept = self.table.sweep(now);
         self.judge_endpoints(now, actions);
         self.forget_unproven(now);
         self.told = self.news(now, fresh);
@@ -62,7 +65,7 @@
             }
         }
         let services: Vec<ServiceId> = self.trials.keys().cloned().collect();
-        services.iter().map(|s| self.judge(now, s, actions)).fold(false, |a, b| a | b)
+        services.iter().map(|s| self.judge(now, s, actions)).fold(is_swept, |a, b| a | b)
     }
 
     /// Forgets unproven versions that nothing has run for a while.
