Name the size of a large reply once

The core's bound below which a reply is always given and the plane's size from which a reply waits for its turn were the same 64 KB under two names; what a host gives at once and what another takes one at a time must not drift apart. No change of behaviour: same value, same comparisons.

--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -77,9 +77,9 @@
 /// store gives it to them in a tenth of one.
 const GIVES_WITHIN: Millis = Millis(300);
 
-/// Size up to which a reply always goes out, in bytes: it takes 50 ms at 10 Mbit/s, and news of endpoints,
-/// a few hundred bytes each, is not to wait for a configuration.
-const ALWAYS_GIVEN: u64 = 64 << 10;
+/// Size from which a reply with changes counts as large, in bytes: at 10 Mbit/s it takes 50 ms. News of
+/// endpoints, a few hundred bytes each, is smaller and does not wait for a configuration.
+pub const LARGE_REPLY: usize = 64 << 10;
 
 /// What a host gives to others at present.
 #[derive(Clone, Debug)]
@@ -97,7 +97,7 @@
 
     /// Begins a reply; `false` if the link has enough to do with others. One large reply may always go out.
     pub fn begin(&mut self, bytes: u64) -> bool {
-        if bytes <= ALWAYS_GIVEN {
+        if bytes <= LARGE_REPLY as u64 {
             return true;
         }
         let others: u64 = self.sizes.iter().sum();
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -12,15 +12,13 @@
 
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
+use tidetrack_core::traffic::feeds::LARGE_REPLY;
 
 use crate::pool::Pool;
 
 /// Largest reply, in bytes: a page of the store is about 1 MB.
 const MOST_REPLY: usize = 8 << 20;
 
-/// Size from which a reply counts as large, in bytes: at 10 Mbit/s it takes 50 ms.
-pub const LARGE_REPLY: usize = 64 << 10;
-
 /// Pause between words that a reply is coming in: half of the time after which a try of which nothing
 /// is heard is made again.
 const WORD_EVERY: Duration = Duration::from_millis(200);
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -17,10 +17,10 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::control::{Duties, Input};
-use tidetrack_core::traffic::feeds::{Catch, Revisions, Source};
+use tidetrack_core::traffic::feeds::{Catch, Revisions, Source, LARGE_REPLY};
 use tidetrack_core::units::Millis;
 
-use crate::call::{needless, Gate, OneAtATime, LARGE_REPLY};
+use crate::call::{needless, Gate, OneAtATime};
 use crate::dialect::{Age, Change, Changes, Kind, Stored};
 use crate::feed::{self, Chunk, FeedLog, ListChunk};
 use crate::pool::Pool;
