Give descriptors of ended connections back in the tests' proxy

Cause: the proxy kept two more handles of each connection, for a cut, as long as itself. Change: they are kept by the connection's number and dropped when either way has ended.

--- a/crates/tidetrack-testkit/src/proxy.rs
+++ b/crates/tidetrack-testkit/src/proxy.rs
@@ -1,5 +1,6 @@
 //! A TCP proxy that passes, delays, narrows, freezes or cuts what flows through it.
 
+use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -40,7 +41,11 @@
 struct Shared {
     target: Mutex<Option<String>>,
     fault: Mutex<Fault>,
-    open: Mutex<Vec<TcpStream>>,
+    /// Both sides of the connections under way, for a cut. One that ended gives its descriptors back: a
+    /// caller that sends as fast as it is answered opens some 500 a second.
+    open: Mutex<HashMap<u64, [TcpStream; 2]>>,
+    /// Connections carried so far.
+    connections: AtomicU64,
     stopped: AtomicBool,
     bytes: AtomicU64,
     /// When the narrow link has sent all that was given to it.
@@ -66,6 +71,7 @@
             target: Mutex::default(),
             fault: Mutex::default(),
             open: Mutex::default(),
+            connections: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
             bytes: AtomicU64::new(0),
             is_free_at: Mutex::new(Instant::now()),
@@ -104,7 +110,7 @@
         *lock(&self.shared.fault) = fault;
         *lock(&self.shared.is_free_at) = Instant::now();
         if fault == Fault::Cut {
-            for stream in lock(&self.shared.open).drain(..) {
+            for stream in lock(&self.shared.open).drain().flat_map(|(_, sides)| sides) {
                 // The other side may have closed it already.
                 let _ = stream.shutdown(Shutdown::Both);
             }
@@ -139,10 +145,17 @@
             // A socket that is closed already needs no option.
             let _ = stream.set_nodelay(true);
         }
-        lock(&self.open).extend([from3, to3]);
+        let number = self.connections.fetch_add(1, Ordering::Relaxed);
+        lock(&self.open).insert(number, [from3, to3]);
         let (forth, back) = (self.clone(), self.clone());
-        std::thread::spawn(move || forth.copy(from, to, false));
-        std::thread::spawn(move || back.copy(to2, from2, true));
+        std::thread::spawn(move || forth.carry(number, from, to, false));
+        std::thread::spawn(move || back.carry(number, to2, from2, true));
+    }
+
+    /// Copies one way of a connection until either way has ended.
+    fn carry(&self, number: u64, from: TcpStream, to: TcpStream, is_answer: bool) {
+        self.copy(from, to, is_answer);
+        lock(&self.open).remove(&number);
     }
 
     fn copy(&self, mut from: TcpStream, mut to: TcpStream, is_answer: bool) {
