Tell a host's own loss of the store from an outage by the reads it hears of

Cause: a failed call of one kind set the table of endpoints to "the store is away" until all kinds had been read again; entries that went in that time, and 2.3 s longer, were kept although the store answered. Ruled out: dropping entries as soon as another host reads: right after an outage that would drop endpoints whose entries are back within two seconds (two tests guard it). Change: the table takes note of reads that the store answered, this host's own and those that others tell of. A run of them with no gap in which an entry could lapse (2.3 s), which has lasted as long as entries need to come back, shows that what goes has left.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -289,6 +289,7 @@
                 Bearing::None
             }
             Input::Proved(began) => {
+                self.table.store_answered(began);
                 actions.push(Action::Proved(began));
                 Bearing::None
             }
@@ -353,6 +354,9 @@
         if self.peers.len() > before {
             actions.push(Action::Note(Event::PeerAlive, format!("peer={from}")));
         }
+        if let Some(proof) = &proof {
+            self.table.store_answered(proof.began);
+        }
         let own_version = self.catalog.as_ref().map(|c| c.version);
         if let Some(proof) = proof.filter(|p| Some(p.version) == own_version) {
             actions.push(Action::Proved(proof.began));
--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -3,6 +3,9 @@
 //! An endpoint renews its entry in the store, so entries lapse while the store is away although the
 //! endpoints live. Those are back soon after the store is; until then an entry that went missing
 //! across an outage is kept, and dropped if it has not come back in time.
+//!
+//! A host may lose the store alone. Reads that it hears of tell the two apart: while they go on, no entry
+//! lapses, and one that went is gone.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,6 +17,11 @@
 /// are listed again within two seconds; the rest is the watch's way.
 const LAPSED_KEPT: Millis = Millis(2_300);
 
+/// Longest time between two reads that the store answered in which no entry lapses. An endpoint renews
+/// its entry about each 1.2 s and loses it after three missed ones: an outage of 2.4 s is the shortest that
+/// makes an entry lapse.
+const MOST_BETWEEN_READS: Millis = Millis(2_300);
+
 /// What an endpoint says of itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointRecord {
@@ -40,12 +48,20 @@
     is_lapsed: bool,
 }
 
+/// Reads that the store answered, to whatever host, without a time between them in which entries lapse.
+#[derive(Clone, Copy, Debug)]
+struct Answered {
+    since: Millis,
+    last: Millis,
+}
+
 /// All endpoints this host believes in.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointTable {
     entries: BTreeMap<EndpointId, Entry>,
     is_store_away: bool,
     store_back_at: Option<Millis>,
+    answered: Option<Answered>,
 }
 
 impl EndpointTable {
@@ -62,6 +78,16 @@
         }
     }
 
+    /// Takes note that the store answered a read which some host began at `began`.
+    pub fn store_answered(&mut self, began: Millis) {
+        self.answered = match self.answered {
+            Some(run) if began <= run.last + MOST_BETWEEN_READS => {
+                Some(Answered { last: began.max(run.last), ..run })
+            }
+            _ => Some(Answered { since: began, last: began }),
+        };
+    }
+
     /// Takes a whole list.
     pub fn replace(&mut self, now: Millis, records: Vec<EndpointRecord>) {
         let keeps_missing = self.forgives_lapses(now);
@@ -123,7 +149,18 @@
         self.entries.values().map(|e| &e.record)
     }
 
+    /// Tells whether an entry that goes may have lapsed. To this host the store may be away while the
+    /// others reach it: an entry that goes then is of an endpoint that left.
     fn forgives_lapses(&self, now: Millis) -> bool {
-        self.is_store_away || self.store_back_at.is_some_and(|at| now < at + LAPSED_KEPT)
+        let is_lost =
+            self.is_store_away || self.store_back_at.is_some_and(|at| now < at + LAPSED_KEPT);
+        is_lost && !self.is_answering(now)
+    }
+
+    /// Tells whether the store has answered for so long that entries which had lapsed before are back.
+    fn is_answering(&self, now: Millis) -> bool {
+        let holds =
+            |run: &Answered| now <= run.last + MOST_BETWEEN_READS && now >= run.since + LAPSED_KEPT;
+        self.answered.as_ref().is_some_and(holds)
     }
 }
--- a/crates/tidetrack-core/tests/lapsed_entries.rs
+++ b/crates/tidetrack-core/tests/lapsed_entries.rs
@@ -74,7 +74,7 @@
         while self.now < until {
             self.now += STEP;
             self.take(Input::Tick);
-            if self.now % READS == 0 {
+            if self.now.is_multiple_of(READS) {
                 reads(self.now).into_iter().for_each(|read| self.take(read));
             }
         }
