--- a/crates/tidetrack-core/src/node/exchange.rs
+++ b/crates/tidetrack-core/src/node/exchange.rs
@@ -139,7 +139,7 @@
         // The other side's word holds from when it was asked, never from when it arrived.
         if let (Some(asked_at), Some(age)) = (asked_at, fresh) {
             if complete_to <= self.store.complete_to() {
-                self.confirm(asked_at - Millis(age));
+                self.confirm(asked_at, Millis(age));
             }
         }
     }
--- a/crates/tidetrack-core/src/node/knowledge.rs
+++ b/crates/tidetrack-core/src/node/knowledge.rs
@@ -9,7 +9,7 @@
 use crate::membership::{Member, MemberNews, MemberState};
 use crate::store::{Delta, Entry};
 use crate::units::Millis;
-use crate::view::facts_of_store;
+use crate::view::{facts_of_store, Confirmation};
 
 use super::messages::Item;
 use super::Node;
@@ -18,8 +18,13 @@
 const PROVEN_FACTOR: u64 = 3;
 
 impl Node {
-    pub(super) fn confirm(&mut self, at: Millis) {
-        self.fresh_at = Some(self.fresh_at.map_or(at, |old| old.max(at)));
+    /// Takes note that an answer confirmed the configuration as it was `age` before the question.
+    pub(super) fn confirm(&mut self, asked_at: Millis, age: Millis) {
+        let old = self.confirmed.unwrap_or_default();
+        self.confirmed = Some(Confirmation {
+            fresh_at: old.fresh_at.max(asked_at - age),
+            asked_at: old.asked_at.max(asked_at),
+        });
     }
 
     pub(super) fn merge_objects(&mut self, delta: Delta) {
@@ -99,7 +104,7 @@
             self.configuration_changed();
         }
         if revision >= self.store.complete_to() {
-            self.confirm(asked_at);
+            self.confirm(asked_at, Millis(0));
         }
     }
 
@@ -108,7 +113,7 @@
         let to = delta.to;
         self.merge_objects(delta);
         if to >= self.store.complete_to() {
-            self.confirm(asked_at);
+            self.confirm(asked_at, Millis(0));
         }
     }
 
--- a/crates/tidetrack-core/src/node/mod.rs
+++ b/crates/tidetrack-core/src/node/mod.rs
@@ -18,7 +18,7 @@
 use crate::membership::{Member, Members};
 use crate::store::Store;
 use crate::units::Millis;
-use crate::view::{View, ViewBuilder};
+use crate::view::{Confirmation, View, ViewBuilder};
 
 mod duties;
 mod exchange;
@@ -113,7 +113,7 @@
     seeds: BTreeMap<HostId, String>,
     peers: Option<(u64, Vec<(HostId, String)>)>,
     watcher: Cell<Option<(u64, bool)>>,
-    fresh_at: Option<Millis>,
+    confirmed: Option<Confirmation>,
     changed: bool,
     nonce: u64,
     log: Vec<Action>,
@@ -144,7 +144,7 @@
             seeds: BTreeMap::new(),
             peers: None,
             watcher: Cell::new(None),
-            fresh_at: None,
+            confirmed: None,
             changed: false,
             nonce,
             log: Vec::new(),
@@ -174,12 +174,17 @@
 
     /// Gets the time since the configuration was confirmed to be the newest.
     pub fn fresh_age(&self, now: Millis) -> Option<Millis> {
-        self.fresh_at.map(|at| now - at)
+        self.fresh_at().map(|at| now - at)
     }
 
     /// Gets the instant at which the configuration was last confirmed.
     pub fn fresh_at(&self) -> Option<Millis> {
-        self.fresh_at
+        self.confirmed.map(|c| c.fresh_at)
+    }
+
+    /// Gets when the configuration was last confirmed, and when that was asked for.
+    pub fn confirmed(&self) -> Option<Confirmation> {
+        self.confirmed
     }
 
     /// Tells whether this host should keep a watch on the object API.
--- a/crates/tidetrack-core/src/view.rs
+++ b/crates/tidetrack-core/src/view.rs
@@ -274,6 +274,15 @@
     }
 }
 
+/// When the configuration was last confirmed to be the newest, as a host has it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Confirmation {
+    /// It was the newest at this time.
+    pub fresh_at: Millis,
+    /// The question whose answer confirmed it was asked at this time.
+    pub asked_at: Millis,
+}
+
 /// How sure this host is of its configuration, read at the moment of dispatch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Freshness {
--- a/crates/tidetrack-router/src/control.rs
+++ b/crates/tidetrack-router/src/control.rs
@@ -327,7 +327,7 @@
         }
         // What is known counts once traffic decides on it.
         let ready = self.shared.view.load().revision > 0;
-        self.shared.gate.tick(now, self.node.fresh_at(), ready);
+        self.shared.gate.tick(now, self.node.confirmed(), ready);
         self.shared.gate.set_duty(PlatformDuty {
             watcher: self.node.is_watcher(),
             poll: self.node.wants_poll(now),
--- a/crates/tidetrack-router/src/shared.rs
+++ b/crates/tidetrack-router/src/shared.rs
@@ -17,7 +17,7 @@
 use tidetrack_core::retry::RetryBudget;
 use tidetrack_core::tickets::TicketBook;
 use tidetrack_core::units::Millis;
-use tidetrack_core::view::{Freshness, View};
+use tidetrack_core::view::{Confirmation, Freshness, View};
 pub use tidetrack_plane::shared::Clock;
 use tidetrack_wire::platform::PlatformClient;
 
@@ -71,9 +71,10 @@
 
 impl Gate {
     /// Takes note of a tick of the control thread.
-    pub fn tick(&self, now: Millis, fresh_at: Option<Millis>, ready: bool) {
+    pub fn tick(&self, now: Millis, confirmed: Option<Confirmation>, ready: bool) {
         let last = self.ticked_at.load(Ordering::Acquire);
-        let before = self.fresh_at.swap(fresh_at.map_or(0, |at| at.0), Ordering::AcqRel);
+        let fresh_at = confirmed.unwrap_or_default().fresh_at;
+        let before = self.fresh_at.swap(fresh_at.0, Ordering::AcqRel);
         if last > 0 && now - Millis(last) >= PAUSE {
             self.fresh_before_pause.store(before, Ordering::Release);
             self.paused_at.store(now.0, Ordering::Release);
@@ -107,7 +108,7 @@
     }
 
     /// Tells whether the process was paused and has not confirmed its configuration since.
-    fn is_unconfirmed(&self, now: Millis) -> bool {
+    pub fn is_unconfirmed(&self, now: Millis) -> bool {
         let ticked_at = Millis(self.ticked_at.load(Ordering::Acquire));
         let before = self.fresh_before_pause.load(Ordering::Acquire);
         let fresh_at = self.fresh_at.load(Ordering::Acquire);
