After a pause only a question asked since then confirms the configuration

Cause: the gate took any newer confirmation for one since the pause, also an answer that had waited in the socket, or one that had come between two looks of the control thread. Ruled out: comparing with the time of the newest confirmation as the core has it; an answer in the socket is newer than that too. Change: the gate compares when the confirming question was asked; the host reads the object API at once while it is unconfirmed, a watch would wait up to a second for news.

--- a/crates/tidetrack-router/src/control.rs
+++ b/crates/tidetrack-router/src/control.rs
@@ -330,7 +330,8 @@
         self.shared.gate.tick(now, self.node.confirmed(), ready);
         self.shared.gate.set_duty(PlatformDuty {
             watcher: self.node.is_watcher(),
-            poll: self.node.wants_poll(now),
+            // After a pause the answer to a short read is the first that tells.
+            poll: self.node.wants_poll(now) || self.shared.gate.is_unconfirmed(now),
             alone: self.node.hosts() <= 1,
             complete_to: self.node.store.complete_to(),
         });
--- a/crates/tidetrack-router/src/platform_io.rs
+++ b/crates/tidetrack-router/src/platform_io.rs
@@ -83,7 +83,7 @@
                 }
                 failures = 0;
                 // A watch waits at the object API; whoever reads once waits until that is taken in.
-                if duty.watcher {
+                if duty.is_watch() {
                     Duration::ZERO
                 } else {
                     IDLE
@@ -118,7 +118,7 @@
     if !duty.watcher && !duty.poll {
         return Ok(false);
     }
-    let wait = if duty.watcher { WATCH_MS } else { 0 };
+    let wait = if duty.is_watch() { WATCH_MS } else { 0 };
     match shared.platform.watch_config(after, wait) {
         Ok(delta) => {
             *read_to = after.max(delta.to);
--- a/crates/tidetrack-router/src/shared.rs
+++ b/crates/tidetrack-router/src/shared.rs
@@ -44,8 +44,8 @@
 pub struct Gate {
     ticked_at: AtomicU64,
     fresh_at: AtomicU64,
-    /// What `fresh_at` was before the last pause of the process; 0 if there was none.
-    fresh_before_pause: AtomicU64,
+    /// When the question was asked whose answer gave `fresh_at`, or a later one.
+    asked_at: AtomicU64,
     /// When the last pause of the process was noticed; 0 if there was none.
     paused_at: AtomicU64,
     ready: AtomicBool,
@@ -69,14 +69,21 @@
     pub complete_to: u64,
 }
 
+impl PlatformDuty {
+    /// Tells whether a read waits for a change; one that is wanted now does not.
+    pub fn is_watch(&self) -> bool {
+        self.watcher && !self.poll
+    }
+}
+
 impl Gate {
     /// Takes note of a tick of the control thread.
     pub fn tick(&self, now: Millis, confirmed: Option<Confirmation>, ready: bool) {
         let last = self.ticked_at.load(Ordering::Acquire);
-        let fresh_at = confirmed.unwrap_or_default().fresh_at;
-        let before = self.fresh_at.swap(fresh_at.0, Ordering::AcqRel);
+        let confirmed = confirmed.unwrap_or_default();
+        self.fresh_at.store(confirmed.fresh_at.0, Ordering::Release);
+        self.asked_at.store(confirmed.asked_at.0, Ordering::Release);
         if last > 0 && now - Millis(last) >= PAUSE {
-            self.fresh_before_pause.store(before, Ordering::Release);
             self.paused_at.store(now.0, Ordering::Release);
         }
         // Traffic looks at this first: it must not seem ticked before the pause is noted.
@@ -110,10 +117,11 @@
     /// Tells whether the process was paused and has not confirmed its configuration since.
     pub fn is_unconfirmed(&self, now: Millis) -> bool {
         let ticked_at = Millis(self.ticked_at.load(Ordering::Acquire));
-        let before = self.fresh_before_pause.load(Ordering::Acquire);
-        let fresh_at = self.fresh_at.load(Ordering::Acquire);
-        let heard = fresh_at > before && now - Millis(fresh_at) <= CONFIRMED;
+        let fresh_at = Millis(self.fresh_at.load(Ordering::Acquire));
         let paused_at = self.paused_at.load(Ordering::Acquire);
+        // An answer that waited in a socket through the pause says nothing of the time since it was given.
+        let is_asked_since = self.asked_at.load(Ordering::Acquire) >= paused_at;
+        let heard = is_asked_since && now - fresh_at <= CONFIRMED;
         // In an outage no confirmation comes: what is declared for a stale host holds from then on.
         let of_late = paused_at > 0 && now - Millis(paused_at) < CONFIRM_WAIT;
         now - ticked_at >= PAUSE || (of_late && !heard)
