Order the sides of a roll-out in one function

The choice of an endpoint and the question whether there is another one each put the sides of a roll-out in order, left the barred one out and went through what is avoided on each. One function lists that now, from the side that comes first. No change of behaviour.

--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -74,15 +74,9 @@
     let now = traffic.shared.now();
     let hold_for = traffic.shared.settings.bounds.session_time + RUN_TIME;
     let drawn = service.side(now, who, hold_for);
-    let other = match drawn {
-        Side::Proven => Side::New,
-        Side::New => Side::Proven,
-    };
-    let sides = [drawn, other].into_iter();
-    let sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
     let prompt = Prompt::new(traffic, job, service, model);
     let mut last = full("no endpoint can be used");
-    for (side, avoided) in sides.flat_map(|side| tries.avoided().map(|avoided| (side, avoided))) {
+    for (side, avoided) in searches(service, tries, drawn) {
         match pick(traffic, job, &avoided, service, side, &prompt) {
             Ok(chosen) => {
                 if let Some(part) = prompt.part {
@@ -118,12 +112,24 @@
     let view = traffic.shared.view.load();
     let Some(service) = view.services.get(&job.service) else { return false };
     let prompt = Prompt::new(traffic, job, service, model);
-    let sides = [Side::Proven, Side::New].into_iter();
-    let mut sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
-    sides.any(|side| {
-        let mut avoided = tries.avoided().into_iter();
-        avoided.any(|avoided| pick(traffic, job, &avoided, service, side, &prompt).is_ok())
-    })
+    let mut searches = searches(service, tries, Side::Proven);
+    searches.any(|(side, avoided)| pick(traffic, job, &avoided, service, side, &prompt).is_ok())
+}
+
+/// Lists where an endpoint is looked for, in order: a side of a roll-out, `first` or else the other one,
+/// and the endpoints that are avoided on it. The new version's side is left out once it is barred.
+fn searches<'a>(
+    service: &'a ServiceView,
+    tries: &'a Tries,
+    first: Side,
+) -> impl Iterator<Item = (Side, Vec<EndpointId>)> + 'a {
+    let other = match first {
+        Side::Proven => Side::New,
+        Side::New => Side::Proven,
+    };
+    let sides = [first, other].into_iter();
+    let sides = sides.filter(|side| *side == Side::Proven || !service.is_barred());
+    sides.flat_map(|side| tries.avoided().map(|avoided| (side, avoided)))
 }
 
 /// Makes the refusal for want of an endpoint with room.
