One flag for the slow reply that lets another one in

The count of slow replies was held at one, so it is a flag: a reply that finds it unset sets it and lets another one in, and its end unsets it. The bound and the counting go. No change of behaviour.

--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -30,9 +30,6 @@
 /// Time in which a reply may gather pace.
 const SLOW_AFTER: Duration = Duration::from_millis(500);
 
-/// Slow replies beside which another one is let in, at a time.
-const MOST_SLOW: usize = 1;
-
 /// Makes the error of a call that led to no usable reply.
 pub fn down(text: impl Into<String>) -> Error {
     Error::new(Code::PlatformDown, text).with_ran(Ran::Unknown)
@@ -53,20 +50,20 @@
 }
 
 /// Lets large replies about one matter in one at a time. Two copies of the same bytes share the way:
-/// each takes twice as long, and what is small and urgent waits behind both. On a link of 10 Mbit/s six
-/// copies of a configuration of 1 MB held the news of endpoints up for four seconds.
+/// each takes twice as long, and what is small and urgent waits behind both: on a link of 10 Mbit/s six
+/// copies of a configuration of 1 MB hold it up for over four seconds.
 ///
-/// A reply that comes too slowly lets another one in beside it: it is often its giver's way that is
-/// crowded, and elsewhere the same bytes may be had at once.
+/// A reply that comes too slowly lets another one in beside it, one at a time: it is often its giver's way
+/// that is crowded, and elsewhere the same bytes may be had at once.
 pub struct OneAtATime {
     turns: Semaphore,
-    /// Replies that have let another one in.
-    slow: Cell<usize>,
+    /// Whether a reply under way has let another one in.
+    has_let_in: Cell<bool>,
 }
 
 impl Default for OneAtATime {
     fn default() -> OneAtATime {
-        OneAtATime { turns: Semaphore::new(1), slow: Cell::new(0) }
+        OneAtATime { turns: Semaphore::new(1), has_let_in: Cell::new(false) }
     }
 }
 
@@ -84,7 +81,7 @@
 
     async fn turn(&self) -> Turn<'_> {
         let permit = self.turns.acquire().await.ok();
-        Turn { turns: self, permit, began: Instant::now(), is_slow: false }
+        Turn { turns: self, permit, began: Instant::now(), has_let_in: false }
     }
 }
 
@@ -93,7 +90,8 @@
     turns: &'a OneAtATime,
     permit: Option<SemaphorePermit<'a>>,
     began: Instant,
-    is_slow: bool,
+    /// Whether it is this reply that has let another one in.
+    has_let_in: bool,
 }
 
 impl Turn<'_> {
@@ -101,9 +99,8 @@
     fn has_come(&mut self, bytes: usize) -> bool {
         let took = self.began.elapsed();
         let is_slow = took >= SLOW_AFTER && (bytes as f64) < LEAST_RATE * took.as_secs_f64();
-        if is_slow && !self.is_slow && self.turns.slow.get() < MOST_SLOW {
-            self.is_slow = true;
-            self.turns.slow.set(self.turns.slow.get() + 1);
+        if is_slow && !self.turns.has_let_in.replace(true) {
+            self.has_let_in = true;
             self.turns.turns.add_permits(1);
         }
         !is_slow
@@ -112,9 +109,9 @@
 
 impl Drop for Turn<'_> {
     fn drop(&mut self) {
-        if let Some(permit) = self.permit.take().filter(|_| self.is_slow) {
+        if let Some(permit) = self.permit.take().filter(|_| self.has_let_in) {
             // The turn was given to another reply already.
-            self.turns.slow.set(self.turns.slow.get() - 1);
+            self.turns.has_let_in.set(false);
             permit.forget();
         }
     }
