Configuration and view: one table of kinds, rules of a stale host once

The kinds stood three times over: in their table, in the enum of objects and in its reader; one table makes all three. How far a policy is in force is the mode's own question. Docs for what a newcomer met without a word: the builder's maps, fences, which view is whose. No change of behaviour.

--- a/crates/tidetrack-core/src/config.rs
+++ b/crates/tidetrack-core/src/config.rs
@@ -1,4 +1,5 @@
-//! The configuration model: objects of the system's own kinds.
+//! The configuration model of a router: objects of the system's own kinds. Hosts on the users' platform have
+//! `traffic::catalog` in its place.
 //!
 //! An object is known by its kind and name and is kept as JSON in the platform's object API. The
 //! declared kinds come from the operators' folder; the system's kinds are written by commands and
@@ -17,6 +18,8 @@
 use crate::seal::KeyRing;
 use crate::units::Micros;
 
+/// Makes the kinds and their objects of one table: a kind's type, its name in keys, and whether operators
+/// declare objects of it.
 macro_rules! kinds {
     ($($name:ident, $text:literal, $declared:literal;)*) => {
         /// The kind of an object.
@@ -37,6 +40,18 @@
                 match self { $(Kind::$name => $declared,)* }
             }
         }
+
+        /// An object of any kind.
+        #[derive(Clone, Debug, PartialEq, Serialize)]
+        #[serde(untagged)]
+        pub enum Object { $(#[doc = $text] $name($name),)* }
+
+        impl Object {
+            /// Reads an object of the given kind from JSON text.
+            pub fn from_json(kind: Kind, text: &str) -> Result<Object, serde_json::Error> {
+                Ok(match kind { $(Kind::$name => Object::$name(serde_json::from_str(text)?),)* })
+            }
+        }
     };
 }
 
@@ -172,7 +187,7 @@
     /// Requests that one endpoint runs at a time before it queues.
     #[serde(default = "default_slots")]
     pub slots: u32,
-    /// Whether the endpoints check the fence of an order.
+    /// Whether the endpoints check fences: they refuse an order older than one they have seen.
     #[serde(default)]
     pub fenced: bool,
 }
@@ -233,6 +248,17 @@
     Full,
 }
 
+impl Mode {
+    /// Tells whether the policy decides for a request drawn at `draw`, from 0 up to 1.
+    pub fn is_in_force(self, draw: f64) -> bool {
+        match self {
+            Mode::Observe => false,
+            Mode::Share(share) => draw < share,
+            Mode::Full => true,
+        }
+    }
+}
+
 /// A routing policy; its name is the route.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -402,52 +428,7 @@
     pub op: String,
 }
 
-/// An object of any kind.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-#[serde(untagged)]
-pub enum Object {
-    /// A workspace.
-    Workspace(Workspace),
-    /// A model.
-    Model(Model),
-    /// A version.
-    Version(Version),
-    /// A pool.
-    Pool(Pool),
-    /// A plain service.
-    Service(Service),
-    /// A policy.
-    Policy(Policy),
-    /// A roll-out.
-    Rollout(Rollout),
-    /// A service-level objective.
-    Objective(Objective),
-    /// The key ring.
-    KeyRing(KeyRing),
-    /// A withdrawal.
-    Withdrawal(Withdrawal),
-    /// The state of a roll-out.
-    RolloutState(RolloutState),
-}
-
 impl Object {
-    /// Reads an object of the given kind from JSON text.
-    pub fn from_json(kind: Kind, text: &str) -> Result<Object, serde_json::Error> {
-        Ok(match kind {
-            Kind::Workspace => Object::Workspace(serde_json::from_str(text)?),
-            Kind::Model => Object::Model(serde_json::from_str(text)?),
-            Kind::Version => Object::Version(serde_json::from_str(text)?),
-            Kind::Pool => Object::Pool(serde_json::from_str(text)?),
-            Kind::Service => Object::Service(serde_json::from_str(text)?),
-            Kind::Policy => Object::Policy(serde_json::from_str(text)?),
-            Kind::Rollout => Object::Rollout(serde_json::from_str(text)?),
-            Kind::Objective => Object::Objective(serde_json::from_str(text)?),
-            Kind::KeyRing => Object::KeyRing(serde_json::from_str(text)?),
-            Kind::Withdrawal => Object::Withdrawal(serde_json::from_str(text)?),
-            Kind::RolloutState => Object::RolloutState(serde_json::from_str(text)?),
-        })
-    }
-
     /// Renders the object as JSON text.
     pub fn to_json(&self) -> String {
         serde_json::to_string(self).expect("objects have only text keys")
--- a/crates/tidetrack-core/src/view.rs
+++ b/crates/tidetrack-core/src/view.rs
@@ -1,4 +1,5 @@
-//! The view that traffic threads decide on: the configuration, compiled.
+//! The view that a router's traffic threads decide on: the configuration, compiled. Hosts on the users'
+//! platform have `traffic::view` in its place.
 //!
 //! The control thread builds a view whenever the configuration or a narrowing fact changes. What
 //! must outlive a view (endpoint load, credits, compiled programs) is shared from one to the next.
@@ -8,11 +9,11 @@
 
 use crate::codes::Code;
 use crate::config::{
-    Endpoint, Kind, Mode, Model, Object, ObjectKey, Objective, Policy, Rollout, RolloutPhase,
+    Endpoint, Kind, Model, Object, ObjectKey, Objective, Policy, Rollout, RolloutPhase,
     RolloutState, Service, Version, WhenStale, Workspace,
 };
 use crate::errors::{unknown, Error, Result};
-use crate::facts::{Facts, Subject};
+use crate::facts::{Fact, Facts, Subject};
 use crate::ids::{
     EndpointId, Incarnation, ModelId, PoolId, RolloutId, RouteId, ServiceId, VersionRef,
     WorkspaceId,
@@ -21,7 +22,7 @@
 use crate::policy::{Features, Plan, Program};
 use crate::rollout::Credits;
 use crate::seal::KeyRing;
-use crate::store::Store;
+use crate::store::{Entry, Store};
 use crate::units::Millis;
 
 /// A version as traffic sees it.
@@ -53,6 +54,16 @@
     pub fn is_running(&self) -> bool {
         self.state.as_ref().is_some_and(|s| s.phase == RolloutPhase::Running)
     }
+
+    /// Tells whether a host so sure of its configuration counts as stale.
+    fn is_stale(&self, fresh: Freshness) -> bool {
+        fresh.age.0 > self.spec.stale_ms
+    }
+
+    /// Tells whether such a host may put work on the new version.
+    fn may_use_new(&self, fresh: Freshness) -> bool {
+        !self.is_stale(fresh) || self.spec.when_stale == WhenStale::GoOn
+    }
 }
 
 /// A policy as traffic sees it.
@@ -115,14 +126,21 @@
     pub objectives: Vec<Objective>,
 }
 
-/// Plain services say themselves when they are full.
+/// Slots of a pool whose work is not bounded: plain services say themselves when they are full.
 const NO_BOUND: u32 = 0;
 
+/// When to come back to a version that takes no work now, in milliseconds: by then routers have looked at
+/// the roll-out again, which they do every 300 ms.
+const RETRY_VERSION_MS: u64 = 1_000;
+
 /// What is shared from one view to the next.
 #[derive(Debug, Default)]
 pub struct ViewBuilder {
+    /// Endpoints' load and health, by name and address.
     live: HashMap<(EndpointId, String), Arc<EndpointLive>>,
+    /// Credits, by version and generation.
     credits: HashMap<(VersionRef, u64), Arc<Credits>>,
+    /// Policies, each with the revision that it was compiled from.
     policies: HashMap<RouteId, (u64, Arc<PolicyView>)>,
 }
 
@@ -164,6 +182,7 @@
         (view, unreadable)
     }
 
+    /// Adds an object to a view.
     fn add(
         &mut self,
         view: &mut View,
@@ -217,6 +236,7 @@
         }
     }
 
+    /// Makes the view of a pool that was declared at a revision.
     fn pool(
         &mut self,
         endpoints: &BTreeMap<EndpointId, Endpoint>,
@@ -237,6 +257,7 @@
         PoolView::new(endpoints.iter().map(view_of).collect(), slots)
     }
 
+    /// Compiles a policy, unless that was done for the same revision.
     fn policy(&mut self, id: &RouteId, version: u64, spec: Policy) -> Arc<PolicyView> {
         match self.policies.get(id) {
             Some((v, policy)) if *v == version => policy.clone(),
@@ -321,6 +342,7 @@
         Ok(found)
     }
 
+    /// Finds the roll-out that a model's requests meet: of those under way or done, the one written last.
     fn rollout_of(&self, model: &ModelId) -> Option<(&RolloutView, &RolloutState)> {
         let running = |r: &&RolloutView| {
             r.spec.from.model == *model
@@ -350,15 +372,13 @@
             let to = self.chosen(workspace, &rollout.spec.to);
             return to.or_else(|_| self.chosen(workspace, &rollout.spec.from));
         }
-        let stale = fresh.age.0 > rollout.spec.stale_ms;
-        if stale && rollout.spec.when_stale == WhenStale::Stop {
+        if rollout.is_stale(fresh) && rollout.spec.when_stale == WhenStale::Stop {
             let message = format!("configuration not confirmed for {}", fresh.age);
-            return Err(Error::new(Code::Stale, message).with_retry_after(1_000));
+            return Err(Error::new(Code::Stale, message).with_retry_after(RETRY_VERSION_MS));
         }
         let stage = rollout.spec.stages.get(state.stage);
-        let meets = stage.is_some_and(|s| draw < s.share);
-        let may = !stale || rollout.spec.when_stale == WhenStale::GoOn;
-        if meets && may {
+        let meets_new = stage.is_some_and(|s| draw < s.share);
+        if meets_new && rollout.may_use_new(fresh) {
             if let Ok(chosen) = self.chosen(workspace, &rollout.spec.to) {
                 return Ok(chosen);
             }
@@ -392,22 +412,23 @@
         let Some(rollout) = self.rollouts.iter().find(|r| r.spec.to == *version) else {
             return Ok(());
         };
-        let running = rollout.state.as_ref().is_some_and(|s| s.phase == RolloutPhase::Running);
-        let stale = fresh.age.0 > rollout.spec.stale_ms;
-        if running && (!stale || rollout.spec.when_stale == WhenStale::GoOn) {
+        let is_running = rollout.is_running();
+        if is_running && rollout.may_use_new(fresh) {
             return Ok(());
         }
-        let code = if running { Code::Stale } else { Code::NoVersion };
+        let code = if is_running { Code::Stale } else { Code::NoVersion };
         let message = format!("{version} takes no work now; the session keeps it");
-        Err(Error::new(code, message).with_retry_after(1_000))
+        Err(Error::new(code, message).with_retry_after(RETRY_VERSION_MS))
     }
 
+    /// Checks a version and takes a credit where it is unproven.
     fn chosen(&self, workspace: &Workspace, version: &VersionRef) -> Result<Chosen> {
         let v = self.check_version(workspace, version)?;
         if let Some(credits) = &v.unproven {
             if !credits.take() {
                 let message = format!("the exposure cap of {version} is reached");
-                return Err(Error::new(Code::NoVersion, message).with_retry_after(1_000));
+                let refusal = Error::new(Code::NoVersion, message);
+                return Err(refusal.with_retry_after(RETRY_VERSION_MS));
             }
         }
         Ok(Chosen {
@@ -427,31 +448,22 @@
         }
     }
 
-    /// Tells how far a policy is in force for a request drawn at `draw`.
-    pub fn in_force(&self, mode: Mode, draw: f64) -> bool {
-        match mode {
-            Mode::Observe => false,
-            Mode::Share(share) => draw < share,
-            Mode::Full => true,
-        }
-    }
-
-    /// Lists the objects' keys that name endpoints, for load polls.
+    /// Lists the endpoints of all pools, for reads of their loads.
     pub fn pool_endpoints(&self) -> impl Iterator<Item = &PoolEndpoint> {
         self.pools.values().flat_map(|p| p.endpoints().iter())
     }
 }
 
 /// Lists the facts that follow from accepted withdrawals, so that they spread host to host.
-pub fn facts_of_store(store: &Store) -> Vec<crate::facts::Fact> {
+pub fn facts_of_store(store: &Store) -> Vec<Fact> {
     let entries = store.iter().filter(|e| e.key.kind == Kind::Withdrawal);
-    let fact_of = |e: &crate::store::Entry| {
+    let fact_of = |e: &Entry| {
         let body = e.body.as_ref()?;
         let Ok(Object::Withdrawal(w)) = Object::from_json(Kind::Withdrawal, body) else {
             return None;
         };
         let subject = Subject::Withdrawn(e.key.name.parse().ok()?);
-        Some(crate::facts::Fact { subject, generation: w.generation })
+        Some(Fact { subject, generation: w.generation })
     };
     entries.filter_map(fact_of).collect()
 }
--- a/crates/tidetrack-router/src/chat/mod.rs
+++ b/crates/tidetrack-router/src/chat/mod.rs
@@ -209,7 +209,7 @@
         }
         let script = header_of(request, headers::SCRIPT_CHOICE);
         match script {
-            Some(choice) if !view.in_force(policy.spec.mode, self.draw) => {
+            Some(choice) if !policy.spec.mode.is_in_force(self.draw) => {
                 let text = format!(
                     "{} {}: policy {:?}, script {choice}",
                     self.caller.id, self.route, plan.rungs
