Tests of the keeper: make the keeper with a gone host's bills once

Two tests began with the same five lines; a function makes that keeper and keeps its assertion. Core: 147 passed, 0 failed; fmt and clippy of the workspace clean.

--- a/crates/tidetrack-core/tests/keeper.rs
+++ b/crates/tidetrack-core/tests/keeper.rs
@@ -100,6 +100,15 @@
     assert_eq!(held, PENDING as usize);
 }
 
+/// Makes a keeper with bills pending that holds as many for a host that is gone.
+fn keeper_with_bills_of(gone: &Incarnation) -> Keeper {
+    let mut keeper = keeper_with_pending();
+    let bills = (1..=PENDING).map(bill).collect();
+    let call = HoldCall { origin: gone.clone(), bills, written: vec![], next_segment: 1 };
+    assert!(keeper.hold_for(call));
+    keeper
+}
+
 /// Gives the keeper the bills of a host that is gone, and lets the write of its segment fail.
 fn fail_to_write_for(keeper: &mut Keeper, gone: &Incarnation) {
     keeper.take_over(std::slice::from_ref(gone));
@@ -111,10 +120,7 @@
 #[test]
 fn bills_of_a_gone_host_are_passed_on_a_call_at_a_time_and_each_once() {
     let gone: Incarnation = "g~1".parse().expect("an incarnation");
-    let mut keeper = keeper_with_pending();
-    let bills = (1..=PENDING).map(bill).collect();
-    let call = HoldCall { origin: gone.clone(), bills, written: vec![], next_segment: 1 };
-    assert!(keeper.hold_for(call));
+    let mut keeper = keeper_with_bills_of(&gone);
     fail_to_write_for(&mut keeper, &gone);
 
     let mut passed: Vec<u64> = Vec::new();
@@ -138,10 +144,7 @@
 #[test]
 fn a_failed_call_to_pass_bills_on_is_made_again_for_fewer() {
     let gone: Incarnation = "g~1".parse().expect("an incarnation");
-    let mut keeper = keeper_with_pending();
-    let bills = (1..=PENDING).map(bill).collect();
-    let call = HoldCall { origin: gone.clone(), bills, written: vec![], next_segment: 1 };
-    assert!(keeper.hold_for(call));
+    let mut keeper = keeper_with_bills_of(&gone);
     fail_to_write_for(&mut keeper, &gone);
     let actions = keeper.pump(Millis(2_000));
     let (batch, call) = call_of(&actions);
