Read the endpoints up to where a proving read saw the store

Cause: hosts took for granted that the two which watch the store for them hear from it. The proving read tells the store's revision, so they could have known.

Ruled out: refusing or being unready (in an outage news are old for everybody, and it would flap); ranking only hosts that have the store as watching ones (a store that leaves a watch without a word is noticed after 20 s).

Change: the revision of a proving read, beyond what is known of endpoints, is word of a change that is lacked. If it is not accounted for within 0.4 s the endpoints' changes are read after the known one, a few hundred bytes; other hosts hear of them as of any. Nothing is read when the store has not moved on.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -81,6 +81,8 @@
     /// The configuration was read; the read began at this time. It is told after the configuration, so
     /// that the proof holds only once traffic decides on that one.
     Proved(Millis),
+    /// The store was at this revision when the configuration was read there.
+    StoreSeen(u64),
     /// A large reply with changes of a kind is coming in.
     Coming(Kind),
     /// Changes could not be got.
@@ -292,6 +294,10 @@
                 actions.push(Action::Proved(began));
                 Bearing::None
             }
+            Input::StoreSeen(revision) => {
+                self.feeds.store_seen(now, revision);
+                Bearing::None
+            }
             Input::Coming(kind) => {
                 self.feeds.coming(now, kind);
                 Bearing::None
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -18,6 +18,12 @@
 /// How long after the first word of a change the store is read for it.
 const STORE_AFTER: Millis = Millis(700);
 
+/// How long after a read of the configuration told of a later revision of the store the endpoints are read
+/// up to there. Mostly those that watch bring the change before: they let changes gather for 0.6 s, at
+/// different times, and it goes round in 0.3 s. The configuration is read every 1.5 s at the latest, and
+/// the users' bound on requests at endpoints that leave is 3 s.
+const SEEN_AFTER: Millis = Millis(400);
+
 /// Pause after a failed read of the store, beside the time of a try.
 const STORE_AGAIN: Millis = Millis(600);
 
@@ -139,13 +145,22 @@
 /// A change that somebody told of and this host lacks.
 #[derive(Clone, Copy, Debug)]
 struct Lack {
-    since: Millis,
+    /// When another host first told of it; `None` if only the store did.
+    told_at: Option<Millis>,
+    /// When the store is read for it.
+    due_at: Millis,
     wanted: u64,
     tried_at: Option<Millis>,
     /// Whether hosts could not give it.
     is_failed: bool,
 }
 
+impl Lack {
+    fn of(wanted: u64, due_at: Millis) -> Lack {
+        Lack { told_at: None, due_at, wanted, tried_at: None, is_failed: false }
+    }
+}
+
 /// How far this host follows each kind.
 #[derive(Clone, Debug, Default)]
 pub struct Feeds {
@@ -189,6 +204,23 @@
         }
     }
 
+    /// Takes note that the store was at a revision when the configuration was read there. Those that watch
+    /// for this host may be away from the store and not know it, so a revision beyond the known ones is
+    /// word of a change of the endpoints, unless it is accounted for soon. It may be one of another kind;
+    /// the read is short then.
+    pub fn store_seen(&mut self, now: Millis, revision: u64) {
+        let after = self.complete.get(Kind::Endpoints);
+        // A kind that was never listed is being listed.
+        if after == 0 || revision <= after {
+            return;
+        }
+        let due_at = now + SEEN_AFTER;
+        let lack = &mut self.lacks[Kind::Endpoints as usize];
+        let lack = lack.get_or_insert(Lack::of(revision, due_at));
+        lack.wanted = lack.wanted.max(revision);
+        lack.due_at = lack.due_at.min(due_at);
+    }
+
     /// Takes what another host knows; gets what is to be got from it.
     pub fn told(
         &mut self,
@@ -217,11 +249,11 @@
         if after == 0 || wanted <= after {
             return None;
         }
-        let new = Lack { since: now, wanted, tried_at: None, is_failed: false };
-        let lack = self.lacks[kind as usize].get_or_insert(new);
+        let lack = self.lacks[kind as usize].get_or_insert(Lack::of(wanted, now + STORE_AFTER));
+        let told_at = *lack.told_at.get_or_insert(now);
         lack.wanted = lack.wanted.max(wanted);
         let is_tried = lack.tried_at.is_some_and(|at| now < at + TRY_WITHIN);
-        if is_tried || lack.is_failed || !(is_near || now >= lack.since + FAR_AFTER) {
+        if is_tried || lack.is_failed || !(is_near || now >= told_at + FAR_AFTER) {
             return None;
         }
         lack.tried_at = Some(now);
@@ -234,7 +266,7 @@
         for kind in Kind::ALL {
             let Some(lack) = &mut self.lacks[kind as usize] else { continue };
             let is_tried = lack.tried_at.is_some_and(|at| now < at + TRY_WITHIN);
-            if !is_tried && (lack.is_failed || now >= lack.since + STORE_AFTER) {
+            if !is_tried && (lack.is_failed || now >= lack.due_at) {
                 lack.tried_at = Some(now);
                 lack.is_failed = false;
                 let after = self.complete.get(kind);
--- a/crates/tidetrack-core/tests/feeds.rs
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -87,6 +87,34 @@
     assert_eq!(asked.len(), 1, "{asked:?}");
 }
 
+#[test]
+fn endpoints_are_read_up_to_where_the_store_was_seen_unless_they_come_first() {
+    let mut feeds = feeds();
+    feeds.caught_up(Kind::Endpoints, 10, Some(10));
+    feeds.store_seen(Millis(0), 12);
+    let mut other = feeds.clone();
+    let due = |feeds: &mut Feeds| -> Vec<(u64, Catch)> {
+        let due = |now| feeds.due(Millis(now)).into_iter().map(move |c| (now, c));
+        (0..1_000).step_by(STEP as usize).flat_map(due).collect()
+    };
+
+    other.caught_up(Kind::Endpoints, 12, Some(11));
+
+    let read = Catch { kind: Kind::Endpoints, after: 10, source: Source::Store };
+    assert_eq!(due(&mut feeds).first(), Some(&(400, read)));
+    assert_eq!(due(&mut other), Vec::new());
+}
+
+#[test]
+fn a_store_that_was_seen_at_a_known_change_is_not_read() {
+    let mut feeds = feeds();
+    feeds.caught_up(Kind::Endpoints, 12, Some(11));
+
+    feeds.store_seen(Millis(0), 12);
+
+    assert_eq!(feeds.due(Millis(5_000)), Vec::new());
+}
+
 #[test]
 fn a_host_gives_no_more_at_once_than_its_link_soon_passes() {
     let mut narrow = Giving::new(Bandwidth(10.0));
--- a/crates/tidetrack-core/tests/large_fleet.rs
+++ b/crates/tidetrack-core/tests/large_fleet.rs
@@ -101,6 +101,26 @@
     assert!((50..=150).contains(&fleet.calls), "{} calls", fleet.calls);
 }
 
+/// A host that watches the store may be away from it and not know, and then all its failure domain heard of
+/// no endpoint any more. Evidence: `platform/tests/endpoint_news.rs`.
+#[test]
+fn endpoints_are_known_in_time_though_those_that_watch_see_nothing() {
+    let mut fleet = Fleet::start(67, 7);
+    fleet.run(4_000, |_, _| {});
+    fleet.are_watchers_blind = true;
+
+    let change = |n: u64| -> u64 {
+        // Changes come at all times between two proofs.
+        fleet.run(fleet.now + 130 * n, |_, _| {});
+        fleet.change()
+    };
+    let took: Vec<u64> = (0..20).map(change).collect();
+
+    println!("{took:?} ms, {} calls", fleet.calls);
+    assert!(took.iter().all(|ms| *ms <= 2_500), "{took:?}");
+    assert!(fleet.calls <= 60, "{} calls, of three hosts for 20 changes", fleet.calls);
+}
+
 /// A session whose requests follow each other, each at some host.
 struct Session {
     name: String,
--- a/crates/tidetrack-core/tests/support/fleet.rs
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -81,6 +81,8 @@
     pub links: Links<Coming>,
     /// Hosts that do not answer others.
     pub deaf: Vec<usize>,
+    /// Whether the store shows those that watch it nothing.
+    pub are_watchers_blind: bool,
     /// Whether the store fails the calls of hosts that do not watch it.
     pub store_is_down: bool,
     /// Calls to the store by hosts that do not watch it.
@@ -115,6 +117,7 @@
             giving: vec![Giving::new(Bandwidth(f64::INFINITY)); hosts as usize],
             links: Links::wide(hosts as usize),
             deaf: Vec::new(),
+            are_watchers_blind: false,
             store_is_down: false,
             calls: 0,
             rollout: None,
@@ -154,12 +157,13 @@
         if host.beliefs.is_prover() && self.now >= host.proves_at {
             host.fresh.proved(Millis(self.now));
             host.proves_at = self.now + PROVE_EVERY;
+            self.take(i, Input::StoreSeen(self.revision));
         }
     }
 
     /// Lets a host that watches the store see its changes.
     pub fn watch(&mut self, i: usize) {
-        if !self.hosts[i].beliefs.is_watcher() {
+        if !self.hosts[i].beliefs.is_watcher() || self.are_watchers_blind {
             return;
         }
         for kind in [Kind::Catalog, Kind::Endpoints] {
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -328,7 +328,10 @@
                 continue;
             }
             match self.read_store(Kind::Catalog, after).await.or_else(unless_needless) {
-                Ok(()) => pause = FIRST_PAUSE,
+                Ok(()) => {
+                    pause = FIRST_PAUSE;
+                    self.shared.tell(Input::StoreSeen(self.position(Kind::Catalog)));
+                }
                 Err(e) => {
                     self.lost(Kind::Catalog, &e);
                     tokio::time::sleep(jittered(pause)).await;
