Go on from the last known change after a failed watch

Cause: whenever a watch failed, or the store answered again, a host that watches listed all endpoints and roll-outs, though it knew them up to some change. The list was told as news, for it may hold changes that were not told one by one; its log of changes began anew with it, so every other host got the whole list from it.

Ruled out: telling a list as news only if it differs from what is known: the list itself still fills the link of the host that watches, and in a fleet where endpoints come and go it always differs.

Change: a host that knows a kind reads the changes since, and a list only if the store has forgotten them. Such changes go from host to host like any.

--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -1,9 +1,10 @@
 //! Keeps the beliefs of a host at the store's state: a list of each kind, then changes from there. A
-//! few hosts watch the store for them; the others get them host to host (`feed`).
+//! few hosts watch the store for them; the others get them host to host (`feed`). A list follows later
+//! only where the store has forgotten the changes.
 //!
 //! A few hosts also prove that the configuration is the newest, by short reads; the others are told.
 //! A host whose proof grows old all the same reads for itself, and notices there that it has lost the
-//! store; once the store answers again, all kinds start again from a list.
+//! store; once the store answers again, all kinds go on from the last change they know.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -183,7 +184,10 @@
     /// Reads the changes after a revision from the store, or the whole kind if they are forgotten.
     async fn read_store(&self, kind: Kind, after: u64) -> Result<()> {
         match self.read_changes(kind, after, Millis(0)).await {
-            Err(e) if e.code == Code::HistoryGone => self.read_all(kind, None).await,
+            Err(e) if e.code == Code::HistoryGone => {
+                self.shared.journal.line(Event::HistoryGone, &[("kind", &format!("{kind:?}"))]);
+                self.read_all(kind, None).await
+            }
             result => result,
         }
     }
@@ -277,10 +281,9 @@
             returns.mark_unchanged();
             let e = tokio::select! {
                 e = self.follow(kind) => e,
-                () = self.is_to_list_again(&mut returns), if kind != Kind::Catalog => continue,
+                () = self.is_to_go_on(&mut returns), if kind != Kind::Catalog => continue,
             };
             if e.code == Code::HistoryGone {
-                self.shared.journal.line(Event::HistoryGone, &[("kind", &format!("{kind:?}"))]);
                 pause = FIRST_PAUSE;
                 continue;
             }
@@ -293,7 +296,7 @@
     }
 
     /// Waits until the store is back, on a host that watches it; the others hear from those.
-    async fn is_to_list_again(&self, returns: &mut watch::Receiver<u64>) {
+    async fn is_to_go_on(&self, returns: &mut watch::Receiver<u64>) {
         // Neither sender ends before the process.
         let _ = returns.changed().await;
         let _ = self.duties.clone().wait_for(|duties| duties.watches).await;
@@ -374,9 +377,14 @@
         }
     }
 
-    /// Lists a kind and follows its changes until a call fails.
+    /// Brings a kind to the store's state and follows its changes until a call fails.
     async fn follow(&self, kind: Kind) -> Error {
-        if let Err(e) = self.read_all(kind, None).await {
+        let brought = match self.position(kind) {
+            0 => self.read_all(kind, None).await,
+            // A list would be hundreds of times as large, for this host and all that hear from it.
+            after => self.read_store(kind, after).await.or_else(unless_needless),
+        };
+        if let Err(e) = brought {
             return e;
         }
         self.back(kind);
