Tell how a connection to an endpoint broke

E302 said "connection error" for a connection that this host's own limit on silence had ended as for one that the endpoint had reset, and for a connect that nobody answered as for one that was refused in its text only. Whether our limit or an endpoint's end cut an answer could not be told from a log.

E302 and E311 have `broke` (silence, reset, refused, closed, other; - where no connection broke), E302 the attempt's `ms`, `why` the causes of the library's error; `tidetrack_broke` counts by `how`. `Broke` is of the core, so that what is done about a break can depend on it. No decision does yet.

--- a/crates/tidetrack-core/src/errors.rs
+++ b/crates/tidetrack-core/src/errors.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::broke::Broke;
 use crate::codes::{Code, Ran};
 
 /// A coded error.
@@ -19,6 +20,9 @@
     pub ran: Ran,
     /// When to come back, in milliseconds, where that is known.
     pub retry_after_ms: Option<u64>,
+    /// How the connection broke, if one did. It concerns this host only.
+    #[serde(skip)]
+    pub broke: Option<Broke>,
 }
 
 /// A result with the crate's error.
@@ -27,7 +31,7 @@
 impl Error {
     /// Makes an error from a code and a message; `ran` is the code's own.
     pub fn new(code: Code, message: impl Into<String>) -> Error {
-        Error { code, message: message.into(), ran: code.ran(), retry_after_ms: None }
+        Error { code, message: message.into(), ran: code.ran(), retry_after_ms: None, broke: None }
     }
 
     /// Sets whether the request had been run.
@@ -36,6 +40,12 @@
         self
     }
 
+    /// Sets how the connection broke.
+    pub fn with_broke(mut self, broke: Broke) -> Error {
+        self.broke = Some(broke);
+        self
+    }
+
     /// Sets when the caller may come back.
     pub fn with_retry_after(mut self, ms: u64) -> Error {
         self.retry_after_ms = Some(ms);
--- a/crates/tidetrack-core/src/lib.rs
+++ b/crates/tidetrack-core/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(rust_2018_idioms)]
 
+pub mod broke;
 pub mod codes;
 pub mod config;
 pub mod declare;
--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -7,11 +7,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
+use tidetrack_core::broke::{with_causes, Broke};
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
 
 use crate::dialect::AnswerFacts;
-use crate::pool::{Lease, Pool};
+use crate::pool::{broke, Lease, Pool};
 
 /// Largest answer that is collected before it is passed on, in bytes.
 pub const MOST_COLLECTED: usize = 1 << 20;
@@ -71,22 +72,27 @@
     let until = tokio::time::Instant::from_std(attempt.until);
     loop {
         let taken = attempt.pool.take(attempt.endpoint, attempt.address, attempt.most_rest);
-        let mut lease = tokio::time::timeout_at(until, taken)
-            .await
-            .map_err(|_| failed(Code::EndpointUnreachable, "no connection in time", Ran::No))??;
+        let mut lease = tokio::time::timeout_at(until, taken).await.map_err(|_| {
+            let e = failed(Code::EndpointUnreachable, "no connection in time", Ran::No);
+            e.with_broke(Broke::Silence)
+        })??;
         let sent = lease.sender.try_send_request(make());
         match tokio::time::timeout_at(until, sent).await {
             Err(_) => return Err(failed(Code::Deadline, "no answer in time", Ran::Unknown)),
             Ok(Ok(resp)) => return judge_head(attempt, resp, lease).await,
             Ok(Err(mut e)) => {
-                let text = e.error().to_string();
+                let (text, broke) = (with_causes(e.error()), broke(e.error()));
                 match (e.take_message(), lease.is_reused) {
                     // The other end had closed the connection before anything was sent.
                     (Some(_), true) => {}
                     (Some(_), false) => {
-                        return Err(failed(Code::EndpointUnreachable, text, Ran::No));
+                        let e = failed(Code::EndpointUnreachable, text, Ran::No);
+                        return Err(e.with_broke(broke));
+                    }
+                    (None, _) => {
+                        let e = failed(Code::EndpointFailed, text, Ran::Unknown);
+                        return Err(e.with_broke(broke));
                     }
-                    (None, _) => return Err(failed(Code::EndpointFailed, text, Ran::Unknown)),
                 }
             }
         }
@@ -138,6 +144,12 @@
 /// Collects a whole body; the connection can then be kept.
 pub async fn collect(body: Incoming, lease: Lease) -> Result<(Bytes, Lease)> {
     let whole = Limited::new(body, MOST_COLLECTED).collect().await;
-    let whole = whole.map_err(|e| failed(Code::EndpointFailed, e.to_string(), Ran::Yes))?;
+    let whole = whole.map_err(|e| {
+        let failed = failed(Code::EndpointFailed, with_causes(e.as_ref()), Ran::Yes);
+        match e.downcast_ref::<hyper::Error>() {
+            Some(e) => failed.with_broke(broke(e)),
+            None => failed,
+        }
+    })?;
     Ok((whole.to_bytes(), lease))
 }
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::Instant;
 
+use tidetrack_core::broke::with_causes;
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::traffic::feeds::LARGE_REPLY;
@@ -161,7 +162,7 @@
     let host = http::HeaderValue::from_str(address).map_err(|e| down(e.to_string()))?;
     req.headers_mut().insert(http::header::HOST, host);
     let sent = tokio::time::timeout_at(until, lease.sender.send_request(req));
-    let (head, body) = sent.await.map_err(late)?.map_err(|e| down(e.to_string()))?.into_parts();
+    let (head, body) = sent.await.map_err(late)?.map_err(|e| down(with_causes(&e)))?.into_parts();
     let head_came = Instant::now();
     let body = collect(body, patience.part, gate).await?;
     pool.keep(name, lease, None);
@@ -196,7 +197,7 @@
         let frame = tokio::time::timeout(part, body.frame()).await;
         match frame.map_err(|_| down("the reply stopped in the middle"))? {
             Some(Ok(frame)) => all.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
-            Some(Err(e)) => return Err(down(e.to_string())),
+            Some(Err(e)) => return Err(down(with_causes(e.as_ref()))),
             None => return Ok(all.freeze()),
         }
     }
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -5,6 +5,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use tidetrack_core::broke::Broke;
+
 /// Bounds of the histograms in milliseconds: around the objectives of desks (100 to 150) and of
 /// streams (1,500 to 3,000).
 const BOUNDS_MS: [f64; 12] =
@@ -36,6 +38,7 @@
     requests: Counter<u64>,
     objective: Counter<u64>,
     attempts: Counter<u64>,
+    broke: Counter<u64>,
     store_calls: Counter<u64>,
     peer_messages: Counter<u64>,
     feed_calls: Counter<u64>,
@@ -56,6 +59,7 @@
             requests: meter.u64_counter("tidetrack_requests").build(),
             objective: meter.u64_counter("tidetrack_objective").build(),
             attempts: meter.u64_counter("tidetrack_attempts").build(),
+            broke: meter.u64_counter("tidetrack_broke").build(),
             store_calls: meter.u64_counter("tidetrack_store_calls").build(),
             peer_messages: meter.u64_counter("tidetrack_peer_messages").build(),
             feed_calls: meter.u64_counter("tidetrack_feed_calls").build(),
@@ -87,6 +91,11 @@
         self.attempts.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a connection to an endpoint that broke under an attempt, or did not come up, by how.
+    pub fn broke(&self, how: Broke) {
+        self.broke.add(1, &[KeyValue::new("how", how.as_str())]);
+    }
+
     /// Counts a call to the store by how it went.
     pub fn store_call(&self, result: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use tidetrack_core::broke::{with_causes, Broke};
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
 
@@ -173,18 +174,29 @@
     }
 }
 
-fn unreachable(address: &str, why: &dyn std::fmt::Display) -> Error {
-    Error::new(Code::EndpointUnreachable, format!("connect to {address}: {why}")).with_ran(Ran::No)
+fn unreachable(address: &str, why: &str, broke: Broke) -> Error {
+    let text = format!("connect to {address}: {why}");
+    Error::new(Code::EndpointUnreachable, text).with_ran(Ran::No).with_broke(broke)
+}
+
+/// Tells how a connection broke from the HTTP library's error.
+pub fn broke(e: &hyper::Error) -> Broke {
+    match Broke::of(e) {
+        // The end of the connection in the middle of a message is no error of its socket.
+        Broke::Otherwise if e.is_incomplete_message() || e.is_closed() => Broke::Closed,
+        broke => broke,
+    }
 }
 
 /// Opens a connection.
 async fn open(address: &str) -> Result<Lease> {
-    let address: SocketAddr = address.parse().map_err(|e| unreachable(address, &e))?;
-    let name = address.to_string();
-    let stream = tokio::time::timeout(CONNECT_WITHIN, TcpStream::connect(address))
+    let of_socket = |e: std::io::Error| unreachable(address, &e.to_string(), Broke::of(&e));
+    let parsed: SocketAddr =
+        address.parse().map_err(|e| unreachable(address, &with_causes(&e), Broke::Otherwise))?;
+    let stream = tokio::time::timeout(CONNECT_WITHIN, TcpStream::connect(parsed))
         .await
-        .map_err(|_| unreachable(&name, &"timed out"))?
-        .map_err(|e| unreachable(&name, &e))?;
+        .map_err(|_| unreachable(address, "timed out", Broke::Silence))?
+        .map_err(of_socket)?;
     let socket = socket2::SockRef::from(&stream);
     let probes =
         TcpKeepalive::new().with_time(PROBE_EVERY).with_interval(PROBE_EVERY).with_retries(PROBES);
@@ -192,12 +204,12 @@
         .set_nodelay(true)
         .and_then(|()| socket.set_tcp_user_timeout(Some(SILENT_FOR)))
         .and_then(|()| socket.set_tcp_keepalive(&probes));
-    options.map_err(|e| unreachable(&name, &e))?;
+    options.map_err(of_socket)?;
     let (sender, conn) = Builder::new()
         .max_buf_size(MOST_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|e| unreachable(&name, &e))?;
+        .map_err(|e| unreachable(address, &with_causes(&e), broke(&e)))?;
     let task = tokio::task::spawn_local(async move {
         // Whoever waits for the answer sees the same error.
         drop(conn.await);
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
+use tidetrack_core::broke::{with_causes, Broke};
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
@@ -31,7 +32,7 @@
 use crate::events::{EventSplitter, StreamEvent};
 use crate::job::{Chosen, Held, Job, Traffic, Tries, WorkShare};
 use crate::patience::wait_running;
-use crate::pool::Lease;
+use crate::pool::{broke, Lease};
 use crate::report::{answered_line, failed_attempt, observe};
 use crate::send::{drop_attempt, send};
 
@@ -336,6 +337,7 @@
                 ("events", &self.events),
                 ("code", &why.code),
                 ("why", &why.message),
+                ("broke", &why.broke.map_or("-", Broke::as_str)),
             ],
         );
         // A caller that has left needs no sign.
@@ -436,8 +438,10 @@
                         self.splitter.push(data);
                     }
                 }
-                Some(Err(e)) => return Err(broken(e.to_string())),
-                None if self.splitter.has_part() => return Err(broken("half an event".into())),
+                Some(Err(e)) => return Err(broken(with_causes(&e)).with_broke(broke(&e))),
+                None if self.splitter.has_part() => {
+                    return Err(broken("half an event".into()).with_broke(Broke::Closed));
+                }
                 None => return Ok(Next::End),
             }
         }
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tidetrack_core::broke::Broke;
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::Error;
 use tidetrack_core::events::Event;
@@ -30,10 +31,15 @@
             ("endpoint", &chosen.id),
             ("code", &e.code),
             ("why", &e.message),
+            ("broke", &e.broke.map_or("-", Broke::as_str)),
             ("ran", &ran),
+            ("ms", &took.as_millis()),
         ],
     );
     shared.metrics.attempt("failed");
+    if let Some(broke) = e.broke {
+        shared.metrics.broke(broke);
+    }
     match e.code {
         // A refusal for want of room says nothing about the endpoint's health.
         Code::EndpointRefused => {}
