Three probes before a quiet connection to an endpoint is given up

Cause: the kernel has one limit for silence. Set to 1.2 s for bytes just written, it also ended connections on which nothing was unacknowledged, at the first probe without an answer, 2.05 s after the last sign of life; three were meant. And it ended those whose other end acknowledges all it has room for and reads the rest of a body later. One lost or late packet in a quiet second cut a request or a stream whose endpoint was at work.

Change: `Way`, the socket of a connection, sets the limit by what is at hand. 1.2 s for a request that was just written; 3.5 s, which passes the third probe and not the fourth, for one that can't go elsewhere and waits, for an answer that has begun, for rest, and for bodies of over 16 KB. A request within 1.8 s costs no system call more, a longer one at most two and one wake-up.

Not changed: bytes just written whose acknowledgement is late by over 1.6 s still end their connection. On a full way that may cost a request without a second try; nothing at hand tells it from an end without power.

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -52,6 +52,8 @@
     pub attempt_id: Option<&'a str>,
     /// Whether the answer must repeat it.
     pub echo: Echo,
+    /// Whether it may go elsewhere after a break.
+    pub is_repeatable: bool,
     /// Longest rest of the connection it may go on.
     pub most_rest: Duration,
     /// When to give up.
@@ -76,6 +78,7 @@
             let e = failed(Code::EndpointUnreachable, "no connection in time", Ran::No);
             e.with_broke(Broke::Silence)
         })??;
+        lease.waits(!attempt.is_repeatable);
         let sent = lease.sender.try_send_request(make());
         match tokio::time::timeout_at(until, sent).await {
             Err(_) => return Err(failed(Code::Deadline, "no answer in time", Ran::Unknown)),
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -56,7 +56,7 @@
     pub fn new(shared: SharedRef) -> Traffic {
         Traffic {
             shared,
-            pool: Pool::default(),
+            pool: Pool::to_endpoints(),
             budgets: RefCell::default(),
             outlook: RefCell::default(),
             in_flight: Cell::new(0),
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod shared;
 pub mod store;
 pub mod watch;
+pub mod way;
 
 pub use host::Host;
 pub use settings::HostSettings;
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -12,7 +12,6 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -20,6 +19,8 @@
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
 
+use crate::way::{Ends, Waits, Way};
+
 /// Longest time for a connection to come up. Within a region one takes a few milliseconds; the rest
 /// covers a lost packet.
 pub const CONNECT_WITHIN: Duration = Duration::from_millis(400);
@@ -53,29 +54,22 @@
 /// Largest head of an answer, in bytes.
 const MOST_HEAD_BYTES: usize = 64 << 10;
 
-/// Time after which unacknowledged bytes break a connection to an end that is cut off or without power,
-/// soon enough for another endpoint to answer in time. Three losses of a packet in a row do not last
-/// that long.
-const SILENT_FOR: Duration = Duration::from_millis(1_200);
-
-/// A connection on which nothing moves is probed this often, so that one whose other end is cut off or
-/// without power is noticed while a request or a watch waits on it.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
-
-/// Probes that may stay unanswered; on links that lose a few packets in a hundred, three in a row are
-/// not lost by chance.
-const PROBES: u32 = 3;
-
 /// A connection that one request uses. Dropped without being kept, it is closed.
 pub struct Lease {
     /// Sends the request.
     pub sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    waits: Waits,
     /// Whether it carried an earlier request.
     pub is_reused: bool,
 }
 
 impl Lease {
+    /// Sets whether the request about to be sent can't go elsewhere if the connection breaks.
+    pub fn waits(&self, waits: bool) {
+        self.waits.set(waits);
+    }
+
     /// Closes the connection.
     pub fn close(&self) {
         self.task.abort();
@@ -98,9 +92,15 @@
 #[derive(Default)]
 pub struct Pool {
     idle: RefCell<HashMap<String, Vec<Idle>>>,
+    ends: Ends,
 }
 
 impl Pool {
+    /// Makes a pool of connections to endpoints.
+    pub fn to_endpoints() -> Pool {
+        Pool { ends: Ends::Endpoints, ..Pool::default() }
+    }
+
     /// Takes a kept connection that rested no longer than `most_rest`, or opens one.
     pub async fn take(&self, name: &str, address: &str, most_rest: Duration) -> Result<Lease> {
         while let Some(mut idle) = self.pop(name, most_rest) {
@@ -110,7 +110,7 @@
                 return Ok(idle.lease);
             }
         }
-        open(address).await
+        open(address, self.ends).await
     }
 
     /// Sees to it that a connection is kept for a request that is about to be sent.
@@ -124,7 +124,7 @@
         let newest_is_usable =
             self.idle.borrow().get(name).and_then(|of_end| of_end.last()).is_some_and(is_usable);
         if !newest_is_usable {
-            let lease = open(address).await?;
+            let lease = open(address, self.ends).await?;
             self.keep(name, lease, None);
         }
         Ok(())
@@ -189,7 +189,7 @@
 }
 
 /// Opens a connection.
-async fn open(address: &str) -> Result<Lease> {
+async fn open(address: &str, ends: Ends) -> Result<Lease> {
     let of_socket = |e: std::io::Error| unreachable(address, &e.to_string(), Broke::of(&e));
     let parsed: SocketAddr =
         address.parse().map_err(|e| unreachable(address, &with_causes(&e), Broke::Otherwise))?;
@@ -197,22 +197,16 @@
         .await
         .map_err(|_| unreachable(address, "timed out", Broke::Silence))?
         .map_err(of_socket)?;
-    let socket = socket2::SockRef::from(&stream);
-    let probes =
-        TcpKeepalive::new().with_time(PROBE_EVERY).with_interval(PROBE_EVERY).with_retries(PROBES);
-    let options = stream
-        .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(SILENT_FOR)))
-        .and_then(|()| socket.set_tcp_keepalive(&probes));
-    options.map_err(of_socket)?;
+    let waits = Waits::default();
+    let way = Way::new(stream, ends, waits.clone()).map_err(of_socket)?;
     let (sender, conn) = Builder::new()
         .max_buf_size(MOST_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(way))
         .await
         .map_err(|e| unreachable(address, &with_causes(&e), broke(&e)))?;
     let task = tokio::task::spawn_local(async move {
         // Whoever waits for the answer sees the same error.
         drop(conn.await);
     });
-    Ok(Lease { sender, task, is_reused: false })
+    Ok(Lease { sender, task, waits, is_reused: false })
 }
--- a/crates/tidetrack-router/src/errands.rs
+++ b/crates/tidetrack-router/src/errands.rs
@@ -59,7 +59,7 @@
 
 /// Carries errands out until the other end is gone.
 pub async fn run(errands: flume::Receiver<Errand>) {
-    let pool = Rc::new(Pool::default());
+    let pool = Rc::new(Pool::to_endpoints());
     let swept = pool.clone();
     tokio::task::spawn_local(async move { swept.keep_swept(|_| true).await });
     while let Ok(errand) = errands.recv_async().await {
@@ -76,6 +76,7 @@
             address: &self.address,
             attempt_id: Some(&self.attempt_id),
             echo: Echo::IfKnown,
+            is_repeatable: self.is_repeatable,
             most_rest: most_rest(self.is_repeatable),
             until: self.until,
         };
