--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod body;
 pub mod call;
 pub mod choose;
+pub mod closes;
 pub mod control;
 pub mod dialect;
 pub mod events;
@@ -34,6 +35,7 @@
 pub mod shared;
 pub mod store;
 pub mod watch;
+pub mod way;
 
 pub use host::Host;
 pub use settings::HostSettings;
