Tell others of the newest change in a host's first lists

Cause: a host told others what changed after its first list of endpoints and roll-outs, and not what the list held. When all hosts that watch had started anew, changes made in between were told by nobody; the others learned of them with the next change of the kind, whenever that came. Change: the revision of the newest object listed is told with the first list. Hosts that know it ask for nothing. Ruled out: telling the revision the list was taken at, as for later lists: every start would cost every host a list.

Left: an entry that is removed in such a gap is not told (the list's objects do not show it); the gap itself, from the last watcher's end to the first list of a new life, or 3 s if none comes back; configurations, which hosts find by the age of their proofs.

--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -405,19 +405,22 @@
     }
 
     /// Lists a kind. The first list may be a little old, for the changes since follow; a later one is
-    /// news to other hosts, for it may hold changes that were not told one by one. `after` is the
-    /// revision whose next change is wanted, where anything but that is not.
+    /// news to other hosts, for it may hold changes that were not told one by one. So may a first one of
+    /// endpoints or roll-outs: changes made while all hosts that watch started anew are told by nobody
+    /// else. Only the newest listed change is told of it, which all know otherwise, or each start would
+    /// cost every host a list. `after` is the revision whose next change is wanted, where anything but
+    /// that is not.
     async fn read_all(&self, kind: Kind, after: Option<u64>) -> Result<()> {
         let is_first = self.position(kind) == 0;
         let age = if is_first && kind != Kind::Catalog { Age::OfLate } else { Age::Newest };
-        loop {
+        let newest_listed = loop {
             let listed = self.store.list(kind, age, &self.gate(kind, after)).await?;
-            let at = listed.revision;
+            let (at, newest) = (listed.revision, listed.newest);
             let pages: Vec<Vec<u8>> = listed.pages.iter().map(|page| page.to_vec()).collect();
             let bytes = pages.iter().map(Vec::len).sum();
             let before = self.newest(kind);
             let list = ListChunk { at, pages };
-            let is_taken = self.take_list(kind, listed.objects, list, listed.newest);
+            let is_taken = self.take_list(kind, listed.objects, list, newest);
             let is_new = is_taken && self.newest(kind) > before;
             self.note_reply(kind, FROM_STORE, bytes, listed.body_time, is_new);
             if kind == Kind::Catalog {
@@ -425,10 +428,11 @@
             }
             // A list that is older than what is known has nothing new; of one object nothing is missing.
             if is_taken || kind.is_one_object() {
-                break;
+                break newest;
             }
-        }
+        };
         if age == Age::OfLate {
+            self.caught_up(kind, Some(newest_listed));
             let since = self.read_changes(kind, self.position(kind), Millis(0)).await;
             since.or_else(unless_needless)?;
         } else if !is_first {
