Pass the newest of several versions of the configuration on alone

Cause: a reply of the store's watch was kept and given as it came. After a pause of the watch it holds every version since, of which a host applies the last one only.

Ruled out: listing the object instead of reading its changes: a megabyte each time nothing has changed.

Change: of a kind of one object the last change of a reply is kept and given.

--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -168,6 +168,8 @@
     pub read_page: fn(Kind, &[u8]) -> Result<Page>,
     /// Reads what a watch gave.
     pub read_changes: fn(Kind, &[u8]) -> Result<Changes>,
+    /// Leaves of what a watch gave the last change only.
+    pub last_change: fn(&[u8]) -> Result<Vec<u8>>,
     /// Writes a roll-out's progress.
     pub write_progress: fn(&ProgressWrite) -> StoreCall,
 }
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -497,7 +497,13 @@
         // The store's revision rises with changes of other kinds too, so it does not tell.
         let is_new = changes.newest.is_some_and(|newest| newest > self.position(kind));
         if is_new {
-            self.take(kind, changes, Chunk { to, bytes: reply.body.to_vec() });
+            // Other hosts have no use for the states before the newest, each of which may be a megabyte.
+            let is_cut = kind.is_one_object() && changes.changes.len() > 1;
+            let bytes = match is_cut {
+                true => (dialect.last_change)(&reply.body)?,
+                false => reply.body.to_vec(),
+            };
+            self.take(kind, changes, Chunk { to, bytes });
         }
         self.note_reply(kind, FROM_STORE, reply.body.len(), reply.body_time, is_new);
         self.log(kind, |log| log.advance(to));
