Ask elsewhere for a change whose small reply drips

Cause: (1) each piece of a small reply renewed the time of its try, at any rate. (2) When a try lapsed, the next word of any host began another one before the store was due, so the store was never asked. Ruled out: (1) alone; with it the trial asked the same dripping host again at 0.41, 0.82 and 1.23 s, the store not once. Change: only a reply that holds a turn, at the least rate, counts as coming in; 0.7 s after the first word of a change the store is next, and then hosts and the store take turns, so that a host cut off from the store still gets it from hosts.

--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -142,6 +142,8 @@
     since: Millis,
     wanted: u64,
     tried_at: Option<Millis>,
+    /// Whether that was at the store.
+    is_store_tried: bool,
     /// Whether hosts could not give it.
     is_failed: bool,
 }
@@ -217,14 +219,21 @@
         if after == 0 || wanted <= after {
             return None;
         }
-        let new = Lack { since: now, wanted, tried_at: None, is_failed: false };
+        let new =
+            Lack { since: now, wanted, tried_at: None, is_store_tried: false, is_failed: false };
         let lack = self.lacks[kind as usize].get_or_insert(new);
         lack.wanted = lack.wanted.max(wanted);
         let is_tried = lack.tried_at.is_some_and(|at| now < at + TRY_WITHIN);
         if is_tried || lack.is_failed || !(is_near || now >= lack.since + FAR_AFTER) {
             return None;
         }
+        // Word comes from many hosts and at any time: each of their tries would be the next one, and the
+        // store never asked.
+        if now >= lack.since + STORE_AFTER && !lack.is_store_tried {
+            return None;
+        }
         lack.tried_at = Some(now);
+        lack.is_store_tried = false;
         Some(Catch { kind, after, source })
     }
 
@@ -236,6 +245,7 @@
             let is_tried = lack.tried_at.is_some_and(|at| now < at + TRY_WITHIN);
             if !is_tried && (lack.is_failed || now >= lack.since + STORE_AFTER) {
                 lack.tried_at = Some(now);
+                lack.is_store_tried = true;
                 lack.is_failed = false;
                 let after = self.complete.get(kind);
                 due.push(Catch { kind, after, source: Source::Store });
--- a/crates/tidetrack-core/tests/feeds.rs
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -74,6 +74,16 @@
     assert!((800..=900).contains(&again.0), "{asked:?}");
 }
 
+#[test]
+fn the_store_and_hosts_take_turns_while_nobody_gives_a_change() {
+    let mut feeds = feeds();
+
+    let asked = tell(&mut feeds, 0, 2_000, |_, _| {});
+
+    let is_store: Vec<bool> = asked.iter().map(|(_, c)| c.source == Source::Store).collect();
+    assert_eq!(is_store, [false, false, true, false, true], "{asked:?}");
+}
+
 #[test]
 fn a_change_of_another_kind_does_not_wait_for_a_large_one() {
     let mut feeds = feeds();
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -185,11 +185,14 @@
                 return Err(needless());
             }
         }
-        let is_fast = turn.as_mut().is_none_or(|turn| turn.has_come(all.len() - before));
-        if gate.is_some_and(|gate| !is_fast && (gate.is_needless)()) {
+        let is_fast = turn.as_mut().map(|turn| turn.has_come(all.len() - before));
+        if gate.is_some_and(|gate| is_fast == Some(false) && (gate.is_needless)()) {
             return Err(needless());
         }
-        if let Some(gate) = gate.filter(|_| is_fast && told_at.elapsed() >= WORD_EVERY) {
+        // A small reply that is no slower than a large one may be has come before anybody asks again; one
+        // that drips must not keep its change from being got elsewhere.
+        let is_word_due = is_fast == Some(true) && told_at.elapsed() >= WORD_EVERY;
+        if let Some(gate) = gate.filter(|_| is_word_due) {
             told_at = Instant::now();
             (gate.is_coming)();
         }
