--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -151,13 +151,22 @@
     due_at: Millis,
     wanted: u64,
     tried_at: Option<Millis>,
+    /// Whether that was at the store.
+    is_store_tried: bool,
     /// Whether hosts could not give it.
     is_failed: bool,
 }
 
 impl Lack {
     fn of(wanted: u64, due_at: Millis) -> Lack {
-        Lack { told_at: None, due_at, wanted, tried_at: None, is_failed: false }
+        Lack {
+            told_at: None,
+            due_at,
+            wanted,
+            tried_at: None,
+            is_store_tried: false,
+            is_failed: false,
+        }
     }
 }
 
@@ -256,7 +265,13 @@
         if is_tried || lack.is_failed || !(is_near || now >= told_at + FAR_AFTER) {
             return None;
         }
+        // Word comes from many hosts and at any time: each of their tries would be the next one, and the
+        // store never asked.
+        if now >= lack.due_at && !lack.is_store_tried {
+            return None;
+        }
         lack.tried_at = Some(now);
+        lack.is_store_tried = false;
         Some(Catch { kind, after, source })
     }
 
@@ -268,6 +283,7 @@
             let is_tried = lack.tried_at.is_some_and(|at| now < at + TRY_WITHIN);
             if !is_tried && (lack.is_failed || now >= lack.due_at) {
                 lack.tried_at = Some(now);
+                lack.is_store_tried = true;
                 lack.is_failed = false;
                 let after = self.complete.get(kind);
                 due.push(Catch { kind, after, source: Source::Store });
