--- a/crates/tidetrack-bench/src/capacity.rs
+++ b/crates/tidetrack-bench/src/capacity.rs
@@ -10,7 +10,7 @@
 /// Where the rendered part begins and ends.
 const MARKERS: (&str, &str) = ("<!-- measured: begin -->\n", "<!-- measured: end -->");
 
-/// Budgets of one host for control.
+/// Budgets of one host for control, from the users' first letter.
 pub const BUDGET: Use = Use { core: 1.7, bytes: 8_000.0, memory: 32.0 };
 
 /// A deployment's size.
@@ -76,6 +76,7 @@
     used: fn(&Slopes<'_>, &Size) -> Use,
 }
 
+/// Bytes of a MiB.
 const MIB: f64 = 1_048_576.0;
 
 /// Members of JSON are kept at about this multiple of their bytes on the wire. Assumed.
@@ -133,6 +134,7 @@
     size.requests / size.hosts
 }
 
+/// What a host does, and what each of it uses.
 const ROLES: [Role; 8] = [
     Role {
         name: "membership, beats, watch, load reads (measured together at rest)",
--- a/crates/tidetrack-bench/src/decisions.rs
+++ b/crates/tidetrack-bench/src/decisions.rs
@@ -85,6 +85,7 @@
     ]
 }
 
+/// Bounds on the first token's times in `routing`, in milliseconds.
 const BOUND_P50_MS: f64 = 100.0;
 const BOUND_P95_MS: f64 = 800.0;
 const BOUND_P99_MS: f64 = 1_900.0;
@@ -165,6 +166,7 @@
     ]
 }
 
+/// Costs of an answer, in those of the strong model.
 const SMALL_COST: f64 = 0.1;
 const STRONG_COST: f64 = 1.0;
 
@@ -201,6 +203,7 @@
     errors: f64,
 }
 
+/// How the proven version answers.
 const PROVEN: Behaviour = Behaviour { quality: 0.80, errors: 0.01 };
 
 /// Requests a second on the route, over 7 hosts.
--- a/crates/tidetrack-bench/src/modelled.rs
+++ b/crates/tidetrack-bench/src/modelled.rs
@@ -29,7 +29,7 @@
 /// A degraded endpoint is slower by this factor.
 const SLOW: u64 = 4;
 
-/// Reports are read this often and are so old by then.
+/// Reports are read this often and are so old by then, in microseconds.
 const REPORT_US: (u64, u64) = (1_000_000, 500_000);
 
 /// How a request is placed.
--- a/crates/tidetrack-bench/src/path.rs
+++ b/crates/tidetrack-bench/src/path.rs
@@ -27,10 +27,10 @@
 /// Tokens of an answer.
 const TOKENS: u64 = 20;
 
-/// Time of one token.
+/// Time of one token, in microseconds.
 const TOKEN_US: u64 = 5_000;
 
-/// Longest pause between two requests of a stream's thread.
+/// Longest pause between two requests of a stream's thread, in milliseconds.
 const MOST_PAUSE_MS: u64 = 100;
 
 /// Bound on the added 99th percentile, in milliseconds.
--- a/crates/tidetrack-bench/src/spread.rs
+++ b/crates/tidetrack-bench/src/spread.rs
@@ -10,10 +10,10 @@
 
 const COMMAND: &str = "tidetrack-bench spread";
 
-/// Virtual time for a fleet to find itself.
+/// Virtual time for a fleet to find itself, in milliseconds.
 const SETTLE_MS: u64 = 25_000;
 
-/// Virtual time measured.
+/// Virtual time measured, in milliseconds.
 const SPAN_MS: u64 = 12_000;
 
 /// Measures fleets of the given sizes.
--- a/crates/tidetrack-core/src/limits.rs
+++ b/crates/tidetrack-core/src/limits.rs
@@ -27,7 +27,7 @@
 /// Demand and spare are averaged over this many milliseconds.
 const AVERAGED_MS: f64 = 2_000.0;
 
-/// Smallest rate worth a loan.
+/// Smallest rate worth a loan, in requests a second.
 const LEAST_LOAN: f64 = 0.5;
 
 /// A wish for a larger share.
--- a/crates/tidetrack-core/src/placement/live.rs
+++ b/crates/tidetrack-core/src/placement/live.rs
@@ -19,14 +19,14 @@
 /// Failures in a row after which an endpoint is ejected.
 const FAILURES_TO_EJECT: u32 = 3;
 
-/// First span of an ejection; it doubles up to a limit.
+/// First span of an ejection, in milliseconds; it doubles up to a limit.
 const EJECTED_FOR_MS: u64 = 1_000;
 
 /// Doublings of the ejection's span.
 const MOST_DOUBLINGS: u32 = 5;
 
-/// Work that every endpoint counts as having besides, so that small differences do not drive a prefix
-/// from its cache.
+/// Work, in answer tokens, that every endpoint counts as having besides, so that small differences do not
+/// drive a prefix from its cache.
 const IDLE_WORK: f64 = 400.0;
 
 /// What this host knows of an endpoint's load and health. Shared by all traffic threads.
--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -34,9 +34,9 @@
 /// Endpoints drawn besides the one on the ring.
 const DRAWN: usize = 4;
 
-/// Endpoints of the host's failure domain that are drawn besides: 0.006 ± 0.002 and 0.008 ± 0.003 of a
-/// day's worth with 140 endpoints in three domains (3 and 6 pairs of plays); draws from the whole pool alone found none of the
-/// domain for one request in five.
+/// Endpoints of the host's failure domain that are drawn besides: with 140 endpoints in three domains,
+/// draws from the whole pool alone find none of the domain for one request in five. From
+/// `docs/decisions-under-load.md`.
 const DRAWN_NEAR: usize = 8;
 
 /// Pools up to this size are compared as a whole.
@@ -49,7 +49,7 @@
 /// The ring's endpoint is kept up to this multiple of the drawn ones' mean load.
 const BOUND: f64 = 1.25;
 
-/// Work that every endpoint counts as having besides, where the work of reading a prefix again is
+/// Work, in answer tokens, that every endpoint counts as having besides, where the work of reading a prefix again is
 /// counted, which keeps a prefix where it is.
 const IDLE_WORK_BESIDE_PREFIX: f64 = 50.0;
 
@@ -62,7 +62,7 @@
 /// A request of higher priority is refused at this multiple of the bound.
 const URGENT_FACTOR: f64 = 1.5;
 
-/// When to come back to a pool that is full.
+/// When to come back to a pool that is full, in milliseconds.
 const FULL_RETRY_MS: u64 = 1_000;
 
 /// Prompt tokens that cost an endpoint as much as one answer token.
--- a/crates/tidetrack-plane/src/events.rs
+++ b/crates/tidetrack-plane/src/events.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Largest event that is waited for; an engine's events are some hundred bytes.
+/// Largest event that is waited for, in bytes; an engine's events are some hundred bytes.
 const MOST_EVENT_BYTES: usize = 1 << 20;
 
 /// The name of the line that carries an event's id.
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -46,7 +46,7 @@
 /// Files kept free for logs, the store and what the runtime needs.
 const FILES_KEPT: usize = 264;
 
-/// Stack of the threads.
+/// Stack of the threads, in bytes.
 const STACK: usize = 512 << 10;
 
 /// A host's process.
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -25,7 +25,7 @@
 use crate::pool::Pool;
 use crate::shared::SharedRef;
 
-/// Work that a plain call counts as.
+/// Work that a plain call counts as, in answer tokens.
 const PLAIN_WORK: u64 = 400;
 
 /// Multiple of its work that reading a shared part again counts as: it costs its price, delays what
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -19,18 +19,17 @@
 use crate::patience::wait_running;
 use crate::pool::most_rest;
 
-/// Work that one request counts as which an endpoint tells as running. An engine reads prompts one
+/// Work, in answer tokens, that one request counts as which an endpoint tells as running. An engine reads prompts one
 /// after another, but makes the tokens of all that run together, so what runs adds little.
 const RUNNING_WORK: u64 = 40;
 
-/// Work that one request counts as which an endpoint tells as waiting.
+/// Work, in answer tokens, that one request counts as which an endpoint tells as waiting.
 const WAITING_WORK: u64 = 400;
 
 /// Multiple of the objective after which an attempt is given up at an endpoint from which nothing came
 /// meanwhile. An endpoint that is gone is noticed by its connection, within 1.2 s of the last byte; one
 /// that is only busy would have its work thrown away, and a host of a large fleet hears little from
-/// each endpoint. Patience gains 0.005 ± 0.005 of a day's worth with 6 hosts (35 pairs of plays); with
-/// 91 hosts 722 attempts of a day were given up at 0.8.
+/// each endpoint. From `docs/decisions-under-load.md`.
 const SILENT_TIMES: f64 = 1.6;
 
 /// Multiple of the objective after which an attempt is given up although its endpoint still serves
--- a/crates/tidetrack-router/src/peers.rs
+++ b/crates/tidetrack-router/src/peers.rs
@@ -43,7 +43,7 @@
 /// Most connections that other hosts may open here.
 const MOST_CONNECTIONS: u32 = 128;
 
-/// Largest message.
+/// Largest message, in bytes.
 const LARGEST_MESSAGE: u32 = 4 << 20;
 
 /// Connections kept open to others.
--- a/crates/tidetrack-router/src/router.rs
+++ b/crates/tidetrack-router/src/router.rs
@@ -37,10 +37,10 @@
 /// Tickets are swept this often.
 const SWEEP: Duration = Duration::from_secs(5);
 
-/// Stack of a thread that carries requests.
+/// Stack of a thread that carries requests, in bytes.
 const TRAFFIC_STACK: usize = 256 * 1024;
 
-/// Stack of the other threads.
+/// Stack of the other threads, in bytes.
 const SMALL_STACK: usize = 256 * 1024;
 
 /// Threads that cancel attempts.
--- a/crates/tidetrack-router/src/server.rs
+++ b/crates/tidetrack-router/src/server.rs
@@ -47,7 +47,7 @@
 use crate::shared::Shared;
 use crate::upstream::Upstream;
 
-/// Bodies up to this size have arrived with the head.
+/// Bodies up to this size, in bytes, have arrived with the head.
 const SMALL_BODY: usize = 1024;
 
 /// Multiple of the largest body that is read and dropped, so that the caller sees the refusal.
--- a/crates/tidetrack-router/src/services.rs
+++ b/crates/tidetrack-router/src/services.rs
@@ -29,13 +29,13 @@
 /// Most attempts at one call.
 const MOST_ATTEMPTS: usize = 3;
 
-/// Work that a call counts as.
+/// Work that a call counts as, in answer tokens.
 const CALL_WORK: u64 = 50;
 
 /// Seconds that a call passed on to another host may take.
 const FORWARD_SECONDS: u64 = 15;
 
-/// Largest answer of a service.
+/// Largest answer of a service, in bytes.
 const LARGEST_ANSWER: usize = 16 << 20;
 
 /// An answer of a service.
--- a/crates/tidetrack-standin/src/http.rs
+++ b/crates/tidetrack-standin/src/http.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use tiny_http::{Header, Request, Response, Server};
 
-/// Stack of a request's thread.
+/// Stack of a request's thread, in bytes.
 const STACK: usize = 256 * 1024;
 
 /// A running server; it stops when dropped.
--- a/crates/tidetrack-standin/src/objects.rs
+++ b/crates/tidetrack-standin/src/objects.rs
@@ -14,7 +14,7 @@
 
 use crate::http::{self, Running};
 
-/// Largest body of an object.
+/// Largest body of an object, in bytes.
 const LARGEST_BODY: usize = 1 << 20;
 
 /// Changes kept for watches.
