Name the pauses that refusals ask for

Seven refusals told callers when to come back by a bare number. Each is a named constant with its unit and matter; the pool's has the name that it had already.

--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -62,7 +62,7 @@
 /// A request of higher priority is refused at this multiple of the bound.
 const URGENT_FACTOR: f64 = 1.5;
 
-/// When to come back to a pool that is full, in milliseconds.
+/// When to come back to a pool that is full or has no endpoint to be used, in milliseconds.
 const FULL_RETRY_MS: u64 = 1_000;
 
 /// Prompt tokens that cost an endpoint as much as one answer token.
@@ -309,7 +309,7 @@
         let fits = self.endpoints.iter().any(|e| e.live.can_hold(ask.need));
         match fits || self.endpoints.is_empty() {
             true => Error::new(Code::Overloaded, "no endpoint of the pool can be used")
-                .with_retry_after(1_000),
+                .with_retry_after(FULL_RETRY_MS),
             false => {
                 Error::new(Code::TooLong, format!("no endpoint can hold {} tokens", ask.need.0))
             }
--- a/crates/tidetrack-core/src/tickets.rs
+++ b/crates/tidetrack-core/src/tickets.rs
@@ -13,6 +13,9 @@
 use crate::seal::{KeyRing, Purpose};
 use crate::units::Millis;
 
+/// When to come back for a ticket when too many are open, in milliseconds.
+const FULL_RETRY_MS: u64 = 1_000;
+
 /// The form of ticket made here.
 const FORM: &str = "t1";
 
@@ -122,7 +125,7 @@
         }
         if self.states.len() >= self.options.most {
             let message = "too many tickets are open on this host";
-            return Err(Error::new(Code::Overloaded, message).with_retry_after(1000));
+            return Err(Error::new(Code::Overloaded, message).with_retry_after(FULL_RETRY_MS));
         }
         let number = self.next;
         self.next += 1;
--- a/crates/tidetrack-router/src/billing.rs
+++ b/crates/tidetrack-router/src/billing.rs
@@ -23,6 +23,9 @@
 /// Pause of the loop when nothing comes.
 const IDLE: Duration = Duration::from_millis(200);
 
+/// When to come back while no bill can be kept safe, in milliseconds.
+const RETRY_UNSAFE_MS: u64 = 1_000;
+
 /// Pause of the writer after a failed write.
 const WRITE_AGAIN: Duration = Duration::from_millis(300);
 
@@ -103,7 +106,7 @@
             false => Ok(()),
             true => {
                 let message = "no place to keep the bill can be reached";
-                Err(Error::new(Code::BillUnsafe, message).with_retry_after(1_000))
+                Err(Error::new(Code::BillUnsafe, message).with_retry_after(RETRY_UNSAFE_MS))
             }
         }
     }
--- a/crates/tidetrack-router/src/server.rs
+++ b/crates/tidetrack-router/src/server.rs
@@ -53,6 +53,9 @@
 /// Multiple of the largest body that is read and dropped, so that the caller sees the refusal.
 const DROPPED_TIMES: usize = 2;
 
+/// When to come back to a host whose threads or bodies are at their bound, in milliseconds.
+const RETRY_BUSY_MS: u64 = 1_000;
+
 /// Largest head of a request in bytes.
 const HEAD_BYTES: usize = 64 << 10;
 
@@ -169,7 +172,7 @@
         Ok(()) => {}
         Err(TrySendError::Full(taken)) => {
             let e = Error::new(Code::Overloaded, "all threads of the host are busy");
-            refuse(&shared, taken.request, &e.with_retry_after(1_000));
+            refuse(&shared, taken.request, &e.with_retry_after(RETRY_BUSY_MS));
         }
         // The threads are gone; the request is dropped and answered below.
         Err(TrySendError::Disconnected(_)) => {}
@@ -190,7 +193,7 @@
     // What bodies on their way take of the memory is bounded.
     if is_large && reading.0.load(Ordering::Acquire) as usize > limits.threads.div_ceil(2) {
         let e = Error::new(Code::Overloaded, "too many bodies are on their way");
-        return Err(e.with_retry_after(1_000));
+        return Err(e.with_retry_after(RETRY_BUSY_MS));
     }
     let late = |_| {
         let message = format!("the body took longer than {} ms", limits.body_ms);
--- a/crates/tidetrack-router/src/services.rs
+++ b/crates/tidetrack-router/src/services.rs
@@ -29,6 +29,9 @@
 /// Most attempts at one call.
 const MOST_ATTEMPTS: usize = 3;
 
+/// When to come back after a claim could not be written, in milliseconds.
+const RETRY_CLAIM_MS: u64 = 2_000;
+
 /// Work that a call counts as, in answer tokens.
 const CALL_WORK: u64 = 50;
 
@@ -174,7 +177,7 @@
                 Err(Error::new(Code::KeyReused, message))
             }
             // Nothing was handed on, whatever became of the claim.
-            Err(e) => Err(e.with_ran(Ran::No).with_retry_after(2_000)),
+            Err(e) => Err(e.with_ran(Ran::No).with_retry_after(RETRY_CLAIM_MS)),
         }
     }
 
--- a/crates/tidetrack-wire/src/platform.rs
+++ b/crates/tidetrack-wire/src/platform.rs
@@ -36,6 +36,9 @@
 /// Most seconds more for a read: 7.5 MB over a link of 1 Mbit/s, past any list of the size aimed at.
 const MOST_MORE_SECONDS: u64 = 60;
 
+/// When to come back to an object API that is over its rate, in milliseconds.
+const RETRY_BUSY_MS: u64 = 1_000;
+
 /// Tries to settle a write whose reply was lost.
 const SETTLE_TRIES: usize = 5;
 
@@ -147,7 +150,7 @@
         200 => Ok(()),
         404 => Err(Error::new(Code::ObjectGone, "no such object")),
         409 => Err(Error::new(Code::Conflict, "the object has another version")),
-        429 => Err(Error::new(Code::PlatformBusy, "over its rate").with_retry_after(1_000)),
+        429 => Err(Error::new(Code::PlatformBusy, "over its rate").with_retry_after(RETRY_BUSY_MS)),
         status => {
             let message = format!("the object API answered {status}");
             Err(Error::new(Code::PlatformDown, message).with_ran(Ran::Unknown))
