--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -19,11 +19,11 @@
 use crate::patience::wait_running;
 use crate::pool::most_rest;
 
-/// Work that one request counts as which an endpoint tells as running. An engine reads prompts one
+/// Work, in answer tokens, that one request counts as which an endpoint tells as running. An engine reads prompts one
 /// after another, but makes the tokens of all that run together, so what runs adds little.
 const RUNNING_WORK: u64 = 40;
 
-/// Work that one request counts as which an endpoint tells as waiting.
+/// Work, in answer tokens, that one request counts as which an endpoint tells as waiting.
 const WAITING_WORK: u64 = 400;
 
 /// Multiple of the objective after which an attempt is given up at an endpoint from which nothing came
