Endpoints are not left for connects that fail while this host reaches nobody

Cause: a connect without a sign of life within 400 ms was taken for an endpoint without power: left at once, for longer each time, and told to other hosts as failing. No endpoint gives one while this host's own line is full, and one whose first packet was lost doesn't either, as that is repeated after a second only.

Change: the core's `Reach` decides. A connect speaks against the way, and counts as one failure of three, where the endpoint was heard on another connection meanwhile, or where several endpoints give no sign within a second and nothing came up or was answered within 100 ms since the first of these connects began; the ones that were left for it are forgiven. Several of one other failure domain are left as before, and so is a single one, one that refuses, and several while others are prompt. A connect that ended with its request's time says nothing. `tidetrack_no_sign` counts.

Within a request, endpoints that it did not reach go last.

Ruled out: to leave none for a connect that is given up (a dark endpoint costs each request 400 ms); to look at counts of such connects alone (a failure domain that is cut off looks the same).

--- a/crates/tidetrack-core/src/placement/live.rs
+++ b/crates/tidetrack-core/src/placement/live.rs
@@ -189,6 +189,24 @@
         self.note(now, false);
     }
 
+    /// Gets how often it failed in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures.load(Ordering::Relaxed)
+    }
+
+    /// Takes back that the endpoint was left for one connect that could not be made, before which it had
+    /// failed so often in a row. That connect counts as one failure more, and other hosts are not told.
+    pub fn forgive_unreachable(&self, failures_before: u32) {
+        let failures = failures_before + 1;
+        self.failures.store(failures, Ordering::Relaxed);
+        if failures < FAILURES_TO_EJECT {
+            self.ejected_until.store(0, Ordering::Relaxed);
+        }
+        // Where it was told already, it stays told.
+        let less = |failed: u32| failed.checked_sub(1);
+        let _ = self.failed.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less);
+    }
+
     /// Gets how requests went since the last call.
     pub fn take_outcomes(&self) -> Outcomes {
         let take = |count: &AtomicU32| match count.load(Ordering::Relaxed) {
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -18,5 +18,6 @@
 pub mod outlook;
 pub mod peers;
 pub mod prefixes;
+pub mod reach;
 pub mod trial;
 pub mod view;
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -214,6 +214,7 @@
     Ok(Chosen {
         id: picked.id.clone(),
         address: picked.address.clone(),
+        failure_domain: picked.failure_domain.clone(),
         live: picked.live.clone(),
         prefix,
         new_version,
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -13,12 +13,13 @@
 use tokio::sync::Notify;
 
 use tidetrack_core::codes::Ran;
-use tidetrack_core::ids::{EndpointId, ModelId, ServiceId, VersionName};
+use tidetrack_core::ids::{EndpointId, FailureDomain, ModelId, ServiceId, VersionName};
 use tidetrack_core::placement::{work_of, EndpointLive};
 use tidetrack_core::traffic::budget::SendBudget;
 use tidetrack_core::traffic::gate::Admitted;
 use tidetrack_core::traffic::outlook::Outlook;
 use tidetrack_core::traffic::prefixes::PartKey;
+use tidetrack_core::traffic::reach::Reach;
 use tidetrack_core::units::{Millis, Tokens};
 
 use crate::dialect::RequestFacts;
@@ -44,6 +45,8 @@
     budgets: RefCell<HashMap<ServiceId, SendBudget>>,
     /// What is expected of second runs.
     pub outlook: RefCell<Outlook>,
+    /// Connects of late that gave no sign of life.
+    pub reach: RefCell<Reach>,
     /// Requests that are not answered in full yet.
     pub in_flight: Cell<usize>,
     /// Whether new requests are refused because the host stops.
@@ -54,7 +57,9 @@
 impl Traffic {
     /// Makes the state of the traffic thread.
     pub fn new(shared: SharedRef) -> Traffic {
+        let reach = RefCell::new(Reach::new(shared.settings.failure_domain.clone()));
         Traffic {
+            reach,
             shared,
             pool: Pool::to_endpoints(),
             budgets: RefCell::default(),
@@ -169,6 +174,8 @@
     pub id: EndpointId,
     /// Its address.
     pub address: String,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
     /// Its load and health.
     pub live: Arc<EndpointLive>,
     /// Where the request's shared part is.
@@ -338,6 +345,8 @@
     pub sent_at: Millis,
     /// Attempts that reached no endpoint.
     pub unreached: u32,
+    /// Endpoints that were not reached.
+    pub not_reached: Vec<EndpointId>,
     /// Whether the request has run, as far as is known.
     pub ran: Option<Ran>,
     /// Whether the next send was taken from the budget already: what is at hand is given up only once
@@ -349,12 +358,14 @@
 
 impl Tries {
     /// Gets which endpoints the next attempt avoids, in the order of preference: where all were tried,
-    /// all but the last are tried again. One that is still listened to is avoided always.
-    pub fn avoided(&self) -> [Vec<EndpointId>; 2] {
+    /// all but the last are tried again, first those that were reached. One that is still listened to is
+    /// avoided always.
+    pub fn avoided(&self) -> [Vec<EndpointId>; 3] {
         let tried = self.tried.as_slice();
         let last = &tried[tried.len().saturating_sub(1)..];
+        let not_reached = [self.not_reached.as_slice(), last].concat();
         let held = self.held.as_ref().filter(|held| held.is_heard());
-        [tried, last].map(|avoided| {
+        [tried, &not_reached, last].map(|avoided| {
             let mut avoided = avoided.to_vec();
             avoided.extend(held.map(|h| &h.id).filter(|id| !avoided.contains(id)).cloned());
             avoided
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -40,6 +40,7 @@
     attempts: Counter<u64>,
     broke: Counter<u64>,
     closed: Counter<u64>,
+    no_sign: Counter<u64>,
     store_calls: Counter<u64>,
     peer_messages: Counter<u64>,
     feed_calls: Counter<u64>,
@@ -62,6 +63,7 @@
             attempts: meter.u64_counter("tidetrack_attempts").build(),
             broke: meter.u64_counter("tidetrack_broke").build(),
             closed: meter.u64_counter("tidetrack_closed").build(),
+            no_sign: meter.u64_counter("tidetrack_no_sign").build(),
             store_calls: meter.u64_counter("tidetrack_store_calls").build(),
             peer_messages: meter.u64_counter("tidetrack_peer_messages").build(),
             feed_calls: meter.u64_counter("tidetrack_feed_calls").build(),
@@ -103,6 +105,11 @@
         self.closed.add(1, &[KeyValue::new("why", why), KeyValue::new("unread", has_unread)]);
     }
 
+    /// Counts a connect that gave no sign of life, by what it speaks against.
+    pub fn no_sign(&self, blame: &'static str) {
+        self.no_sign.add(1, &[KeyValue::new("blame", blame)]);
+    }
+
     /// Counts a call to the store by how it went.
     pub fn store_call(&self, result: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -3,7 +3,7 @@
 //! A connection carries one request at a time. It goes back to the pool only after a whole answer
 //! that was its own; in every other case it is closed, which also tells the endpoint to stop.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -18,6 +18,7 @@
 use tidetrack_core::broke::{with_causes, Broke};
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
+use tidetrack_core::traffic::reach::PROMPT;
 
 use crate::way::{Ends, Waits, Way};
 
@@ -93,6 +94,8 @@
 pub struct Pool {
     idle: RefCell<HashMap<String, Vec<Idle>>>,
     ends: Ends,
+    /// When the last one began of what came up or was answered promptly.
+    prompt_at: Cell<Option<Instant>>,
 }
 
 impl Pool {
@@ -110,7 +113,7 @@
                 return Ok(idle.lease);
             }
         }
-        open(address, self.ends).await
+        self.open(address).await
     }
 
     /// Sees to it that a connection is kept for a request that is about to be sent.
@@ -124,12 +127,31 @@
         let newest_is_usable =
             self.idle.borrow().get(name).and_then(|of_end| of_end.last()).is_some_and(is_usable);
         if !newest_is_usable {
-            let lease = open(address, self.ends).await?;
+            let lease = self.open(address).await?;
             self.keep(name, lease, None);
         }
         Ok(())
     }
 
+    async fn open(&self, address: &str) -> Result<Lease> {
+        let began = Instant::now();
+        let lease = open(address, self.ends).await?;
+        self.came(began);
+        Ok(lease)
+    }
+
+    /// Takes note that something came that was asked for at an instant.
+    pub fn came(&self, began: Instant) {
+        if began.elapsed().as_millis() <= u128::from(PROMPT.0) {
+            self.prompt_at.set(Some(began));
+        }
+    }
+
+    /// Gets when the last one began of what came up or was answered promptly.
+    pub fn prompt_at(&self) -> Option<Instant> {
+        self.prompt_at.get()
+    }
+
     /// Keeps a connection whose answer has come to its end.
     pub fn keep(&self, name: &str, lease: Lease, idle_time: Option<Duration>) {
         if lease.sender.is_closed() {
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -9,9 +9,11 @@
 use tidetrack_core::ids::ModelId;
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::judge::Observed;
+use tidetrack_core::traffic::reach::{Blame, Connect};
 use tidetrack_core::units::Millis;
 
 use crate::job::{Chosen, Job, Traffic};
+use crate::pool::CONNECT_WITHIN;
 
 /// Logs a failed attempt and lets it count against the endpoint.
 pub fn failed_attempt(
@@ -52,6 +54,9 @@
                 chosen.live.note_silent(shared.now());
             }
         }
+        Code::EndpointUnreachable if e.broke == Some(Broke::Silence) => {
+            gave_no_sign(traffic, chosen, took);
+        }
         Code::EndpointUnreachable | Code::EndpointMoved => {
             chosen.live.note_unreachable(shared.now());
             traffic.pool.forget(chosen.id.as_str());
@@ -64,6 +69,29 @@
     }
 }
 
+/// Lets a connect that gave no sign of life count against its endpoint, or against the way.
+fn gave_no_sign(traffic: &Traffic, chosen: &Chosen, took: Duration) {
+    // One that ended with its request's time says nothing.
+    if took < CONNECT_WITHIN {
+        return;
+    }
+    let now = traffic.shared.now();
+    let ago = |time: Duration| Millis(now.0.saturating_sub(time.as_millis() as u64));
+    let prompt_at = traffic.pool.prompt_at().map(|at| ago(at.elapsed()));
+    let connect = Connect {
+        endpoint: chosen.id.clone(),
+        failure_domain: chosen.failure_domain.clone(),
+        live: chosen.live.clone(),
+        began: ago(took),
+        ended: now,
+    };
+    let blame = traffic.reach.borrow_mut().gave_no_sign(connect, prompt_at);
+    traffic.shared.metrics.no_sign(blame.as_str());
+    if blame == Blame::Endpoint {
+        traffic.pool.forget(chosen.id.as_str());
+    }
+}
+
 /// Logs and counts a request whose answer is passed on.
 pub fn answered_line(
     traffic: &Traffic,
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -106,6 +106,7 @@
         }
         make_request(traffic, job, chosen, model, goes_on_after)
     };
+    let began = Instant::now();
     let sent = tokio::select! {
         biased;
         sent = attempt::send(&attempt, make) => sent,
@@ -114,8 +115,14 @@
         }
     };
     match &sent {
-        Ok(_) => chosen.live.heard(shared.now()),
-        Err(e) if e.code == Code::EndpointUnreachable => reached_nobody(traffic, job, tries),
+        Ok(_) => {
+            chosen.live.heard(shared.now());
+            traffic.pool.came(began);
+        }
+        Err(e) if e.code == Code::EndpointUnreachable => {
+            tries.not_reached.push(chosen.id.clone());
+            reached_nobody(traffic, job, tries);
+        }
         Err(_) => {}
     }
     sent
