--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -220,6 +220,7 @@
     Ok(Chosen {
         id: picked.id.clone(),
         address: picked.address.clone(),
+        failure_domain: picked.failure_domain.clone(),
         live: picked.live.clone(),
         prefix,
         new_version,
