Let a third reply in where two come slowly

Cause: one slow reply let one more in beside it, and if that one was slow too, both ran to their end while nobody else was let in; the proof waits for what is coming in, so readiness went with it. Ruled out: dropping the older one (the first form that was proposed): on a line on which all is slow each new one would drop the last, and none end. Giving every second slow one up: a giver that nearly stands still would keep out one that is slow and whole in seconds. Change: the first slow reply always goes on; a second slow one does only while it comes at twice the first one's rate, and is given up otherwise, so that the next asker is let in. Two are under way at most, as before. Given up without the change known, it counts as a failed try, so the store is next; it is no loss of the store.

--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -30,8 +30,9 @@
 /// Time in which a reply may gather pace.
 const SLOW_AFTER: Duration = Duration::from_millis(500);
 
-/// Slow replies beside which another one is let in, at a time.
-const MOST_SLOW: usize = 1;
+/// How many times as fast as the first slow reply a second one is that goes on beside it: less saves no
+/// time that is worth keeping others out.
+const FASTER_BY: f64 = 2.0;
 
 /// Makes the error of a call that led to no usable reply.
 pub fn down(text: impl Into<String>) -> Error {
@@ -43,6 +44,11 @@
     Error::new(Code::ReplyNotNeeded, "another reply brought the changes")
 }
 
+/// Makes the error of a reply that was given up for one that comes about as fast.
+fn too_slow() -> Error {
+    Error::new(Code::ReplyNotNeeded, "another slow reply comes about as fast")
+}
+
 /// How long a call may stand still.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -57,19 +63,31 @@
 /// copies of a configuration of 1 MB held the news of endpoints up for four seconds.
 ///
 /// A reply that comes too slowly lets another one in beside it: it is often its giver's way that is
-/// crowded, and elsewhere the same bytes may be had at once.
+/// crowded, and elsewhere the same bytes may be had at once. So may they when the other one is slow too;
+/// it gives way to a third then, and the first one goes on, so that one of them always ends.
 pub struct OneAtATime {
     turns: Semaphore,
-    /// Replies that have let another one in.
-    slow: Cell<usize>,
+    /// Rate of the reply that has let another one in, in bytes a second.
+    slow: Cell<Option<f64>>,
 }
 
 impl Default for OneAtATime {
     fn default() -> OneAtATime {
-        OneAtATime { turns: Semaphore::new(1), slow: Cell::new(0) }
+        OneAtATime { turns: Semaphore::new(1), slow: Cell::new(None) }
     }
 }
 
+/// How fast a large reply comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pace {
+    /// At the least rate or more.
+    Fast,
+    /// Below it.
+    Slow,
+    /// Below it, and not much faster than another slow one.
+    TooSlow,
+}
+
 impl OneAtATime {
     /// Tells whether a large reply is coming in, and another one would not be let in.
     pub fn is_taken(&self) -> bool {
@@ -97,16 +115,26 @@
 }
 
 impl Turn<'_> {
-    /// Takes note that so many bytes have come in this turn; tells whether they come fast enough.
-    fn has_come(&mut self, bytes: usize) -> bool {
+    /// Takes note that so many bytes have come in this turn; tells how fast that is.
+    fn has_come(&mut self, bytes: usize) -> Pace {
         let took = self.began.elapsed();
-        let is_slow = took >= SLOW_AFTER && (bytes as f64) < LEAST_RATE * took.as_secs_f64();
-        if is_slow && !self.is_slow && self.turns.slow.get() < MOST_SLOW {
-            self.is_slow = true;
-            self.turns.slow.set(self.turns.slow.get() + 1);
-            self.turns.turns.add_permits(1);
+        let rate = bytes as f64 / took.as_secs_f64();
+        if self.is_slow {
+            self.turns.slow.set(Some(rate));
+        }
+        if took < SLOW_AFTER || rate >= LEAST_RATE {
+            return Pace::Fast;
+        }
+        match self.turns.slow.get() {
+            Some(first) if !self.is_slow && rate < first * FASTER_BY => Pace::TooSlow,
+            Some(_) => Pace::Slow,
+            None => {
+                self.is_slow = true;
+                self.turns.slow.set(Some(rate));
+                self.turns.turns.add_permits(1);
+                Pace::Slow
+            }
         }
-        !is_slow
     }
 }
 
@@ -114,7 +142,7 @@
     fn drop(&mut self) {
         if let Some(permit) = self.permit.take().filter(|_| self.is_slow) {
             // The turn was given to another reply already.
-            self.turns.slow.set(self.turns.slow.get() - 1);
+            self.turns.slow.set(None);
             permit.forget();
         }
     }
@@ -185,13 +213,16 @@
                 return Err(needless());
             }
         }
-        let is_fast = turn.as_mut().map(|turn| turn.has_come(all.len() - before));
-        if gate.is_some_and(|gate| is_fast == Some(false) && (gate.is_needless)()) {
+        let pace = turn.as_mut().map(|turn| turn.has_come(all.len() - before));
+        if gate.is_some_and(|gate| pace == Some(Pace::Slow) && (gate.is_needless)()) {
             return Err(needless());
         }
+        if pace == Some(Pace::TooSlow) {
+            return Err(too_slow());
+        }
         // A small reply that is no slower than a large one may be has come before anybody asks again; one
         // that drips must not keep its change from being got elsewhere.
-        let is_word_due = is_fast == Some(true) && told_at.elapsed() >= WORD_EVERY;
+        let is_word_due = pace == Some(Pace::Fast) && told_at.elapsed() >= WORD_EVERY;
         if let Some(gate) = gate.filter(|_| is_word_due) {
             told_at = Instant::now();
             (gate.is_coming)();
--- a/crates/tidetrack-plane/src/watch.rs
+++ b/crates/tidetrack-plane/src/watch.rs
@@ -159,14 +159,16 @@
             Source::Store if kind.is_one_object() => self.read_all(kind, Some(after)).await,
             Source::Store => self.read_store(kind, after).await,
         };
+        // A slow reply that was given up for another one brought nothing: the next try is elsewhere.
+        let is_known = self.newest(kind) > after;
         self.shared.metrics.feed_call(match (&result, catch.source) {
-            (Err(e), _) if e.code == Code::ReplyNotNeeded => "known",
+            (Err(e), _) if e.code == Code::ReplyNotNeeded && is_known => "known",
             (Ok(()), Source::Host(_)) => "host",
             (Err(_), Source::Host(_)) => "host_failed",
             (Ok(()), Source::Store) => "store",
             (Err(_), Source::Store) => "store_failed",
         });
-        if let Err(e) = result.or_else(unless_needless) {
+        if let Err(e) = result.or_else(|e| if is_known { unless_needless(e) } else { Err(e) }) {
             let source = match catch.source {
                 Source::Host(address) => address.to_string(),
                 Source::Store => "store".into(),
@@ -279,6 +281,11 @@
                 e = self.follow(kind) => e,
                 () = self.is_to_list_again(&mut returns), if kind != Kind::Catalog => continue,
             };
+            if e.code == Code::ReplyNotNeeded {
+                // The store answers; a list of it came too slowly beside another reply.
+                tokio::time::sleep(jittered(FIRST_PAUSE)).await;
+                continue;
+            }
             if e.code == Code::HistoryGone {
                 self.shared.journal.line(Event::HistoryGone, &[("kind", &format!("{kind:?}"))]);
                 pause = FIRST_PAUSE;
