Count what a host gives until askers have taken it

Cause: a reply's share in what a host gives ended with its last frame, and the HTTP library's buffer (417 KB) and the system's (megabytes) took all frames of some hundred KB at once, so all who asked were given a copy. Ruled out: the library's buffer alone; bounded to 64 KB, still 200, 200, 200, for the system takes the rest. Change: on the sockets of pages at most 32 KB and one part wait in the library, and 16 KB unsent in the system. Left as it is: `told` clones and serialises a reply before it is declined; that costs, but no test shows it.

--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -36,6 +36,14 @@
 /// keeps others from what a host gives at a time.
 const PAGE_TAKEN_WITHIN: Duration = Duration::from_millis(2_000);
 
+/// Bytes of a page that wait in the HTTP library, beside one part of its body. With the usual 417 KB a whole
+/// configuration would count as given before any of it is on its way.
+const PAGE_WAITS: usize = 32 << 10;
+
+/// Bytes of a page that wait unsent in the system, which would take megabytes: a window of some 10 KB goes
+/// out at a time.
+const PAGE_UNSENT: u32 = 16 << 10;
+
 /// Smallest buffer that the HTTP library takes for a head.
 const LEAST_HEAD_BUFFER: usize = 8_192;
 
@@ -314,6 +322,10 @@
         };
         let page = page.clone();
         let socket = socket2::SockRef::from(&stream);
+        if let Err(e) = socket.set_tcp_notsent_lowat(PAGE_UNSENT) {
+            // What is given is bounded less well then.
+            shared.journal.line(Event::AcceptFailed, &[("why", &e)]);
+        }
         if let Err(e) = socket.set_tcp_user_timeout(Some(PAGE_TAKEN_WITHIN)) {
             shared.journal.line(Event::AcceptFailed, &[("why", &e)]);
             continue;
@@ -324,7 +336,9 @@
                 async move { Ok::<_, Infallible>(resp) }
             });
             // Whoever asks and leaves asks again.
-            drop(Builder::new().serve_connection(TokioIo::new(stream), service).await);
+            let mut builder = Builder::new();
+            builder.max_buf_size(PAGE_WAITS);
+            drop(builder.serve_connection(TokioIo::new(stream), service).await);
         });
     }
 }
