--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -31,6 +31,10 @@
 /// Time in which a reply may gather pace.
 const SLOW_AFTER: Duration = Duration::from_millis(500);
 
+/// How many times as fast as the first slow reply a second one is that goes on beside it: less saves no
+/// time that is worth keeping others out.
+const FASTER_BY: f64 = 2.0;
+
 /// Makes the error of a call that led to no usable reply.
 pub fn down(text: impl Into<String>) -> Error {
     Error::new(Code::PlatformDown, text).with_ran(Ran::Unknown)
@@ -41,6 +45,11 @@
     Error::new(Code::ReplyNotNeeded, "another reply brought the changes")
 }
 
+/// Makes the error of a reply that was given up for one that comes about as fast.
+fn too_slow() -> Error {
+    Error::new(Code::ReplyNotNeeded, "another slow reply comes about as fast")
+}
+
 /// How long a call may stand still.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -54,20 +63,32 @@
 /// each takes twice as long, and what is small and urgent waits behind both: on a link of 10 Mbit/s six
 /// copies of a configuration of 1 MB hold it up for over four seconds.
 ///
-/// A reply that comes too slowly lets another one in beside it, one at a time: it is often its giver's way
-/// that is crowded, and elsewhere the same bytes may be had at once.
+/// A reply that comes too slowly lets another one in beside it: it is often its giver's way that is
+/// crowded, and elsewhere the same bytes may be had at once. So may they when the other one is slow too;
+/// it gives way to a third then, and the first one goes on, so that one of them always ends.
 pub struct OneAtATime {
     turns: Semaphore,
-    /// Whether a reply under way has let another one in.
-    has_let_in: Cell<bool>,
+    /// Rate of the reply that has let another one in, in bytes a second.
+    slow: Cell<Option<f64>>,
 }
 
 impl Default for OneAtATime {
     fn default() -> OneAtATime {
-        OneAtATime { turns: Semaphore::new(1), has_let_in: Cell::new(false) }
+        OneAtATime { turns: Semaphore::new(1), slow: Cell::new(None) }
     }
 }
 
+/// How fast a large reply comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pace {
+    /// At the least rate or more.
+    Fast,
+    /// Below it.
+    Slow,
+    /// Below it, and not much faster than another slow one.
+    TooSlow,
+}
+
 impl OneAtATime {
     /// Tells whether a large reply is coming in, and another one would not be let in.
     pub fn is_taken(&self) -> bool {
@@ -96,15 +117,26 @@
 }
 
 impl Turn<'_> {
-    /// Takes note that so many bytes have come in this turn; tells whether they come fast enough.
-    fn has_come(&mut self, bytes: usize) -> bool {
+    /// Takes note that so many bytes have come in this turn; tells how fast that is.
+    fn has_come(&mut self, bytes: usize) -> Pace {
         let took = self.began.elapsed();
-        let is_slow = took >= SLOW_AFTER && (bytes as f64) < LEAST_RATE * took.as_secs_f64();
-        if is_slow && !self.turns.has_let_in.replace(true) {
-            self.has_let_in = true;
-            self.turns.turns.add_permits(1);
+        let rate = bytes as f64 / took.as_secs_f64();
+        if self.has_let_in {
+            self.turns.slow.set(Some(rate));
+        }
+        if took < SLOW_AFTER || rate >= LEAST_RATE {
+            return Pace::Fast;
+        }
+        match self.turns.slow.get() {
+            Some(first) if !self.has_let_in && rate < first * FASTER_BY => Pace::TooSlow,
+            Some(_) => Pace::Slow,
+            None => {
+                self.has_let_in = true;
+                self.turns.slow.set(Some(rate));
+                self.turns.turns.add_permits(1);
+                Pace::Slow
+            }
         }
-        !is_slow
     }
 }
 
@@ -112,7 +144,7 @@
     fn drop(&mut self) {
         if let Some(permit) = self.permit.take().filter(|_| self.has_let_in) {
             // The turn was given to another reply already.
-            self.turns.has_let_in.set(false);
+            self.turns.slow.set(None);
             permit.forget();
         }
     }
@@ -183,13 +215,16 @@
                 return Err(needless());
             }
         }
-        let is_fast = turn.as_mut().map(|turn| turn.has_come(all.len() - before));
-        if gate.is_some_and(|gate| is_fast == Some(false) && (gate.is_needless)()) {
+        let pace = turn.as_mut().map(|turn| turn.has_come(all.len() - before));
+        if gate.is_some_and(|gate| pace == Some(Pace::Slow) && (gate.is_needless)()) {
             return Err(needless());
         }
+        if pace == Some(Pace::TooSlow) {
+            return Err(too_slow());
+        }
         // A small reply that is no slower than a large one may be has come before anybody asks again; one
         // that drips must not keep its change from being got elsewhere.
-        let is_word_due = is_fast == Some(true) && told_at.elapsed() >= WORD_EVERY;
+        let is_word_due = pace == Some(Pace::Fast) && told_at.elapsed() >= WORD_EVERY;
         if let Some(gate) = gate.filter(|_| is_word_due) {
             told_at = Instant::now();
             (gate.is_coming)();
