Test that fails: a host that proves for itself waits for others' news of endpoints

Measured on virtual time: no read of the endpoints at once, by a host of 12 that is not among those which prove the configuration for others and yet had to read it, at a revision beyond what it knows.

--- a/crates/tidetrack-core/tests/large_fleet.rs
+++ b/crates/tidetrack-core/tests/large_fleet.rs
@@ -121,6 +121,27 @@
     assert!(fleet.calls <= 60, "{} calls, of three hosts for 20 changes", fleet.calls);
 }
 
+/// A host was ready again and 0.3 s later sent a request to an endpoint that had left 3.8 s before. A host that
+/// hears no others for a while, on a full link, is ready by a read of its own; its news of endpoints are then
+/// as old as its proof was. Evidence: the users' record of the request and of readiness.
+#[test]
+fn a_host_that_has_to_prove_the_configuration_itself_reads_the_endpoints_at_once() {
+    let mut fleet = Fleet::start(12, 8);
+    fleet.run(4_000, |_, _| {});
+    let mut calls_at_once = |proves: bool| {
+        let proves_as_asked = |i: &usize| fleet.hosts[*i].beliefs.is_prover() == proves;
+        let host = (0..12).find(proves_as_asked).expect("a host of either sort");
+        let before = fleet.calls;
+        fleet.take(host, Input::StoreSeen(fleet.revision + 1));
+        fleet.calls - before
+    };
+
+    let (of_prover, of_other) = (calls_at_once(true), calls_at_once(false));
+
+    assert_eq!(of_prover, 0, "those that watch mostly bring it");
+    assert_eq!(of_other, 1);
+}
+
 /// A session whose requests follow each other, each at some host.
 struct Session {
     name: String,
