Read the endpoints at once where a host had to prove for itself

Cause: a read that sees a later revision of the store leaves the change to the hosts that watch for 0.4 s. A host that relies on others' proofs reads only when these did not come, on a full link above all; then others' news of endpoints did not come either, and the read makes the host ready.

Change: only hosts that prove for others wait.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -295,7 +295,7 @@
                 Bearing::None
             }
             Input::StoreSeen(revision) => {
-                self.feeds.store_seen(now, revision);
+                self.feeds.store_seen(now, revision, self.duties.proves);
                 Bearing::None
             }
             Input::Coming(kind) => {
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -207,14 +207,15 @@
     /// Takes note that the store was at a revision when the configuration was read there. Those that watch
     /// for this host may be away from the store and not know it, so a revision beyond the known ones is
     /// word of a change of the endpoints, unless it is accounted for soon. It may be one of another kind;
-    /// the read is short then.
-    pub fn store_seen(&mut self, now: Millis, revision: u64) {
+    /// the read is short then. A host that relies on others' proofs and had to read has not heard them, so
+    /// it does not wait for their news either.
+    pub fn store_seen(&mut self, now: Millis, revision: u64, proves_for_others: bool) {
         let after = self.complete.get(Kind::Endpoints);
         // A kind that was never listed is being listed.
         if after == 0 || revision <= after {
             return;
         }
-        let due_at = now + SEEN_AFTER;
+        let due_at = if proves_for_others { now + SEEN_AFTER } else { now };
         let lack = &mut self.lacks[Kind::Endpoints as usize];
         let lack = lack.get_or_insert(Lack::of(revision, due_at));
         lack.wanted = lack.wanted.max(revision);
--- a/crates/tidetrack-core/tests/feeds.rs
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -91,7 +91,7 @@
 fn endpoints_are_read_up_to_where_the_store_was_seen_unless_they_come_first() {
     let mut feeds = feeds();
     feeds.caught_up(Kind::Endpoints, 10, Some(10));
-    feeds.store_seen(Millis(0), 12);
+    feeds.store_seen(Millis(0), 12, true);
     let mut other = feeds.clone();
     let due = |feeds: &mut Feeds| -> Vec<(u64, Catch)> {
         let due = |now| feeds.due(Millis(now)).into_iter().map(move |c| (now, c));
@@ -110,7 +110,7 @@
     let mut feeds = feeds();
     feeds.caught_up(Kind::Endpoints, 12, Some(11));
 
-    feeds.store_seen(Millis(0), 12);
+    feeds.store_seen(Millis(0), 12, true);
 
     assert_eq!(feeds.due(Millis(5_000)), Vec::new());
 }
