Split the plane's watch by job

520 lines held five jobs: following kinds, proving the configuration, getting what others told of, reading the store, and applying what came. Each has a file now; what they share stays in `watch/mod.rs`. No change of behaviour: functions and constants are moved as they were, and only their visibility is new.

--- /dev/null
+++ b/crates/tidetrack-plane/src/watch/catch.rs
@@ -0,0 +1,82 @@
+//! Gets changes that another host told of, from it or from the store.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tidetrack_core::codes::Code;
+use tidetrack_core::errors::Result;
+use tidetrack_core::events::Event;
+use tidetrack_core::traffic::control::Input;
+use tidetrack_core::traffic::feeds::{Catch, Source};
+
+use crate::call::needless;
+use crate::dialect::Kind;
+use crate::feed;
+
+use super::intake::FROM_HOST;
+use super::read::unless_needless;
+use super::Watches;
+
+impl Watches {
+    /// Gets changes that another host told of.
+    pub async fn catch(self: Rc<Self>, catch: Catch) {
+        let (kind, after) = (catch.kind, catch.after);
+        // What is coming in already may bring it, to one that waits as to several.
+        if std::mem::replace(&mut self.is_waiting.borrow_mut()[kind as usize], true) {
+            return;
+        }
+        self.large[kind as usize].is_free().await;
+        self.is_waiting.borrow_mut()[kind as usize] = false;
+        let result = match catch.source {
+            _ if self.newest(kind) > after => Err(needless()),
+            Source::Host(address) => self.ask_host(kind, after, address).await,
+            // Of several versions only the newest is wanted.
+            Source::Store if kind.is_one_object() => self.read_all(kind, Some(after)).await,
+            Source::Store => self.read_store(kind, after).await,
+        };
+        self.shared.metrics.feed_call(match (&result, catch.source) {
+            (Err(e), _) if e.code == Code::ReplyNotNeeded => "known",
+            (Ok(()), Source::Host(_)) => "host",
+            (Err(_), Source::Host(_)) => "host_failed",
+            (Ok(()), Source::Store) => "store",
+            (Err(_), Source::Store) => "store_failed",
+        });
+        if let Err(e) = result.or_else(unless_needless) {
+            let source = match catch.source {
+                Source::Host(address) => address.to_string(),
+                Source::Store => "store".into(),
+            };
+            let kind_name = format!("{kind:?}");
+            self.shared.journal.routine(
+                Event::ChangesNotGot,
+                &[("kind", &kind_name), ("after", &after), ("source", &source), ("why", &e)],
+            );
+            self.shared.tell(Input::CatchFailed(catch));
+        }
+    }
+
+    async fn ask_host(&self, kind: Kind, after: u64, address: SocketAddr) -> Result<()> {
+        let gate = self.gate(kind, Some(after));
+        let (told, reply) = feed::ask(&self.hosts, address, kind, after, &gate).await?;
+        let before = self.newest(kind);
+        if let Some(list) = told.list {
+            let (mut objects, mut newest) = (Vec::new(), 0);
+            for page in &list.pages {
+                let page = (self.shared.dialect.store.read_page)(kind, page)?;
+                self.store.note_unreadable(&page.unreadable);
+                newest = page.newest.max(newest);
+                objects.extend(page.objects);
+            }
+            self.take_list(kind, objects, list, newest);
+        }
+        for chunk in told.chunks {
+            let changes = (self.shared.dialect.store.read_changes)(kind, &chunk.bytes)?;
+            self.take(kind, changes, chunk);
+        }
+        let is_new = self.newest(kind) > before;
+        self.note_reply(kind, FROM_HOST, reply.body.len(), reply.body_time, is_new);
+        self.log(kind, |log| log.advance(told.complete));
+        self.caught_up(kind, None);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/tidetrack-plane/src/watch/intake.rs
@@ -0,0 +1,114 @@
+//! Applies what came, and keeps it for other hosts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tidetrack_core::events::Event;
+use tidetrack_core::traffic::control::Input;
+use tidetrack_core::traffic::feeds::LARGE_REPLY;
+
+use crate::dialect::{Change, Changes, Kind, Stored};
+use crate::feed::{Chunk, ListChunk};
+
+use super::Watches;
+
+/// Time for the body of a reply from which it has a line of its own, like a large one: the store is in
+/// the same region.
+const SLOW_REPLY: Duration = Duration::from_millis(300);
+
+/// Where a reply with changes came from, in logs and metrics.
+pub(super) const FROM_STORE: &str = "store";
+pub(super) const FROM_HOST: &str = "host";
+
+impl Watches {
+    /// Counts a reply with changes, and logs it if it was large or slow.
+    pub(super) fn note_reply(
+        &self,
+        kind: Kind,
+        source: &'static str,
+        bytes: usize,
+        body_time: Duration,
+        is_new: bool,
+    ) {
+        self.shared.metrics.feed_bytes(kind.as_str(), source, is_new, bytes);
+        if bytes < LARGE_REPLY && body_time < SLOW_REPLY {
+            return;
+        }
+        let ms = body_time.as_millis();
+        self.shared.journal.line(
+            Event::LargeReplyCame,
+            &[
+                ("kind", &kind.as_str()),
+                ("source", &source),
+                ("bytes", &bytes),
+                ("body_ms", &ms),
+                ("is_new", &is_new),
+            ],
+        );
+    }
+
+    /// Applies changes that are new, and keeps them for other hosts.
+    pub(super) fn take(&self, kind: Kind, changes: Changes, chunk: Chunk) {
+        let newest = changes.newest.unwrap_or(chunk.to);
+        // A reply may be of a later state than what is known, and yet hold known changes only.
+        if newest <= self.position(kind) || !self.log(kind, |log| log.push(chunk)) {
+            return;
+        }
+        self.newest.borrow_mut().raise(kind, newest);
+        // Of several states of one object the last one counts; the others must not be in force, not even
+        // for a moment.
+        let last = changes.changes.len().saturating_sub(1);
+        let skipped = if kind.is_one_object() { last } else { 0 };
+        for change in changes.changes.into_iter().skip(skipped) {
+            match change {
+                Change::Put(Stored::Catalog(c)) => self.shared.tell(Input::Catalog(Arc::new(c))),
+                Change::Put(Stored::Endpoint(r)) => self.shared.tell(Input::Endpoint(r)),
+                Change::Put(Stored::Rollout(o)) => self.shared.tell(Input::Rollout(o)),
+                Change::EndpointGone(id) => self.shared.tell(Input::EndpointGone(id)),
+                Change::RolloutGone(service) => self.shared.tell(Input::RolloutGone(service)),
+                Change::Unreadable(e) => self.store.note_unreadable(&[e]),
+            }
+        }
+        self.caught_up(kind, changes.newest);
+    }
+
+    /// Takes a whole list, unless newer changes are known already: these must not be undone. `newest` is
+    /// the newest change of a listed object.
+    pub(super) fn take_list(
+        &self,
+        kind: Kind,
+        objects: Vec<Stored>,
+        list: ListChunk,
+        newest: u64,
+    ) -> bool {
+        // What was removed is not listed, so a list is news up to the revision it was taken at. A kind
+        // with one object is only news if that was changed: hosts told otherwise would each get another
+        // copy of a configuration they know.
+        let newest = if kind.is_one_object() { newest } else { list.at };
+        if !self.log(kind, |log| log.listed(list)) {
+            return false;
+        }
+        self.newest.borrow_mut().raise(kind, newest);
+        let mut endpoints = Vec::new();
+        let mut rollouts = Vec::new();
+        for object in objects {
+            match object {
+                Stored::Catalog(catalog) => self.shared.tell(Input::Catalog(Arc::new(catalog))),
+                Stored::Endpoint(record) => endpoints.push(record),
+                Stored::Rollout(order) => rollouts.push(order),
+            }
+        }
+        match kind {
+            Kind::Catalog => {}
+            Kind::Endpoints => self.shared.tell(Input::EndpointList(endpoints)),
+            Kind::Rollouts => self.shared.tell(Input::RolloutList(rollouts)),
+        }
+        self.caught_up(kind, None);
+        true
+    }
+
+    pub(super) fn caught_up(&self, kind: Kind, changed: Option<u64>) {
+        let complete = self.position(kind);
+        self.shared.tell(Input::CaughtUp { kind, complete, changed });
+    }
+}
--- /dev/null
+++ b/crates/tidetrack-plane/src/watch/proof.rs
@@ -0,0 +1,64 @@
+//! Keeps a young proof that the configuration is the newest.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tidetrack_core::traffic::control::Input;
+use tidetrack_core::units::Millis;
+
+use crate::dialect::Kind;
+
+use super::follow::{jittered, FIRST_PAUSE};
+use super::read::unless_needless;
+use super::Watches;
+
+/// Age of its proof at which a host that proves the configuration for others reads it. With the time
+/// until others ask for it, a proof stays within half of the usual bound of 5 s on revocation.
+const PROVE_EVERY: Millis = Millis(1_500);
+
+/// Age of the proof at which a host that relies on others' proofs reads the configuration itself.
+const PROOF_WANTED: Millis = Millis(2_500);
+
+/// Pause between looks at the proof's age.
+const PROOF_LOOK: Duration = Duration::from_millis(200);
+
+impl Watches {
+    /// Reads the configuration at short intervals if others rely on it, and otherwise when no proof has
+    /// come from elsewhere for a while.
+    pub(super) async fn keep_proof(self: Rc<Self>) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            tokio::time::sleep(PROOF_LOOK).await;
+            let wanted = if self.duties.borrow().proves { PROVE_EVERY } else { PROOF_WANTED };
+            let after = self.position(Kind::Catalog);
+            let age = self.shared.fresh.age(self.shared.now());
+            let Some(age) = age.filter(|_| after > 0) else { continue };
+            // After a loss, a young proof of another host says that the store answers again.
+            let is_back = self.is_lost(Kind::Catalog) && age < PROVE_EVERY;
+            // A configuration that is coming in is not the newest until it has come, and neither is ours.
+            let is_coming = self.large[Kind::Catalog as usize].is_taken();
+            if (age < wanted && !is_back) || is_coming {
+                continue;
+            }
+            match self.read_store(Kind::Catalog, after).await.or_else(unless_needless) {
+                Ok(()) => {
+                    pause = FIRST_PAUSE;
+                    self.shared.tell(Input::StoreSeen(self.position(Kind::Catalog)));
+                }
+                Err(e) => {
+                    self.lost(Kind::Catalog, &e);
+                    tokio::time::sleep(jittered(pause)).await;
+                    pause = (pause * 2).min(self.longest_pause(Kind::Catalog));
+                }
+            }
+        }
+    }
+
+    /// Takes note of a read of the configuration.
+    pub(super) fn catalog_read(&self, began: Millis) {
+        // Not taken note of here: what was read may wait to be put in force, and a proof that holds
+        // before that would be one of the configuration before.
+        self.shared.tell(Input::Proved(began));
+        self.back(Kind::Catalog);
+    }
+}
--- /dev/null
+++ b/crates/tidetrack-plane/src/watch/read.rs
@@ -0,0 +1,97 @@
+//! Reads a kind from the store, as a list or as the changes after a revision.
+
+use std::time::Duration;
+
+use tidetrack_core::codes::Code;
+use tidetrack_core::errors::{Error, Result};
+use tidetrack_core::events::Event;
+use tidetrack_core::units::Millis;
+
+use crate::dialect::{Age, Kind};
+use crate::feed::{Chunk, ListChunk};
+
+use super::intake::FROM_STORE;
+use super::Watches;
+
+impl Watches {
+    /// Reads the changes after a revision from the store, or the whole kind if they are forgotten.
+    pub(super) async fn read_store(&self, kind: Kind, after: u64) -> Result<()> {
+        match self.read_changes(kind, after, Millis(0)).await {
+            Err(e) if e.code == Code::HistoryGone => {
+                self.shared.journal.line(Event::HistoryGone, &[("kind", &format!("{kind:?}"))]);
+                self.read_all(kind, None).await
+            }
+            result => result,
+        }
+    }
+
+    /// Lists a kind. The first list may be a little old, for the changes since follow; a later one is
+    /// news to other hosts, for it may hold changes that were not told one by one. `after` is the
+    /// revision whose next change is wanted, where anything but that is not.
+    pub(super) async fn read_all(&self, kind: Kind, after: Option<u64>) -> Result<()> {
+        let is_first = self.position(kind) == 0;
+        let age = if is_first && kind != Kind::Catalog { Age::OfLate } else { Age::Newest };
+        loop {
+            let listed = self.store.list(kind, age, &self.gate(kind, after)).await?;
+            let at = listed.revision;
+            let pages: Vec<Vec<u8>> = listed.pages.iter().map(|page| page.to_vec()).collect();
+            let bytes = pages.iter().map(Vec::len).sum();
+            let before = self.newest(kind);
+            let list = ListChunk { at, pages };
+            let is_taken = self.take_list(kind, listed.objects, list, listed.newest);
+            let is_new = is_taken && self.newest(kind) > before;
+            self.note_reply(kind, FROM_STORE, bytes, listed.body_time, is_new);
+            if kind == Kind::Catalog {
+                self.catalog_read(listed.began);
+            }
+            // A list that is older than what is known has nothing new; of one object nothing is missing.
+            if is_taken || kind.is_one_object() {
+                break;
+            }
+        }
+        if age == Age::OfLate {
+            let since = self.read_changes(kind, self.position(kind), Millis(0)).await;
+            since.or_else(unless_needless)?;
+        } else if !is_first {
+            self.caught_up(kind, Some(self.newest(kind)));
+        }
+        Ok(())
+    }
+
+    /// Reads the changes of a kind after a revision; the store may wait for one.
+    pub(super) async fn read_changes(&self, kind: Kind, after: u64, wait: Millis) -> Result<()> {
+        let dialect = &self.shared.dialect.store;
+        let began = self.shared.now();
+        let call = (dialect.watch)(kind, after, wait);
+        let gate = self.gate(kind, Some(after));
+        let reply = self.store.call(&call, Duration::from_millis(wait.0), Some(&gate)).await?;
+        let changes = (dialect.read_changes)(kind, &reply.body)?;
+        let to = changes.revision;
+        // The store's revision rises with changes of other kinds too, so it does not tell.
+        let is_new = changes.newest.is_some_and(|newest| newest > self.position(kind));
+        if is_new {
+            // Other hosts have no use for the states before the newest, each of which may be a megabyte.
+            let is_cut = kind.is_one_object() && changes.changes.len() > 1;
+            let bytes = match is_cut {
+                true => (dialect.last_change)(&reply.body)?,
+                false => reply.body.to_vec(),
+            };
+            self.take(kind, changes, Chunk { to, bytes });
+        }
+        self.note_reply(kind, FROM_STORE, reply.body.len(), reply.body_time, is_new);
+        self.log(kind, |log| log.advance(to));
+        self.caught_up(kind, None);
+        if kind == Kind::Catalog {
+            self.catalog_read(began);
+        }
+        Ok(())
+    }
+}
+
+/// Takes a reply that was not needed any more for one that came.
+pub(super) fn unless_needless(e: Error) -> Result<()> {
+    match e.code {
+        Code::ReplyNotNeeded => Ok(()),
+        _ => Err(e),
+    }
+}
