A search for an endpoint in a silent one's place uses no attempts up

Cause: connects that reached nobody were counted over the whole of a stream; beyond the free ones each counted as an attempt. A way that is full for some seconds left a stream without any, and its next real break was cut.

Change: each search has its own free connects, `most_attempts` of them. While the silent endpoint is still listened to, a search that has used them up ends, and the stream stays where it is; the next one comes after the next silence. Once the silent endpoint is gone, further connects count as before: there is nothing left to save the attempts for.

Ruled out: counting only connects that failed, not those dropped as the endpoint spoke again. A silence that outlasts the 0.4 s of a connect has failed ones too, and three of those use the free ones up as well.

--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -284,7 +284,8 @@
         self.is_heard.set(false);
     }
 
-    fn is_heard(&self) -> bool {
+    /// Tells whether it is still listened to.
+    pub fn is_heard(&self) -> bool {
         self.is_heard.get()
     }
 
@@ -336,7 +337,7 @@
     pub sent: u32,
     /// When the last attempt began.
     pub sent_at: Millis,
-    /// Attempts that reached no endpoint.
+    /// Attempts that reached no endpoint, of the present search for one.
     pub unreached: u32,
     /// Whether the request has run, as far as is known.
     pub ran: Option<Ran>,
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -362,6 +362,9 @@
 
 /// Asks other endpoints to go on after an event, one after another for as long as attempts are left,
 /// until one has begun to answer.
+///
+/// What reaches nobody costs no attempt while a silent endpoint is listened to: a stream may stall often,
+/// and attempts are kept for a break. Connects are bounded for each search, and silences space those out.
 async fn ask_another(
     traffic: &Traffic,
     job: &Job,
@@ -369,6 +372,7 @@
     last_event: Option<u64>,
     tries: &mut Tries,
 ) -> Result<(http::response::Parts, Source)> {
+    tries.unreached = 0;
     loop {
         let (chosen, share) = choose_again(traffic, job, tries, model)?;
         let sent_at = Instant::now();
@@ -387,7 +391,9 @@
         if let Some(held) = tries.held.as_ref().filter(|_| failed.code != Code::Deadline) {
             held.other_failed();
         }
-        if Instant::now() >= job.until {
+        let is_held = tries.held.as_ref().is_some_and(|held| held.is_heard());
+        let is_out_of_reach = is_held && tries.unreached >= job.admitted.route.most_attempts;
+        if is_out_of_reach || Instant::now() >= job.until {
             return Err(failed);
         }
     }
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -122,7 +122,7 @@
 }
 
 /// Takes an attempt back that reached no endpoint: it counts neither as one of the request's nor in
-/// the budget. Each request has as many of these for nothing as it has attempts.
+/// the budget. Each search for an endpoint has as many of these for nothing as the request has attempts.
 fn reached_nobody(traffic: &Traffic, job: &Job, tries: &mut Tries) {
     if tries.unreached >= job.admitted.route.most_attempts {
         return;
