A silent stream is given up for a new connection only

Cause: before its first event a stream has no event to go on after, and only with one did an attempt in a silent endpoint's place get a new connection. A kept one proves nothing about the way, yet the request is written over it at once; 250 ms later the silent endpoint was let go with all that it had read of the prompt.

Change: whenever a silent endpoint is listened to, the attempt in its place opens a connection.

Ruled out: waiting longer than 250 ms over a kept connection.

--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -79,11 +79,12 @@
             ("load_age_ms", &load_age),
         ],
     );
-    // A run that goes on gets a new connection: where one comes up, the way to the endpoint is open, and
-    // its answer will be here soon after it begins.
-    let most_rest = match goes_on_after {
-        Some(_) => Duration::ZERO,
-        None => most_rest(job.admitted.route.work.is_repeatable()),
+    // A run that goes on, or in a silent endpoint's place, gets a new connection: where one comes up, the
+    // way to the endpoint is open, and its answer will be here soon after it begins. A kept one proves
+    // nothing, and the silent endpoint would be let go for it.
+    let most_rest = match goes_on_after.is_some() || tries.held.is_some() {
+        true => Duration::ZERO,
+        false => most_rest(job.admitted.route.work.is_repeatable()),
     };
     let attempt = Attempt {
         pool: &traffic.pool,
