The rest of a caller's connection begins when its answer is out

Cause: the rest was counted from when the HTTP library took the answer, and by the limits that held when the connection came up. Callers count from when they have the answer, and from the newest limits; over a slow line a connection was closed for them as they used it.

Change: the rest begins with the flush that finds nothing left to be sent. What the system and the line hold then is not seen from here, so that a connection may rest for a second more than its limit (named, with its figures). The limits are looked up anew at each rest and once more when its time runs out. The time for a head is as before. A resting connection holds its descriptor for up to a second longer; a stop still closes it at once.

Ruled out: a bound on what the system takes at a time; it slows large answers down between domains.

--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -37,6 +37,11 @@
 /// keeps others from what a host gives at a time.
 const PAGE_TAKEN_WITHIN: Duration = Duration::from_millis(2_000);
 
+/// Time by which a connection may rest for longer than its limit. The limit counts from when the caller has
+/// the answer; the host sees only when the system took it. What the system holds of one goes over a line of
+/// 10 Mbit/s at 1.2 MB a second, and a collected answer has 1 MB at most.
+const ON_ITS_WAY: Duration = Duration::from_millis(1_000);
+
 /// Smallest buffer that the HTTP library takes for a head.
 const LEAST_HEAD_BUFFER: usize = 8_192;
 
@@ -49,6 +54,8 @@
     SendingHead(Instant),
     /// Waiting for an answer, or taking it.
     Served,
+    /// Taking the end of an answer that the HTTP library holds as a whole.
+    TakingEnd,
 }
 
 /// State of one connection, shared by its reader, its requests and its watchdog.
@@ -89,11 +96,20 @@
         self.set(Doing::Served);
     }
 
-    /// Takes note that an answer was taken.
-    fn begins_to_rest(&self) {
-        let now = Instant::now();
-        self.rests_since.set(now);
-        self.set(Doing::Resting(now));
+    /// Takes note that the HTTP library holds the rest of an answer.
+    fn answer_ended(&self) {
+        self.rests_since.set(Instant::now());
+        self.set(Doing::TakingEnd);
+    }
+
+    /// Takes note that nothing is left to be sent. The rest begins here, not at the end of the answer's body:
+    /// over a slow line much of that is still to be sent.
+    fn flushed(&self) {
+        if self.doing.get() == Doing::TakingEnd {
+            let now = Instant::now();
+            self.rests_since.set(now);
+            self.set(Doing::Resting(now));
+        }
     }
 
     /// Notices the first byte of a head.
@@ -103,18 +119,21 @@
         }
     }
 
-    /// Waits until the connection has overstepped a limit.
-    async fn overstepped(&self, limits: CallerLimits) {
+    /// Gets when the connection oversteps a limit, if it stays as it is.
+    fn may_until(&self, limits: CallerLimits) -> Option<Instant> {
+        match self.doing.get() {
+            Doing::Resting(since) => {
+                Some(since + Duration::from_millis(limits.idle_time.0) + ON_ITS_WAY)
+            }
+            Doing::SendingHead(since) => Some(since + Duration::from_millis(limits.head_time.0)),
+            Doing::Served | Doing::TakingEnd => None,
+        }
+    }
+
+    /// Waits until the connection has overstepped a limit; the newest limits count.
+    async fn overstepped(&self, limits: impl Fn() -> CallerLimits) {
         loop {
-            let doing = self.doing.get();
-            let until = match doing {
-                Doing::Resting(since) => Some(since + Duration::from_millis(limits.idle_time.0)),
-                Doing::SendingHead(since) => {
-                    Some(since + Duration::from_millis(limits.head_time.0))
-                }
-                Doing::Served => None,
-            };
-            let Some(until) = until else {
+            let Some(until) = self.may_until(limits()) else {
                 self.changed.notified().await;
                 continue;
             };
@@ -122,9 +141,10 @@
             tokio::select! {
                 () = self.changed.notified() => {}
                 // In a late turn the time runs out and a request is read at once; only the state
-                // that the time belongs to can overstep it.
+                // that the time belongs to can overstep it. The limit may have been raised meanwhile.
                 () = sleep => {
-                    if doing == self.doing.get() {
+                    let until = self.may_until(limits());
+                    if until.is_some_and(|until| until <= Instant::now()) {
                         return;
                     }
                 }
@@ -186,7 +206,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        // The HTTP library flushes once the system has taken all that it held.
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.state.flushed();
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -249,7 +274,7 @@
 pub struct ServerOptions {
     /// Most connections at a time; more wait to be accepted.
     pub most_connections: usize,
-    /// Gets the limits for a new connection.
+    /// Gets the limits. Open connections follow the newest, but for the size of their heads.
     pub limits: Rc<dyn Fn() -> CallerLimits>,
     /// Answers a request.
     pub handler: Handler,
@@ -314,11 +339,10 @@
     mut stage: watch::Receiver<StopStage>,
     state: &Rc<ConnState>,
 ) -> Option<CloseReason> {
-    let limits = (opts.limits)();
     let service = service_fn(|req| answer(&opts.handler, state.clone(), req));
     let io = TokioIo::new(Observing { stream, state: state.clone() });
     let conn = Builder::new()
-        .max_buf_size(limits.head_bytes.max(LEAST_HEAD_BUFFER))
+        .max_buf_size((opts.limits)().head_bytes.max(LEAST_HEAD_BUFFER))
         .half_close(false)
         .serve_connection(io, service);
     let mut conn = std::pin::pin!(conn);
@@ -332,7 +356,7 @@
                 let why = closing_for.unwrap_or_else(|| why_ended(&ended));
                 return (!state.has_left.get()).then_some(why);
             }
-            () = state.overstepped(limits), if closing_for.is_none() => {
+            () = state.overstepped(&*opts.limits), if closing_for.is_none() => {
                 if !matches!(state.doing.get(), Doing::Resting(_)) {
                     return Some(CloseReason::SlowHead);
                 }
@@ -369,7 +393,7 @@
 ) -> Result<Answer, Infallible> {
     state.begins_to_serve();
     let resp = handler(req).await;
-    Ok(resp.map(|body| body.on_end(move || state.begins_to_rest())))
+    Ok(resp.map(|body| body.on_end(move || state.answer_ended())))
 }
 
 /// Makes a short plain answer.
