Bring the configuration by its object after a failed watch, and forgotten kinds by their list at once

Cause: read the changes since the known one for all kinds. Of the configuration these hold every version written meanwhile; ten of 0.9 MB are more than the 8 MB that a reply may have, so every try failed. It also asked once more for changes that a watch had just been told are forgotten.

Change: after a failed watch the configuration is read as the object, as before; a watch whose history is gone is followed by the list without another question.

Ruled out as a cause: the turn of large replies and the waiting tries; no large reply came in at all at the host that was stuck.

--- a/crates/tidetrack-plane/src/watch/catch.rs
+++ b/crates/tidetrack-plane/src/watch/catch.rs
@@ -8,6 +8,7 @@
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::feeds::{Catch, Source};
+use tidetrack_core::units::Millis;
 
 use crate::call::needless;
 use crate::dialect::Kind;
@@ -32,7 +33,7 @@
             Source::Host(address) => self.ask_host(kind, after, address).await,
             // Of several versions only the newest is wanted.
             Source::Store if kind.is_one_object() => self.read_all(kind, Some(after)).await,
-            Source::Store => self.read_store(kind, after).await,
+            Source::Store => self.read_store(kind, after, Millis(0)).await,
         };
         self.shared.metrics.feed_call(match (&result, catch.source) {
             (Err(e), _) if e.code == Code::ReplyNotNeeded => "known",
--- a/crates/tidetrack-plane/src/watch/follow.rs
+++ b/crates/tidetrack-plane/src/watch/follow.rs
@@ -78,8 +78,10 @@
     async fn follow(&self, kind: Kind) -> Error {
         let brought = match self.position(kind) {
             0 => self.read_all(kind, None).await,
+            // The changes since would tell each version, and ten of them are more than a reply may have.
+            _ if kind.is_one_object() => self.read_all(kind, None).await,
             // A list would be hundreds of times as large, for this host and all that hear from it.
-            after => self.read_store(kind, after).await.or_else(unless_needless),
+            after => self.read_store(kind, after, Millis(0)).await.or_else(unless_needless),
         };
         if let Err(e) = brought {
             return e;
@@ -92,8 +94,7 @@
                 return Error::new(Code::Internal, "the control thread ends");
             }
             let before = self.position(kind);
-            if let Err(e) =
-                self.read_changes(kind, before, WATCH_WAIT).await.or_else(unless_needless)
+            if let Err(e) = self.read_store(kind, before, WATCH_WAIT).await.or_else(unless_needless)
             {
                 return e;
             }
--- a/crates/tidetrack-plane/src/watch/proof.rs
+++ b/crates/tidetrack-plane/src/watch/proof.rs
@@ -40,7 +40,7 @@
             if (age < wanted && !is_back) || is_coming {
                 continue;
             }
-            match self.read_store(Kind::Catalog, after).await.or_else(unless_needless) {
+            match self.read_store(Kind::Catalog, after, Millis(0)).await.or_else(unless_needless) {
                 Ok(()) => {
                     pause = FIRST_PAUSE;
                     self.shared.tell(Input::StoreSeen(self.position(Kind::Catalog)));
--- a/crates/tidetrack-plane/src/watch/read.rs
+++ b/crates/tidetrack-plane/src/watch/read.rs
@@ -14,9 +14,10 @@
 use super::Watches;
 
 impl Watches {
-    /// Reads the changes after a revision from the store, or the whole kind if they are forgotten.
-    pub(super) async fn read_store(&self, kind: Kind, after: u64) -> Result<()> {
-        match self.read_changes(kind, after, Millis(0)).await {
+    /// Reads the changes after a revision from the store, which may wait for one, or the whole kind if they
+    /// are forgotten.
+    pub(super) async fn read_store(&self, kind: Kind, after: u64, wait: Millis) -> Result<()> {
+        match self.read_changes(kind, after, wait).await {
             Err(e) if e.code == Code::HistoryGone => {
                 self.shared.journal.line(Event::HistoryGone, &[("kind", &format!("{kind:?}"))]);
                 self.read_all(kind, None).await
