--- a/crates/tidetrack-plane/src/watch/mod.rs
+++ b/crates/tidetrack-plane/src/watch/mod.rs
@@ -1,6 +1,6 @@
 //! Keeps the beliefs of a host at the store's state: a list of each kind, then changes from there. A
 //! few hosts watch the store for them; the others get them host to host (`feed`). A list follows later
-//! only where the store has forgotten the changes.
+//! only where the store has forgotten the changes, and for the configuration, whose list is its newest state.
 //!
 //! A few hosts also prove that the configuration is the newest, by short reads; the others are told.
 //! A host whose proof grows old all the same reads for itself, and notices there that it has lost the
