A reply too large to be read is followed by the whole kind, like a forgotten history

Cause: a proving read asks for the changes of the configuration since the known one; each version is told, and over 8 MB of them the read was given up, at every try, for good. Ruled out: reading the object at every proof (1 MB each 1.5 s where nothing changed); a higher limit (memory, and the next outage has more).

--- a/crates/tidetrack-core/src/codes.rs
+++ b/crates/tidetrack-core/src/codes.rs
@@ -91,6 +91,7 @@
     ObjectGone, 4004, 404, No, "The object does not exist.";
     HistoryGone, 4005, 503, No, "The object API no longer knows the changes that were asked for.";
     ReplyNotNeeded, 4006, 503, No, "Another reply brought the changes meanwhile.";
+    ReplyTooLarge, 4007, 503, No, "A reply is larger than what is read of one.";
     BadDeclaration, 5001, 400, No, "A declaration is wrong.";
     BadSettings, 5002, 400, No, "The settings are wrong.";
     BadPolicy, 5003, 400, No, "A policy does not compile or does not pass its cases.";
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::Instant;
@@ -35,6 +35,12 @@
 /// time that is worth keeping others out.
 const FASTER_BY: f64 = 2.0;
 
+/// Makes the error of a reply that is not read to its end.
+fn too_large() -> Error {
+    let text = format!("the reply is larger than {MOST_REPLY} bytes");
+    Error::new(Code::ReplyTooLarge, text).with_ran(Ran::Unknown)
+}
+
 /// Makes the error of a call that led to no usable reply.
 pub fn down(text: impl Into<String>) -> Error {
     Error::new(Code::PlatformDown, text).with_ran(Ran::Unknown)
@@ -232,6 +238,7 @@
         let frame = tokio::time::timeout(part, body.frame()).await;
         match frame.map_err(|_| down("the reply stopped in the middle"))? {
             Some(Ok(frame)) => all.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+            Some(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large()),
             Some(Err(e)) => return Err(down(with_causes(e.as_ref()))),
             None => return Ok(all.freeze()),
         }
--- a/crates/tidetrack-plane/src/watch/read.rs
+++ b/crates/tidetrack-plane/src/watch/read.rs
@@ -15,11 +15,12 @@
 
 impl Watches {
     /// Reads the changes after a revision from the store, which may wait for one, or the whole kind if they
-    /// are forgotten.
+    /// are forgotten, or more than a reply may have: each try would end there.
     pub(super) async fn read_store(&self, kind: Kind, after: u64, wait: Millis) -> Result<()> {
         match self.read_changes(kind, after, wait).await {
-            Err(e) if e.code == Code::HistoryGone => {
-                self.shared.journal.line(Event::HistoryGone, &[("kind", &format!("{kind:?}"))]);
+            Err(e) if matches!(e.code, Code::HistoryGone | Code::ReplyTooLarge) => {
+                let kind_name = format!("{kind:?}");
+                self.shared.journal.line(Event::HistoryGone, &[("kind", &kind_name), ("why", &e)]);
                 self.read_all(kind, None).await
             }
             result => result,
