--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -49,8 +49,8 @@
 /// The ring's endpoint is kept up to this multiple of the drawn ones' mean load.
 const BOUND: f64 = 1.25;
 
-/// Work, in answer tokens, that every endpoint counts as having besides, where the work of reading a prefix again is
-/// counted, which keeps a prefix where it is.
+/// Work, in answer tokens, that every endpoint counts as having besides, where the work of reading a prefix
+/// again is counted, which keeps a prefix where it is.
 const IDLE_WORK_BESIDE_PREFIX: f64 = 50.0;
 
 /// At most this share of a pool is ejected, one endpoint in so many.
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -19,8 +19,8 @@
 use crate::patience::wait_running;
 use crate::pool::most_rest;
 
-/// Work, in answer tokens, that one request counts as which an endpoint tells as running. An engine reads prompts one
-/// after another, but makes the tokens of all that run together, so what runs adds little.
+/// Work, in answer tokens, that one request counts as which an endpoint tells as running. An engine reads
+/// prompts one after another, but makes the tokens of all that run together, so what runs adds little.
 const RUNNING_WORK: u64 = 40;
 
 /// Work, in answer tokens, that one request counts as which an endpoint tells as waiting.
