Times at loaded endpoints say nothing of a version; a tenth of the grown sample stays with idle ones

Paces were compared at the load that each host knew of, which at this size is its own work and a sixth of the others'. So no measure of load makes the groups alike.

Change: at loaded endpoints only failures count; a tenth of the grown sample goes on to all endpoints, so that a version which turns slow later is still compared at rest; good loaded answers no longer thin out the shares of the samples.

--- a/crates/tidetrack-core/src/traffic/loading.rs
+++ b/crates/tidetrack-core/src/traffic/loading.rs
@@ -5,6 +5,10 @@
 //! enough sends it to a few endpoints at a time, the same ones at every host, so that each has several times as
 //! much to do as a proven one in the mean, which is what the busiest of these have. After a while others take
 //! their turn: an endpoint may fail for reasons of its own.
+//!
+//! What is compared there is whether answers fail. Times are not: no proven endpoint is as busy with prompts that
+//! it has not read before, and of what the others do there one of many hosts knows little. A part of the sample
+//! goes on to all endpoints, so that a version that turns slow later is told from the proven ones at rest.
 
 use crate::traffic::trial::{Phase, TrialView};
 use crate::units::Millis;
@@ -31,7 +35,7 @@
 
 /// Gets the turn at an instant, if the sample of a roll-out beside so many proven endpoints is given to few.
 pub fn turn_at(trial: &TrialView, now: Millis, proven: usize) -> Option<Turn> {
-    let times = trial.grown_sample * proven as f64;
+    let times = (trial.grown_sample - trial.idle_sample) * proven as f64;
     if trial.phase_at(now) != Phase::Sample || now < trial.grows_at || times < LEAST_TIMES {
         return None;
     }
--- a/crates/tidetrack-core/src/traffic/trial.rs
+++ b/crates/tidetrack-core/src/traffic/trial.rs
@@ -33,6 +33,9 @@
 /// its version through the first half, and hosts know the order's age to some milliseconds.
 const GROWS_AT: f64 = 0.53;
 
+/// Part of the grown sample that goes on to endpoints with little to do.
+const IDLE_PART: f64 = 0.1;
+
 /// Part of the time between the move and the deadline after which the roll-out is completed. What the old
 /// version still runs has that time to end; the rest is for the write to be taken.
 const COMPLETE_AT: f64 = 0.5;
@@ -142,6 +145,8 @@
     pub grows_at: Millis,
     /// Share of the sessions in the sample from then on.
     pub grown_sample: f64,
+    /// Share of the sessions whose requests are never given to loaded endpoints.
+    pub idle_sample: f64,
     /// Share of the requests that belong to no session in the sample.
     pub lone_sample: f64,
     /// Such requests that this host sends there besides, up to the move.
@@ -305,6 +310,7 @@
             sample: shares.sample,
             grows_at: self.began + self.part(GROWS_AT),
             grown_sample: shares.grown,
+            idle_sample: shares.grown * IDLE_PART,
             lone_sample: full_sample(self.bound.share),
             spare: self.bound.spare(hosts),
             bound: self.bound,
--- a/crates/tidetrack-core/src/traffic/view.rs
+++ b/crates/tidetrack-core/src/traffic/view.rs
@@ -65,9 +65,15 @@
         all.into_iter().any(|e| e.id.as_str() == id)
     }
 
-    /// Picks an endpoint of a side.
-    pub fn pick(&self, now: Millis, side: Side, ask: &Ask<'_>) -> Result<Picked<'_>> {
-        if let Some(endpoint) = self.loaded(now, side, ask) {
+    /// Picks an endpoint of a side, for a request with this draw of versions.
+    pub fn pick(
+        &self,
+        now: Millis,
+        side: Side,
+        who: SessionDraw,
+        ask: &Ask<'_>,
+    ) -> Result<Picked<'_>> {
+        if let Some(endpoint) = self.loaded(now, side, who, ask) {
             return Ok(Picked { endpoint, is_loaded: true });
         }
         let endpoint = self.pool(side).pick(now, ask)?;
@@ -75,8 +81,17 @@
     }
 
     /// Gets the new version's endpoint that is loaded now, if any is.
-    fn loaded(&self, now: Millis, side: Side, ask: &Ask<'_>) -> Option<&PoolEndpoint> {
+    fn loaded(
+        &self,
+        now: Millis,
+        side: Side,
+        who: SessionDraw,
+        ask: &Ask<'_>,
+    ) -> Option<&PoolEndpoint> {
         let trial = self.trial.as_ref().filter(|_| side == Side::New)?;
+        if who.draw < trial.idle_sample {
+            return None;
+        }
         let turn = turn_at(trial, now, self.proven.endpoints().len())?;
         let job = format!("turn {}", turn.number);
         self.new.pick_of_first(now, ask, &job, turn.endpoints)
--- a/crates/tidetrack-core/tests/support/mod.rs
+++ b/crates/tidetrack-core/tests/support/mod.rs
@@ -98,6 +98,13 @@
     (id(&format!("h{n}")), format!("10.0.{}.{}:7", n / 250, n % 250).parse().expect("an address"))
 }
 
+/// Gets the place of the host with an address in a list of all.
+pub fn host_at(address: SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(address) = address else { return None };
+    let [_, _, high, low] = address.ip().octets();
+    (usize::from(high) * 250 + usize::from(low)).checked_sub(1)
+}
+
 pub fn beliefs(n: u32) -> Beliefs {
     beliefs_started_as(n, 0)
 }
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -5,7 +5,6 @@
 use tidetrack_core::ids::{EndpointId, EndpointKey, ModelId};
 use tidetrack_core::placement::{place_of, Ask, Near, PoolEndpoint, PoolView};
 use tidetrack_core::traffic::budget::SendAgain;
-use tidetrack_core::traffic::exposure::SessionDraw;
 use tidetrack_core::traffic::gate;
 use tidetrack_core::traffic::outlook::Planned;
 use tidetrack_core::traffic::prefixes::PartKey;
@@ -70,7 +69,7 @@
 ) -> Result<Chosen> {
     let view = traffic.shared.view.load();
     let service = view.services.get(&job.service).ok_or_else(|| full("no endpoint is listed"))?;
-    let who = SessionDraw::new(job.facts.session.as_deref(), &job.id);
+    let who = job.version_draw();
     let now = traffic.shared.now();
     let hold_for = traffic.shared.settings.bounds.session_time + RUN_TIME;
     let drawn = service.side(now, who, hold_for);
@@ -212,7 +211,8 @@
     };
     let now = traffic.shared.now();
     let pool = service.pool(side);
-    let Picked { endpoint: picked, is_loaded } = service.pick(now, side, &ask)?;
+    let Picked { endpoint: picked, is_loaded } =
+        service.pick(now, side, job.version_draw(), &ask)?;
     let prefix = match job.facts.shared_prefix {
         Some(_) => prefix_at(now, pool, picked, &ask),
         None => PrefixAt::None,
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -16,6 +16,7 @@
 use tidetrack_core::ids::{EndpointId, FailureDomain, ModelId, ServiceId, VersionName};
 use tidetrack_core::placement::{work_of, EndpointLive};
 use tidetrack_core::traffic::budget::SendBudget;
+use tidetrack_core::traffic::exposure::SessionDraw;
 use tidetrack_core::traffic::gate::Admitted;
 use tidetrack_core::traffic::outlook::Outlook;
 use tidetrack_core::traffic::prefixes::PartKey;
@@ -132,6 +133,11 @@
         self.facts.size.is_some()
     }
 
+    /// Gets its draw of versions.
+    pub fn version_draw(&self) -> SessionDraw {
+        SessionDraw::new(self.facts.session.as_deref(), &self.id)
+    }
+
     /// Names the shared part of its prompt, as read for a model.
     pub fn part(&self, model: Option<&ModelId>) -> Option<PartKey> {
         let prefix = self.facts.shared_prefix.as_deref()?;
