--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -162,7 +162,7 @@
     outliers: Outliers,
     peers: PeerBook,
     feeds: Feeds,
-    /// Until when this host tells the others of itself more often.
+    /// Until when this host tells the others of itself more often, if it lacks something since its start.
     meets_until: Millis,
     last_meeting: Millis,
     last_round: Millis,
@@ -207,10 +207,10 @@
         }
     }
 
-    /// Begins with nothing, to be got from others or the store.
-    pub fn starting(mut self, starter: Starter) -> Beliefs {
-        self.feeds.join(starter.waits());
-        Beliefs { meets_until: MEETING_TIME, ..self }
+    /// Begins at `now` with nothing, to be got from others or the store.
+    pub fn starting(mut self, now: Millis, starter: Starter) -> Beliefs {
+        self.feeds.join(now + starter.waits());
+        Beliefs { meets_until: now + MEETING_TIME, ..self }
     }
 
     /// Keeps versions under roll-out to a bound on their services' requests.
@@ -260,7 +260,8 @@
         let watcher = self.peers.watcher();
         actions.extend(self.feeds.due_of_host(now, watcher).into_iter().map(Action::Catch));
         actions.extend(self.feeds.due(now).into_iter().map(Action::Catch));
-        if now < self.meets_until && now >= self.last_meeting + MEETING_ROUND {
+        let meets = now < self.meets_until && self.feeds.is_joining();
+        if meets && now >= self.last_meeting + MEETING_ROUND {
             self.last_meeting = now;
             actions.push(Action::Send(self.peers.meet(now, &self.told)));
         }
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -296,6 +296,11 @@
             .collect()
     }
 
+    /// Tells whether this host knows nothing of some kind since its start.
+    pub fn is_joining(&self) -> bool {
+        Kind::ALL.into_iter().any(|k| self.complete.get(k) == 0)
+    }
+
     /// Lists the kinds of which this host knows nothing since its start, and another one does. Nothing may have
     /// changed for long, so that no change is told.
     pub fn joins(&self, told: &Revisions) -> Vec<Kind> {
--- a/crates/tidetrack-core/src/traffic/joining.rs
+++ b/crates/tidetrack-core/src/traffic/joining.rs
@@ -4,6 +4,11 @@
 //! copies on to many others read it at once, and those that the others know from the start; the rest wait for
 //! a while, meet these, and are given what they hold. Nobody depends on that: a host that was given nothing
 //! reads the store after all, at a time of its own, so that a few which do so first serve the others.
+//!
+//! Callers reach such hosts meanwhile, where a whole failure domain starts. What they ask for can be served in a
+//! moment, so it is held for a part of the time that they leave, instead of being sent to the next host that
+//! knows as little. This answers the load of the second after a whole fleet was killed, and no other: a host
+//! that has not come to know anything in its first second refuses at once.
 
 use crate::units::{Bandwidth, Millis};
 
@@ -22,6 +27,22 @@
 /// Pause between their messages then.
 pub const MEETING_ROUND: Millis = Millis(100);
 
+/// Time after a start in which a host comes to know what it serves by.
+const KNOWS_WITHIN: Millis = Millis(1_000);
+
+/// One in so many parts of the time that a caller leaves is what it may be held for: callers leave some ten times
+/// of what they aim at.
+const HELD_PART: u64 = 16;
+
+/// Longest that a request is held.
+const MOST_HELD: Millis = Millis(500);
+
+/// Gets how long a request may be held by a host that started some time ago and cannot serve yet.
+pub fn held_for(since_start: Millis, time_left: Option<Millis>) -> Millis {
+    let part = Millis(time_left.unwrap_or_default().0 / HELD_PART);
+    (KNOWS_WITHIN - since_start).min(part).min(MOST_HELD)
+}
+
 /// What a host knows of itself when it starts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Starter {
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -15,9 +15,10 @@
 use tidetrack_core::traffic::peers::PeerBook;
 use tidetrack_core::traffic::trial::ProgressWrite;
 
+use crate::dialect::{Age, Kind};
 use crate::peers::Peers;
 use crate::shared::SharedRef;
-use crate::store::Store;
+use crate::store::{Cause, Purpose, Store};
 use crate::watch::Watches;
 
 /// How often the beliefs are told that time has passed.
@@ -46,8 +47,9 @@
             is_known: settings.seeds.is_empty() || settings.seeds.contains(&address),
             draw: rand::random(),
         };
-        let mut beliefs =
-            Beliefs::new(host, book).bounded(settings.bounds.new_version).starting(starter);
+        let mut beliefs = Beliefs::new(host, book)
+            .bounded(settings.bounds.new_version)
+            .starting(shared.now(), starter);
         // Others are told of this start at once.
         shared.tell(Input::Tick);
         let outlets = Outlets { shared: shared.clone(), store, watches, peers };
@@ -104,7 +106,8 @@
 /// Writes a roll-out's progress. The watch tells what came of it; another host may have been first.
 async fn write_progress(shared: SharedRef, store: Rc<Store>, write: ProgressWrite) {
     let call = (shared.dialect.store.write_progress)(&write);
-    let result = store.call(&call, Duration::ZERO, None).await;
+    let purpose = Purpose { kind: Kind::Rollouts, cause: Cause::Write, age: Age::Newest };
+    let result = store.call(&call, purpose, Duration::ZERO, None).await;
     let state = format!("{:?}", write.progress.state);
     let fields: [(&'static str, &dyn std::fmt::Display); 4] = [
         ("service", &write.service),
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -96,6 +96,16 @@
     OfLate,
 }
 
+impl Age {
+    /// Gets the word for it in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Age::Newest => "newest",
+            Age::OfLate => "of_late",
+        }
+    }
+}
+
 /// An object of the store, decoded.
 #[derive(Clone, Debug)]
 pub enum Stored {
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -19,8 +19,11 @@
 use tidetrack_core::retry::{may_retry, Failed};
 use tidetrack_core::traffic::cascade;
 use tidetrack_core::traffic::gate;
+use tidetrack_core::traffic::joining::held_for;
 use tidetrack_core::traffic::judge::AttemptEnd;
 
+use tidetrack_core::units::Millis;
+
 use crate::attempt::{self, Answered};
 use crate::body::AnswerBody;
 use crate::choose::{check_before_send, choose, full, weight_of, RETRY_FULL_MS};
@@ -34,6 +37,9 @@
 /// When to come back to a host that is stopping; another host takes the request at once.
 const RETRY_LEAVING_MS: u64 = 50;
 
+/// Pause between looks whether a host that starts can serve.
+const START_LOOK: Duration = Duration::from_millis(10);
+
 /// Serves one request.
 pub async fn serve(traffic: Rc<Traffic>, req: Request<Incoming>) -> Response<AnswerBody> {
     let began = Instant::now();
@@ -136,6 +142,7 @@
         path: head.uri.path(),
         key: facts.key.as_deref(),
     };
+    wait_for_start(traffic, facts.time_left).await;
     let view = shared.view.load_full();
     let bound = shared.settings.bounds.revoke_within;
     let catalog = view.catalog.as_deref();
@@ -176,6 +183,16 @@
     })
 }
 
+/// Holds a request for a moment where this host has just started and is about to know what it serves by.
+async fn wait_for_start(traffic: &Traffic, time_left: Option<Millis>) {
+    let shared = &traffic.shared;
+    let since_start = shared.clock.since_start();
+    let until = since_start + held_for(since_start, time_left);
+    while !shared.can_serve() && shared.clock.since_start() < until {
+        tokio::time::sleep(START_LOOK).await;
+    }
+}
+
 async fn read_body(body: Incoming, most: usize, until: Instant) -> Result<Bytes> {
     let whole = Limited::new(body, most).collect();
     let until = tokio::time::Instant::from_std(until);
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -7,6 +7,8 @@
 
 use tidetrack_core::broke::Broke;
 
+use crate::store::Purpose;
+
 /// Bounds of the histograms in milliseconds: around the objectives of desks (100 to 150) and of
 /// streams (1,500 to 3,000).
 const BOUNDS_MS: [f64; 12] =
@@ -114,9 +116,15 @@
         self.no_sign.add(1, &[KeyValue::new("blame", blame)]);
     }
 
-    /// Counts a call to the store by how it went.
-    pub fn store_call(&self, result: &'static str) {
-        self.store_calls.add(1, &[KeyValue::new("result", result)]);
+    /// Counts a call to the store by what it was for and how it went.
+    pub fn store_call(&self, purpose: Purpose, result: &'static str) {
+        let labels = [
+            KeyValue::new("kind", purpose.kind.as_str()),
+            KeyValue::new("cause", purpose.cause.as_str()),
+            KeyValue::new("age", purpose.age.as_str()),
+            KeyValue::new("result", result),
+        ];
+        self.store_calls.add(1, &labels);
     }
 
     /// Counts a message between hosts by what became of it.
--- a/crates/tidetrack-plane/src/shared.rs
+++ b/crates/tidetrack-plane/src/shared.rs
@@ -34,7 +34,12 @@
 
     /// Gets the time.
     pub fn now(&self) -> Millis {
-        CLOCK_BEGINS + Millis(self.start.elapsed().as_millis() as u64)
+        CLOCK_BEGINS + self.since_start()
+    }
+
+    /// Gets the time since the process started.
+    pub fn since_start(&self) -> Millis {
+        Millis(self.start.elapsed().as_millis() as u64)
     }
 }
 
@@ -77,12 +82,17 @@
         self.is_leaving.load(Ordering::Acquire)
     }
 
-    /// Tells whether the host takes requests: it knows a fresh configuration and the endpoints.
+    /// Tells whether the host takes requests.
     pub fn is_ready(&self) -> bool {
+        self.can_serve() && !self.is_leaving()
+    }
+
+    /// Tells whether the host knows what it serves by: a fresh configuration and the endpoints.
+    pub fn can_serve(&self) -> bool {
         let view = self.view.load();
         let bound = self.settings.bounds.revoke_within;
         let fresh = bound.is_none_or(|bound| self.fresh.holds(self.now(), bound));
-        view.catalog.is_some() && view.has_endpoints && fresh && !self.is_leaving()
+        view.catalog.is_some() && view.has_endpoints && fresh
     }
 }
 
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -27,6 +27,51 @@
 /// Name of the store in the pool of connections.
 const STORE: &str = "store";
 
+/// Why the store is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// This host starts, and was given nothing.
+    Start,
+    /// It watches for others.
+    Watch,
+    /// It proves that the configuration is the newest.
+    Proof,
+    /// Another host told of a change, or one is wanted, and nobody gave it.
+    Told,
+    /// The store answers again.
+    Return,
+    /// The store has forgotten the changes that were asked for.
+    HistoryGone,
+    /// A roll-out's progress is written.
+    Write,
+}
+
+impl Cause {
+    /// Gets the word for it in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Cause::Start => "start",
+            Cause::Watch => "watch",
+            Cause::Proof => "proof",
+            Cause::Told => "told",
+            Cause::Return => "return",
+            Cause::HistoryGone => "history_gone",
+            Cause::Write => "write",
+        }
+    }
+}
+
+/// What a call is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Purpose {
+    /// The kind it is about.
+    pub kind: Kind,
+    /// Why it is made.
+    pub cause: Cause,
+    /// How old the reply may be.
+    pub age: Age,
+}
+
 /// A client of the store.
 pub struct Store {
     shared: SharedRef,
@@ -77,16 +122,18 @@
     pub async fn call(
         &self,
         call: &StoreCall,
+        purpose: Purpose,
         wait: Duration,
         gate: Option<&Gate<'_>>,
     ) -> Result<Reply> {
         let result = self.call_uncounted(call, wait, gate).await;
-        self.shared.metrics.store_call(match &result {
+        let outcome = match &result {
             Ok(_) => "answered",
             Err(e) if e.code == Code::PlatformDown => "failed",
             Err(e) if e.code == Code::ReplyNotNeeded => "dropped",
             Err(_) => "refused",
-        });
+        };
+        self.shared.metrics.store_call(purpose, outcome);
         result
     }
 
@@ -118,14 +165,15 @@
     }
 
     /// Lists a kind, page by page.
-    pub async fn list(&self, kind: Kind, age: Age, gate: &Gate<'_>) -> Result<Listed> {
+    pub async fn list(&self, purpose: Purpose, gate: &Gate<'_>) -> Result<Listed> {
+        let Purpose { kind, age, .. } = purpose;
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
         let mut listed = Listed::new(began);
         let mut after: Option<String> = None;
         loop {
             let call = (dialect.list)(kind, after.as_deref(), age);
-            let reply = self.call(&call, Duration::ZERO, Some(gate)).await?;
+            let reply = self.call(&call, purpose, Duration::ZERO, Some(gate)).await?;
             let page: Page = (dialect.read_page)(kind, &reply.body)?;
             self.note_unreadable(&page.unreadable);
             listed.objects.extend(page.objects);
--- a/crates/tidetrack-plane/src/watch/catch.rs
+++ b/crates/tidetrack-plane/src/watch/catch.rs
@@ -13,6 +13,7 @@
 use crate::call::needless;
 use crate::dialect::Kind;
 use crate::feed;
+use crate::store::Cause;
 
 use super::intake::FROM_HOST;
 use super::read::unless_needless;
@@ -21,6 +22,19 @@
 impl Watches {
     /// Gets changes that another host told of.
     pub async fn catch(self: Rc<Self>, catch: Catch) {
+        let (kind, after) = (catch.kind, catch.after);
+        let lists = after == 0 && catch.source == Source::Store;
+        // A first list takes seconds on a narrow link, and begun again it would take as long again.
+        if lists && std::mem::replace(&mut self.is_listing.borrow_mut()[kind as usize], true) {
+            return;
+        }
+        self.get(catch).await;
+        if lists {
+            self.is_listing.borrow_mut()[kind as usize] = false;
+        }
+    }
+
+    async fn get(&self, catch: Catch) {
         let (kind, after) = (catch.kind, catch.after);
         // What is coming in already may bring it, to one that waits as to several.
         if std::mem::replace(&mut self.is_waiting.borrow_mut()[kind as usize], true) {
@@ -33,9 +47,10 @@
             Source::Host(address) => self.ask_host(kind, after, address).await,
             // Of several versions only the newest is wanted, and who knows nothing wants all.
             Source::Store if kind.is_one_object() || after == 0 => {
-                self.read_all(kind, Some(after)).await
+                let cause = if after == 0 { Cause::Start } else { Cause::Told };
+                self.read_all(kind, Some(after), cause).await
             }
-            Source::Store => self.read_store(kind, after, Millis(0)).await,
+            Source::Store => self.read_store(kind, after, Millis(0), Cause::Told).await,
         };
         // A slow reply that was given up for another one brought nothing: the next try is elsewhere.
         let is_known = self.newest(kind) > after;
--- a/crates/tidetrack-plane/src/watch/follow.rs
+++ b/crates/tidetrack-plane/src/watch/follow.rs
@@ -10,6 +10,7 @@
 use tidetrack_core::units::Millis;
 
 use crate::dialect::Kind;
+use crate::store::Cause;
 
 use super::read::unless_needless;
 use super::Watches;
@@ -87,9 +88,12 @@
                 Ok(())
             }
             // The changes since would tell each version, and ten of them are more than a reply may have.
-            _ if kind.is_one_object() => self.read_all(kind, None).await,
+            _ if kind.is_one_object() => self.read_all(kind, None, Cause::Return).await,
             // A list would be hundreds of times as large, for this host and all that hear from it.
-            after => self.read_store(kind, after, Millis(0)).await.or_else(unless_needless),
+            after => {
+                let read = self.read_store(kind, after, Millis(0), Cause::Return);
+                read.await.or_else(unless_needless)
+            }
         };
         if let Err(e) = brought {
             return e;
@@ -102,8 +106,8 @@
                 return Error::new(Code::Internal, "the control thread ends");
             }
             let before = self.position(kind);
-            if let Err(e) = self.read_store(kind, before, WATCH_WAIT).await.or_else(unless_needless)
-            {
+            let read = self.read_store(kind, before, WATCH_WAIT, Cause::Watch);
+            if let Err(e) = read.await.or_else(unless_needless) {
                 return e;
             }
             if self.position(kind) > before {
--- a/crates/tidetrack-plane/src/watch/mod.rs
+++ b/crates/tidetrack-plane/src/watch/mod.rs
@@ -48,6 +48,8 @@
     large: [OneAtATime; 3],
     /// By kind, whether a try waits until no large reply is coming in.
     is_waiting: RefCell<[bool; 3]>,
+    /// By kind, whether a host that starts lists it from the store.
+    is_listing: RefCell<[bool; 3]>,
     /// Tells that a kind was brought to a state of the store.
     brought: watch::Sender<()>,
     /// Counts the returns of the store, for the other kinds to start again.
@@ -75,6 +77,7 @@
             newest: RefCell::default(),
             large: Default::default(),
             is_waiting: RefCell::default(),
+            is_listing: RefCell::default(),
             brought,
             returns,
             duties,
--- a/crates/tidetrack-plane/src/watch/read.rs
+++ b/crates/tidetrack-plane/src/watch/read.rs
@@ -9,6 +9,7 @@
 
 use crate::dialect::{Age, Kind};
 use crate::feed::{Chunk, ListChunk};
+use crate::store::{Cause, Purpose};
 
 use super::intake::FROM_STORE;
 use super::Watches;
@@ -16,12 +17,18 @@
 impl Watches {
     /// Reads the changes after a revision from the store, which may wait for one, or the whole kind if they
     /// are forgotten, or more than a reply may have: each try would end there.
-    pub(super) async fn read_store(&self, kind: Kind, after: u64, wait: Millis) -> Result<()> {
-        match self.read_changes(kind, after, wait).await {
+    pub(super) async fn read_store(
+        &self,
+        kind: Kind,
+        after: u64,
+        wait: Millis,
+        cause: Cause,
+    ) -> Result<()> {
+        match self.read_changes(kind, after, wait, cause).await {
             Err(e) if matches!(e.code, Code::HistoryGone | Code::ReplyTooLarge) => {
                 let kind_name = format!("{kind:?}");
                 self.shared.journal.line(Event::HistoryGone, &[("kind", &kind_name), ("why", &e)]);
-                self.read_all(kind, None).await
+                self.read_all(kind, None, Cause::HistoryGone).await
             }
             result => result,
         }
@@ -33,11 +40,17 @@
     /// else. Only the newest listed change is told of it, which all know otherwise, or each start would
     /// cost every host a list. `after` is the revision whose next change is wanted, where anything but
     /// that is not.
-    pub(super) async fn read_all(&self, kind: Kind, after: Option<u64>) -> Result<()> {
+    pub(super) async fn read_all(
+        &self,
+        kind: Kind,
+        after: Option<u64>,
+        cause: Cause,
+    ) -> Result<()> {
         let is_first = self.position(kind) == 0;
         let age = if is_first && kind != Kind::Catalog { Age::OfLate } else { Age::Newest };
+        let purpose = Purpose { kind, cause, age };
         let newest_listed = loop {
-            let listed = self.store.list(kind, age, &self.gate(kind, after)).await?;
+            let listed = self.store.list(purpose, &self.gate(kind, after)).await?;
             let (at, newest) = (listed.revision, listed.newest);
             let pages: Vec<Vec<u8>> = listed.pages.iter().map(|page| page.to_vec()).collect();
             let bytes = pages.iter().map(Vec::len).sum();
@@ -56,7 +69,7 @@
         };
         if age == Age::OfLate {
             self.caught_up(kind, Some(newest_listed));
-            let since = self.read_changes(kind, self.position(kind), Millis(0)).await;
+            let since = self.read_changes(kind, self.position(kind), Millis(0), cause).await;
             since.or_else(unless_needless)?;
         } else if !is_first {
             self.caught_up(kind, Some(self.newest(kind)));
@@ -65,12 +78,20 @@
     }
 
     /// Reads the changes of a kind after a revision; the store may wait for one.
-    pub(super) async fn read_changes(&self, kind: Kind, after: u64, wait: Millis) -> Result<()> {
+    pub(super) async fn read_changes(
+        &self,
+        kind: Kind,
+        after: u64,
+        wait: Millis,
+        cause: Cause,
+    ) -> Result<()> {
         let dialect = &self.shared.dialect.store;
         let began = self.shared.now();
         let call = (dialect.watch)(kind, after, wait);
         let gate = self.gate(kind, Some(after));
-        let reply = self.store.call(&call, Duration::from_millis(wait.0), Some(&gate)).await?;
+        let purpose = Purpose { kind, cause, age: Age::Newest };
+        let wait = Duration::from_millis(wait.0);
+        let reply = self.store.call(&call, purpose, wait, Some(&gate)).await?;
         let changes = (dialect.read_changes)(kind, &reply.body)?;
         let to = changes.revision;
         // The store's revision rises with changes of other kinds too, so it does not tell.
