--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -34,9 +34,8 @@
 /// Endpoints drawn besides the one on the ring.
 const DRAWN: usize = 4;
 
-/// Endpoints of the host's failure domain that are drawn besides: 0.006 ± 0.002 and 0.008 ± 0.003 of a
-/// day's worth with 140 endpoints in three domains (3 and 6 pairs of plays); draws from the whole pool alone
-/// found none of the domain for one request in five.
+/// Endpoints of the host's failure domain that are drawn besides: draws from the whole of a large pool may find
+/// none of them.
 const DRAWN_NEAR: usize = 8;
 
 /// Pools up to this size are compared as a whole.
--- a/crates/tidetrack-core/src/traffic/cascade.rs
+++ b/crates/tidetrack-core/src/traffic/cascade.rs
@@ -50,10 +50,6 @@
 }
 
 impl Default for CascadeOptions {
-    /// Taking the worth from the price gains 0.044 ± 0.011 of a day's worth over a worth fitted to two
-    /// fleets, on a third one, and -0.001 ± 0.020 and 0.003 ± 0.005 on those two (18 pairs of plays
-    /// each, `docs/decisions-under-load.md`). Without scarcity the third one loses 0.018 ± 0.013 (9
-    /// pairs); others' delay at 1.2 or 2 instead of 1.5 shows no gain.
     fn default() -> Self {
         CascadeOptions { worth_in_prices: 1.2, others_delayed: 1.5, scarcity: 5.0 }
     }
@@ -135,8 +131,7 @@
 /// Gets the chance that an answer is right of which its model is so sure.
 ///
 /// A confidence is a rough opinion, not a chance: nearly all answers well below the even one are wrong,
-/// nearly all well above it right. Read so, second runs go where they help: 0.010 ± 0.007 of a day's
-/// worth more than with the confidence taken for the chance (18 pairs of plays).
+/// nearly all well above it right. Read so, second runs go where they help.
 fn chance_right(confidence: u8) -> f64 {
     let from_even = f64::from(confidence.min(100)) - EVEN_CONFIDENCE;
     1.0 / (1.0 + (-from_even / CONFIDENCE_SCALE).exp())
--- a/crates/tidetrack-core/src/traffic/exposure.rs
+++ b/crates/tidetrack-core/src/traffic/exposure.rs
@@ -72,8 +72,8 @@
     pub left: u16,
 }
 
-/// Hosts up to which the sample is the largest. From 30 on, a fleet of 91 hosts with few requests each saw too
-/// little of a version that takes 1.75 times as long to find it.
+/// Hosts up to which the sample is the largest: a larger fleet with few requests each would see too little of a slow
+/// version, one with many would tell each other too many sessions.
 const FULL_SAMPLE_HOSTS: f64 = 45.0;
 
 /// Gets the share of sessions that meet a new version before all move, over the whole of that time.
--- a/crates/tidetrack-core/src/traffic/loading.rs
+++ b/crates/tidetrack-core/src/traffic/loading.rs
@@ -13,15 +13,15 @@
 use crate::traffic::trial::{Phase, TrialView};
 use crate::units::Millis;
 
-/// How many times as much as a proven endpoint in the mean an endpoint gets at least. The busiest of 90 have
-/// three times the mean: 14 to 16 requests at once beside 4 to 5.
+/// How many times as much as a proven endpoint in the mean an endpoint gets at least: about what the busiest of
+/// many have.
 const TIMES: f64 = 2.5;
 
 /// Below this multiple an endpoint that had the whole sample would be no busier than many proven ones.
 const LEAST_TIMES: f64 = 2.0;
 
-/// How long an endpoint has its turn. A run takes one to two seconds and an endpoint reads each prompt's shared part
-/// anew at first, so in turns of 1.5 s few requests came together: 4 to 5 in the mean, 8 to 20 in these.
+/// How long an endpoint has its turn: several runs, for it reads each prompt's shared part anew at first, and
+/// requests have to come together.
 const TURN: Millis = Millis(4_500);
 
 /// Endpoints that have the sample now.
--- a/crates/tidetrack-core/src/traffic/outlook.rs
+++ b/crates/tidetrack-core/src/traffic/outlook.rs
@@ -20,8 +20,7 @@
 
 /// An answer that is expected this early, as part of the objective, comes in time for sure. What is
 /// expected is often too late, for endpoints read prompts piecewise, and a large request that is not
-/// asked again keeps a poor answer; between 0.7 to 1.3 and 1.0 to 2.0 plays show no difference
-/// (-0.004 ± 0.009, 18 pairs).
+/// asked again keeps a poor answer.
 const SURELY_IN_TIME: f64 = 1.0;
 
 /// An answer that is expected this late, as part of the objective, surely does not.
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -152,8 +152,7 @@
 }
 
 /// The last word of a host that ended on a roll-out. A fleet whose hosts are replaced one after another
-/// would know a version by the answers of the last seconds only: with a restart each 0.6 s nine hosts found one
-/// that takes twice as long by 133 of its answers, with this by 34 (medians of 24 plays in virtual time).
+/// would know a version by the answers of the last seconds only.
 #[derive(Clone, Debug)]
 struct LeftTally {
     from: HostId,
--- a/crates/tidetrack-core/src/traffic/samples.rs
+++ b/crates/tidetrack-core/src/traffic/samples.rs
@@ -38,9 +38,8 @@
 /// Share of failed or slow answers over the proven versions' that is borne.
 const MARGIN: f32 = 0.02;
 
-/// Share of answers above the usual pace, over the proven versions', that is borne: 0.41 to 0.48 of these are,
-/// 0.04 to 0.09 of a good version's sample, and 0.80 to 0.95 of one that takes 1.75 times as long (9 plays on
-/// three fleets). A good version with a quarter of its endpoints several times as slow is within it.
+/// Share of answers above the usual pace, over the proven versions', that is borne. Nearly half of these are, and
+/// hardly any of a good version's sample at rest, so a quarter of its endpoints may be several times as slow.
 const PACE_MARGIN: f32 = 0.05;
 
 /// Answers of the proven versions before their share says anything.
@@ -57,8 +56,8 @@
 /// have a turn may be mostly such ones.
 const ODD_TIMES: f32 = 4.0;
 
-/// The margin for loaded endpoints, of which the worst are left out. Of a version that fails a quarter of its answers
-/// where half of an endpoint's places are taken, 0.08 of the loaded answers fail.
+/// The margin for loaded endpoints, of which the worst are left out: a version that fails where half of an endpoint's
+/// places are taken fails a small part of their answers.
 const LOADED_MARGIN: f32 = 0.01;
 
 /// Counts of a kind of answers, which fade with time.
--- a/crates/tidetrack-core/src/traffic/usual.rs
+++ b/crates/tidetrack-core/src/traffic/usual.rs
@@ -41,10 +41,8 @@
 /// Slack of a pace over the usual one, in milliseconds, for small paces.
 const PACE_SLACK_MS: f64 = 1.0;
 
-/// Work, in answer tokens, that the first step of the load ends at; each further step ends at about twice. The
-/// work that hosts know of when the pace is told says more of it than the load that an endpoint tells with the
-/// head of its answer: of a version that takes 1.75 times as long 0.68 to 0.89 of the answers were over 1.1 times
-/// what is usual by the first, 0.34 to 0.59 by the second (9 plays on three fleets).
+/// Work, in answer tokens, that the first step of the load ends at; each further step ends at about twice. It is the
+/// work that hosts know of when the pace is told: what an endpoint told with the head of its answer is older.
 const LOAD_STEP: f64 = 50.0;
 
 /// Steps of the load.
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -17,15 +17,12 @@
 /// When to come back after a refusal for want of room, in milliseconds.
 pub const RETRY_FULL_MS: u64 = 300;
 
-/// Work, in answer tokens, that an endpoint of another failure domain counts as having besides. Own
-/// domain first gains 0.022 ± 0.008 of a day's worth where bytes between domains are dear and loses
-/// none where they are not (18 pairs of plays on each of three fleets, `docs/decisions-under-load.md`).
+/// Work, in answer tokens, that an endpoint of another failure domain counts as having besides: bytes between domains
+/// cost.
 const CROSSING_WORK: u64 = 500;
 
-/// Work of reading a prefix again, in answer tokens, from which it is fetched instead: about 0.3 s of an
-/// engine's time, where a move takes some milliseconds. Fetching gains 0.012 ± 0.009 of a day's worth,
-/// fetching what costs a fifth of this as well loses 0.019 ± 0.008 (18 pairs of plays): moves have a
-/// price of their own.
+/// Work of reading a prefix again, in answer tokens, from which it is fetched instead: some tenths of a second of an
+/// engine's time, where a move takes some milliseconds. Moves have a price of their own.
 const FETCHED_FROM: u64 = 1_600;
 
 /// How long a run takes at most, as a rule. A session is at work from a request's start until some time
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -29,9 +29,7 @@
 /// Multiple of the objective after which an attempt is given up at an endpoint from which nothing came
 /// meanwhile. An endpoint that is gone is noticed by its connection, 1.2 s after a request that it does
 /// not acknowledge was first repeated and 2 s after its last sign of life; one that is only busy would
-/// have its work thrown away, and a host of a large fleet hears little from each endpoint. Patience gains
-/// 0.005 ± 0.005 of a day's worth with 6 hosts (35 pairs of plays); with 91 hosts 722 attempts of a day
-/// were given up at 0.8.
+/// have its work thrown away, and a host of a large fleet hears little from each endpoint.
 const SILENT_TIMES: f64 = 1.6;
 
 /// Multiple of the objective after which an attempt is given up although its endpoint still serves
