A few bad answers of a version don't stand out by chance where hosts know a part of them

Change: six answers at least for the sample's tests; what failed of late is held against the proven versions' share over the longer time too, with the sample's margin, and counts from a ratio of 6 on (4 before). Ruled out: five failures of late at least (a host's own tests need four), counts that are lost with restarts (shares and sums as before on both).

--- a/crates/tidetrack-core/src/traffic/judge.rs
+++ b/crates/tidetrack-core/src/traffic/judge.rs
@@ -3,7 +3,9 @@
 use std::fmt;
 
 use crate::ids::{EndpointId, EndpointKey, ModelId, RouteId, ServiceId, VersionName};
-use crate::traffic::samples::{endpoint_group, likelihood, route_class, Samples, Worse};
+use crate::traffic::samples::{
+    endpoint_group, likelihood, route_class, usual_share, Samples, Worse, LEAST_PROVEN, MARGIN,
+};
 use crate::traffic::usual::Usual;
 use crate::units::Millis;
 use serde::{Deserialize, Serialize};
@@ -29,7 +31,7 @@
 
 /// Likelihood ratio of these shares against the proven versions', as a logarithm: where one call in seven fails
 /// on any version, four failures of twelve are chance.
-const OF_LATE_FROM: f32 = 4.0;
+const OF_LATE_FROM: f32 = 6.0;
 
 /// Counts halve in this time, so that a version which turns bad late is found as soon as one that
 /// was bad from the start.
@@ -225,10 +227,17 @@
     fn is_bad_of_late(&self, endpoints: usize) -> bool {
         let (new, proven) = (&self.new, &self.proven);
         let is_over = |counted: f32, usual: f32, least: f32, times: f32| {
-            let is_clear = likelihood(counted, new.known(), usual) >= OF_LATE_FROM;
+            let is_clear = likelihood(counted, new.known(), usual + MARGIN) >= OF_LATE_FROM;
             is_clear && new.share(counted) >= least.max(usual * times)
         };
-        let usual_failed = proven.share(proven.failed);
+        // Of late few may have failed by chance, or few be known of: hosts that start again know a part.
+        let (_, long) = self.samples.totals();
+        let usual_of = |failed: f32, all: f32| match all >= LEAST_PROVEN {
+            true => usual_share(failed, all),
+            false => failed / all.max(1.0),
+        };
+        let of_late = usual_of(proven.failed, proven.known());
+        let usual_failed = of_late.max(usual_of(long.of.failed, long.of.all));
         let fails = new.failed >= FAILED_TO_BAR
             && is_over(new.failed, usual_failed, FAILED_SHARE, FAILED_TIMES);
         let usual_bad = proven.share(proven.bad);
--- a/crates/tidetrack-core/src/traffic/samples.rs
+++ b/crates/tidetrack-core/src/traffic/samples.rs
@@ -32,18 +32,22 @@
 /// an endpoint with reasons of its own.
 const OTHERS_FROM: f32 = 2.5;
 
+/// Least of what is counted that tells a version from chance. Hosts that start again know each a part of the
+/// answers, and the more of them look, the more often a few bad ones stand out for one of them.
+const LEAST_COUNTED: f32 = 5.5;
+
 /// The same as the first for one route out of several.
 const ON_ROUTE_FROM: f32 = 7.0;
 
 /// Share of failed or slow answers over the proven versions' that is borne.
-const MARGIN: f32 = 0.02;
+pub const MARGIN: f32 = 0.02;
 
 /// Share of answers above the usual pace, over the proven versions', that is borne. Nearly half of these are, and
 /// hardly any of a good version's sample at rest, so a quarter of its endpoints may be several times as slow.
 const PACE_MARGIN: f32 = 0.05;
 
 /// Answers of the proven versions before their share says anything.
-const LEAST_PROVEN: f32 = 20.0;
+pub const LEAST_PROVEN: f32 = 20.0;
 
 /// Endpoints that have to do badly before the version does, where it has as many.
 const LEAST_GROUPS: usize = 3;
@@ -290,7 +294,9 @@
             };
             self.routes.iter().map(on_route).sum()
         };
-        ratio(1.0, 1.0) >= WORSE_FROM && ratio(counted, all) >= OTHERS_FROM
+        let total: f32 = self.routes.iter().map(|of| count(&of.new.of)).sum();
+        let is_some = total >= LEAST_COUNTED;
+        is_some && ratio(1.0, 1.0) >= WORSE_FROM && ratio(counted, all) >= OTHERS_FROM
     }
 
     /// Gets which parts of what was counted, and of all answers, are not of the group of endpoints that counted most
@@ -405,7 +411,7 @@
 }
 
 /// Estimates the proven versions' share; with few answers it is not taken for small.
-fn usual_share(counted: f32, all: f32) -> f32 {
+pub fn usual_share(counted: f32, all: f32) -> f32 {
     (counted + 1.0) / (all + 2.0)
 }
 
