--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -109,7 +109,7 @@
     /// An answer was seen.
     Observed(Observed),
     /// Another host told its state.
-    Heard(PeerMessage),
+    Heard(Box<PeerMessage>),
     /// Time has passed.
     Tick,
 }
@@ -398,7 +398,7 @@
                 Bearing::None
             }
             Input::Observed(seen) => Bearing::now_if(self.observe(now, &seen, actions)),
-            Input::Heard(msg) => self.hear(now, msg, actions),
+            Input::Heard(msg) => self.hear(now, *msg, actions),
             Input::Tick => Bearing::None,
         }
     }
--- a/crates/tidetrack-core/tests/exposure.rs
+++ b/crates/tidetrack-core/tests/exposure.rs
@@ -136,7 +136,7 @@
 
 /// What another host tells of the version under roll-out.
 fn word_of(news: News) -> Input {
-    Input::Heard(message_of(7, news))
+    Input::Heard(Box::new(message_of(7, news)))
 }
 
 /// What was seen: hosts that stop and start in series, others that lose all kinds of the store at once, beside a
--- a/crates/tidetrack-core/tests/lapsed_entries.rs
+++ b/crates/tidetrack-core/tests/lapsed_entries.rs
@@ -35,7 +35,7 @@
 /// Word of another host that read the configuration just now.
 fn word_of_a_read(now: u64) -> Input {
     let news = News { proof: Some(ToldProof { version: 3, age_ms: 0 }), ..News::default() };
-    Input::Heard(PeerMessage { echo_ms: Some(now), ..message_of(2, news) })
+    Input::Heard(Box::new(PeerMessage { echo_ms: Some(now), ..message_of(2, news) }))
 }
 
 /// A host on a moving clock.
--- a/crates/tidetrack-core/tests/support/fleet.rs
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -394,7 +394,7 @@
             for (address, message) in std::mem::take(&mut self.on_the_way) {
                 let to = host_at(address).filter(|i| *i < self.hosts.len());
                 if let Some(to) = to.filter(|_| self.seed.random::<f64>() >= LOST) {
-                    self.take(to, Input::Heard(message));
+                    self.take(to, Input::Heard(Box::new(message)));
                 }
             }
         }
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -323,7 +323,7 @@
             let to = (1..=hosts.len() as u32).position(|n| host(n).1 == address);
             let Some(to) = to else { continue };
             let (beliefs, fresh) = &mut hosts[to];
-            let actions = beliefs.take(Millis(now + 1), Input::Heard(message), fresh);
+            let actions = beliefs.take(Millis(now + 1), Input::Heard(Box::new(message)), fresh);
             all[to].extend(actions);
         }
     }
