--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -257,8 +257,8 @@
             actions.push(Action::Send(vec![(question.address, reply)]));
         }
         self.ask_for_proof(now, fresh, &mut actions);
-        let watcher = self.peers.watcher();
-        actions.extend(self.feeds.due_of_host(now, watcher).into_iter().map(Action::Catch));
+        let of_watcher = self.feeds.due_of_host(now, || self.peers.watcher());
+        actions.extend(of_watcher.into_iter().map(Action::Catch));
         actions.extend(self.feeds.due(now).into_iter().map(Action::Catch));
         let meets = now < self.meets_until && self.feeds.is_joining();
         if meets && now >= self.last_meeting + MEETING_ROUND {
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -248,7 +248,11 @@
     }
 
     /// Gets what is to be asked of a host that watches the store, before the store itself.
-    pub fn due_of_host(&mut self, now: Millis, watcher: Option<SocketAddr>) -> Vec<Catch> {
+    pub fn due_of_host(
+        &mut self,
+        now: Millis,
+        watcher: impl Fn() -> Option<SocketAddr>,
+    ) -> Vec<Catch> {
         let mut due = Vec::new();
         for kind in Kind::ALL {
             let after = self.complete.get(kind);
@@ -257,7 +261,7 @@
                 continue;
             }
             lack.is_asked_first = false;
-            if let Some(watcher) = watcher {
+            if let Some(watcher) = watcher() {
                 lack.tried_at = Some(now);
                 due.push(Catch { kind, after, source: Source::Host(watcher) });
             }
--- a/crates/tidetrack-core/src/traffic/joining.rs
+++ b/crates/tidetrack-core/src/traffic/joining.rs
@@ -21,10 +21,10 @@
 /// Time in which hosts that were given nothing read the store, in milliseconds.
 const TURNS_MS: f64 = 1_000.0;
 
-/// How long hosts that start tell the others of themselves more often.
+/// Time from the start in which hosts of a large fleet have met.
 pub const MEETING_TIME: Millis = Millis(1_500);
 
-/// Pause between their messages then.
+/// Pause between first messages to others until then.
 pub const MEETING_ROUND: Millis = Millis(100);
 
 /// Time after a start in which a host comes to know what it serves by.
--- a/crates/tidetrack-plane/src/watch/follow.rs
+++ b/crates/tidetrack-plane/src/watch/follow.rs
@@ -7,6 +7,7 @@
 
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::Error;
+use tidetrack_core::traffic::joining::MEETING_TIME;
 use tidetrack_core::units::Millis;
 
 use crate::dialect::Kind;
@@ -31,9 +32,6 @@
 /// The same for all other hosts: they hear from those that the store is back.
 const LONGEST_PAUSE_OF_MANY: Duration = Duration::from_secs(2);
 
-/// Time from the start in which hosts of a large fleet have met, so that few of them begin to watch.
-const MEETING_TIME: Duration = Duration::from_millis(1_500);
-
 impl Watches {
     /// Keeps one kind for as long as the process runs.
     pub(super) async fn keep(self: Rc<Self>, kind: Kind) {
@@ -128,7 +126,8 @@
         if self.shared.settings.seeds.is_empty() {
             Duration::ZERO
         } else {
-            MEETING_TIME
+            // By then few think that they are to watch.
+            Duration::from_millis(MEETING_TIME.0)
         }
     }
 }
