Changes that come one after another: what is lacked now was told of later

Cause: a host that was given some changes lacked later ones by then, and Feeds held it to lack them since it lacked the first; 0.7 s after that it read the store. Change: with each step forward the rest counts as told from then on; up to where this host has to know (a proof, a version), the time stands.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -358,7 +358,7 @@
             Input::RolloutGone(service) => Bearing::now_if(self.order_gone(now, &service)),
             Input::CaughtUp { kind, complete, changed } => {
                 let is_first = self.feeds.complete(kind) == 0;
-                if self.feeds.caught_up(kind, complete, changed) || is_first {
+                if self.feeds.caught_up(now, kind, complete, changed) || is_first {
                     // Others are told at once.
                     self.last_round = Millis(0);
                 }
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -154,6 +154,8 @@
     /// When the store is read for it.
     due_at: Millis,
     wanted: u64,
+    /// The revision up to which it is wanted, whoever tells of changes.
+    needed: u64,
     tried_at: Option<Millis>,
     /// Whether that was at the store.
     is_store_tried: bool,
@@ -169,6 +171,7 @@
             told_at: None,
             due_at,
             wanted,
+            needed: 0,
             tried_at: None,
             is_store_tried: false,
             is_failed: false,
@@ -200,12 +203,28 @@
 
     /// Takes note that every change up to `complete` is known, the newest of them `changed`; tells
     /// whether that is news for other hosts.
-    pub fn caught_up(&mut self, kind: Kind, complete: u64, changed: Option<u64>) -> bool {
+    pub fn caught_up(
+        &mut self,
+        now: Millis,
+        kind: Kind,
+        complete: u64,
+        changed: Option<u64>,
+    ) -> bool {
+        let is_forward = complete > self.complete.get(kind);
         self.complete.raise(kind, complete);
         let before = self.changed.get(kind);
         self.changed.raise(kind, changed.unwrap_or(0));
+        let complete = self.complete.get(kind);
         let lack = &mut self.lacks[kind as usize];
-        *lack = lack.filter(|l| l.wanted > self.complete.0[kind as usize]);
+        *lack = lack.filter(|l| l.wanted > complete);
+        // While changes come one after another some are always lacked, but others give them: what is lacked now was
+        // told of later than what just came.
+        if let Some(lack) = lack.as_mut().filter(|l| is_forward && l.needed <= complete) {
+            if lack.told_at.is_some() {
+                lack.told_at = Some(now);
+                lack.due_at = lack.due_at.max(now + STORE_AFTER);
+            }
+        }
         self.changed.get(kind) > before
     }
 
@@ -277,6 +296,7 @@
         }
         let lack = self.lacks[kind as usize].get_or_insert(Lack::of(revision, due_at));
         lack.wanted = lack.wanted.max(revision);
+        lack.needed = lack.needed.max(revision);
         lack.due_at = lack.due_at.min(due_at);
     }
 
--- a/crates/tidetrack-core/tests/feeds.rs
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -23,7 +23,7 @@
 /// A host that knows all changes of the configuration up to revision 10.
 fn feeds() -> Feeds {
     let mut feeds = Feeds::default();
-    feeds.caught_up(Kind::Catalog, 10, Some(10));
+    feeds.caught_up(Millis(0), Kind::Catalog, 10, Some(10));
     feeds
 }
 
@@ -84,10 +84,33 @@
     assert_eq!(is_store, [false, false, true, false, true], "{asked:?}");
 }
 
+/// What was seen: 295 hosts read the changes of endpoints from the store 801 times in a day, none of them after a
+/// host that had not given them, mostly while endpoints started or left one after another. Cause: a host that was
+/// given some changes lacked later ones by then, and was held to lack them since it lacked the first.
+#[test]
+fn the_store_is_not_read_while_other_hosts_give_changes_that_come_one_after_another() {
+    let mut feeds = feeds();
+    let mut asked = Vec::new();
+
+    for now in (0..4_000).step_by(STEP as usize) {
+        let mut told = Revisions::default();
+        told.raise(Kind::Catalog, 12 + now / STEP);
+        let catches = feeds.told(Millis(now), &told, near_host(), true);
+        asked.extend(catches.into_iter().chain(feeds.due(Millis(now))).map(|c| c.source));
+        // What is given a moment later lacks the changes of that moment.
+        if now % 200 == 0 {
+            feeds.caught_up(Millis(now), Kind::Catalog, 11 + now / STEP, None);
+        }
+    }
+
+    assert!(asked.len() > 5, "{asked:?}");
+    assert!(!asked.contains(&Source::Store), "{asked:?}");
+}
+
 #[test]
 fn a_change_of_another_kind_does_not_wait_for_a_large_one() {
     let mut feeds = feeds();
-    feeds.caught_up(Kind::Endpoints, 10, Some(10));
+    feeds.caught_up(Millis(0), Kind::Endpoints, 10, Some(10));
     feeds.coming(Millis(0), Kind::Catalog);
 
     let mut told = Revisions::default();
@@ -100,7 +123,7 @@
 #[test]
 fn endpoints_are_read_up_to_where_the_store_was_seen_unless_they_come_first() {
     let mut feeds = feeds();
-    feeds.caught_up(Kind::Endpoints, 10, Some(10));
+    feeds.caught_up(Millis(0), Kind::Endpoints, 10, Some(10));
     feeds.store_seen(Millis(0), 12, true);
     let mut other = feeds.clone();
     let due = |feeds: &mut Feeds| -> Vec<(u64, Catch)> {
@@ -108,7 +131,7 @@
         (0..1_000).step_by(STEP as usize).flat_map(due).collect()
     };
 
-    other.caught_up(Kind::Endpoints, 12, Some(11));
+    other.caught_up(Millis(100), Kind::Endpoints, 12, Some(11));
 
     let read = Catch { kind: Kind::Endpoints, after: 10, source: Source::Store };
     assert_eq!(due(&mut feeds).first(), Some(&(400, read)));
@@ -118,7 +141,7 @@
 #[test]
 fn a_store_that_was_seen_at_a_known_change_is_not_read() {
     let mut feeds = feeds();
-    feeds.caught_up(Kind::Endpoints, 12, Some(11));
+    feeds.caught_up(Millis(100), Kind::Endpoints, 12, Some(11));
 
     feeds.store_seen(Millis(0), 12, true);
 
