Hosts that would all ask the store the same do so in turns

Ruled out: lists that hosts give too slowly (no E213 of a host). Change: traffic::turns: one host asks at once, in each step as many as did before, all within 0.9 s; for proofs and for what has to be known. Hosts are asked for what has to be known while any tells that it knows it. A host without a duty tries every 4 s in an outage, and takes a young proof of another for word that the store is back.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -138,6 +138,15 @@
     pub proves: bool,
     /// It watches the store.
     pub watches: bool,
+    /// The hosts it hears, and itself.
+    pub hosts: usize,
+}
+
+impl Default for Duties {
+    /// A host that hears no other does all for itself.
+    fn default() -> Duties {
+        Duties { proves: true, watches: true, hosts: 1 }
+    }
 }
 
 /// The beliefs of a host.
@@ -190,7 +199,7 @@
             last_asked: Millis(0),
             last_view: None,
             is_view_old: false,
-            duties: Duties { proves: true, watches: true },
+            duties: Duties::default(),
             told: News::default(),
             catalog: None,
             table: EndpointTable::default(),
@@ -257,8 +266,9 @@
             actions.push(Action::Send(vec![(question.address, reply)]));
         }
         self.ask_for_proof(now, fresh, &mut actions);
-        let of_watcher = self.feeds.due_of_host(now, || self.peers.watcher());
-        actions.extend(of_watcher.into_iter().map(Action::Catch));
+        let holder = |kind, revision| self.peers.holder(kind, revision, None);
+        let of_host = self.feeds.due_of_host(now, holder);
+        actions.extend(of_host.into_iter().map(Action::Catch));
         actions.extend(self.feeds.due(now).into_iter().map(Action::Catch));
         let meets = now < self.meets_until && self.feeds.is_joining();
         if meets && now >= self.last_meeting + MEETING_ROUND {
@@ -383,7 +393,7 @@
             Input::CatchFailed(catch) => {
                 self.feeds.failed(now, &catch);
                 if let (Source::Host(from), 0) = (catch.source, catch.after) {
-                    let other = self.peers.holder(catch.kind, Some(from));
+                    let other = self.peers.holder(catch.kind, 1, Some(from));
                     let again = other.and_then(|from| self.feeds.again(now, catch.kind, from));
                     actions.extend(again.map(Action::Catch));
                 }
@@ -468,7 +478,7 @@
     /// Gets what this host still lacks since its start, where another one has just told that it knows it.
     fn join(&mut self, now: Millis, told: &Revisions, actions: &mut Vec<Action>) {
         for kind in self.feeds.joins(told) {
-            let holder = self.peers.holder(kind, None);
+            let holder = self.peers.holder(kind, 1, None);
             let catch = holder.and_then(|from| self.feeds.again(now, kind, from));
             actions.extend(catch.map(Action::Catch));
         }
--- a/crates/tidetrack-core/src/traffic/control/rollouts.rs
+++ b/crates/tidetrack-core/src/traffic/control/rollouts.rs
@@ -3,10 +3,12 @@
 
 use crate::events::Event;
 use crate::ids::{ServiceId, VersionName};
+use crate::placement::draw;
 use crate::traffic::feeds::Kind;
 use crate::traffic::judge::Observed;
 use crate::traffic::peers::Barred;
 use crate::traffic::trial::{Phase, RolloutOrder, Trial};
+use crate::traffic::turns::turn;
 use crate::units::Millis;
 
 use super::versions::Doubt;
@@ -68,7 +70,9 @@
         let known = self.feeds.complete(Kind::Rollouts);
         let cleared = self.versions.clear(now, known);
         if let Some(revision) = cleared.wanted {
-            self.feeds.wants(now, Kind::Rollouts, revision, self.duties.watches);
+            let draw = draw(&format!("rollouts/{revision}"), self.host.as_str());
+            let turn = (!self.duties.watches).then(|| turn(draw, self.hosts()));
+            self.feeds.wants(now, Kind::Rollouts, revision, turn);
         }
         cleared.any
     }
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -43,7 +43,11 @@
         fresh: &Freshness,
         actions: &mut Vec<Action>,
     ) -> bool {
-        self.duties = Duties { proves: self.peers.is_prover(), watches: self.peers.is_watcher() };
+        self.duties = Duties {
+            proves: self.peers.is_prover(),
+            watches: self.peers.is_watcher(),
+            hosts: self.hosts(),
+        };
         let trials = &self.trials;
         self.peers.forget_tallies(|told| {
             trials.get(&told.service).is_none_or(|t| t.order.version != told.version || t.is_over())
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -28,6 +28,9 @@
 /// asks then.
 const WATCHERS_READ_FOR: Millis = Millis(500);
 
+/// Pause between looks for a host that knows what is wanted: a try has failed by then, or brought too little.
+const ASK_AGAIN: Millis = Millis(400);
+
 /// Pause after a failed read of the store, beside the time of a try.
 const STORE_AGAIN: Millis = Millis(600);
 
@@ -161,8 +164,8 @@
     is_store_tried: bool,
     /// Whether hosts could not give it.
     is_failed: bool,
-    /// Whether a host is asked for it before the store is.
-    is_asked_first: bool,
+    /// When a host that may know it is asked next, before the store is.
+    ask_at: Option<Millis>,
 }
 
 impl Lack {
@@ -175,7 +178,7 @@
             tried_at: None,
             is_store_tried: false,
             is_failed: false,
-            is_asked_first: false,
+            ask_at: None,
         }
     }
 }
@@ -256,33 +259,38 @@
     }
 
     /// Takes note that a kind has to be known up to a revision: it is read unless others bring it soon. One read
-    /// by those that watch for others is enough for all.
-    pub fn wants(&mut self, now: Millis, kind: Kind, revision: u64, watches_for_others: bool) {
-        let wait = if watches_for_others { Millis(0) } else { WATCHERS_READ_FOR };
+    /// by those that watch for others is enough for all, so a host that does not, `turn` being given, asks hosts for
+    /// it, and the store once its turn has come.
+    pub fn wants(&mut self, now: Millis, kind: Kind, revision: u64, turn: Option<Millis>) {
+        let ask_at = now + SEEN_AFTER + WATCHERS_READ_FOR;
         let is_new = self.lacks[kind as usize].is_none();
-        self.lack(kind, revision, now + SEEN_AFTER + wait);
+        self.lack(kind, revision, turn.map_or(now + SEEN_AFTER, |turn| ask_at + turn));
         if let Some(lack) = self.lacks[kind as usize].as_mut().filter(|_| is_new) {
-            lack.is_asked_first = !watches_for_others;
+            lack.ask_at = turn.map(|_| ask_at);
         }
     }
 
-    /// Gets what is to be asked of a host that watches the store, before the store itself.
+    /// Gets what is to be asked of hosts before the store: of one that `holder` names as knowing a kind up to a
+    /// revision.
     pub fn due_of_host(
         &mut self,
         now: Millis,
-        watcher: impl Fn() -> Option<SocketAddr>,
+        mut holder: impl FnMut(Kind, u64) -> Option<SocketAddr>,
     ) -> Vec<Catch> {
         let mut due = Vec::new();
         for kind in Kind::ALL {
             let after = self.complete.get(kind);
             let Some(lack) = &mut self.lacks[kind as usize] else { continue };
-            if !lack.is_asked_first || now < lack.due_at {
+            // Or hosts that do not know enough would be asked for ever.
+            let is_stores_turn = now >= lack.due_at && !lack.is_store_tried;
+            if is_stores_turn || lack.ask_at.is_none_or(|at| now < at) {
                 continue;
             }
-            lack.is_asked_first = false;
-            if let Some(watcher) = watcher() {
+            lack.ask_at = Some(now + ASK_AGAIN);
+            if let Some(holder) = holder(kind, lack.needed) {
                 lack.tried_at = Some(now);
-                due.push(Catch { kind, after, source: Source::Host(watcher) });
+                lack.is_store_tried = false;
+                due.push(Catch { kind, after, source: Source::Host(holder) });
             }
         }
         due
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -23,5 +23,6 @@
 pub mod reach;
 pub mod samples;
 pub mod trial;
+pub mod turns;
 pub mod usual;
 pub mod view;
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -334,10 +334,15 @@
         first
     }
 
-    /// Gets a host that knows a kind and can give it, but for one that could not: of the own failure domain and
-    /// with a strong link where there is such a one, and not the same one for all that ask.
-    pub fn holder(&mut self, kind: Kind, except: Option<SocketAddr>) -> Option<SocketAddr> {
-        let holds = |p: &&Peer| p.news.complete.get(kind) > 0 && Some(p.address) != except;
+    /// Gets a host that knows a kind up to a revision and can give it, but for one that could not: of the own failure
+    /// domain and with a strong link where there is such a one, and not the same one for all that ask.
+    pub fn holder(
+        &mut self,
+        kind: Kind,
+        revision: u64,
+        except: Option<SocketAddr>,
+    ) -> Option<SocketAddr> {
+        let holds = |p: &&Peer| p.news.complete.get(kind) >= revision && Some(p.address) != except;
         let rank = |p: &Peer| (self.is_near(&p.failure_domain), p.is_strong);
         let best = self.peers.values().filter(holds).map(rank).max()?;
         let all: Vec<SocketAddr> = self
@@ -486,11 +491,6 @@
         self.watchers().filter(|(rank, _)| *rank > own).count() < WATCHERS
     }
 
-    /// Gets another host of the failure domain that watches the store.
-    pub fn watcher(&self) -> Option<SocketAddr> {
-        self.watchers().max_by_key(|(rank, _)| *rank).map(|(_, peer)| peer.address)
-    }
-
     /// Ranks the other hosts of the failure domain for watching the store.
     fn watchers(&self) -> impl Iterator<Item = (Rank, &Peer)> {
         let near = self.peers.iter().filter(|(_, p)| self.is_near(&p.failure_domain));
--- a/crates/tidetrack-core/tests/feeds.rs
+++ b/crates/tidetrack-core/tests/feeds.rs
@@ -6,9 +6,11 @@
 use std::sync::Arc;
 
 use tidetrack_core::ids::{EndpointId, ServiceId};
+use tidetrack_core::placement::draw;
 use tidetrack_core::traffic::control::{Action, Input};
 use tidetrack_core::traffic::feeds::{Catch, Feeds, Giving, Kind, Revisions, Source};
 use tidetrack_core::traffic::freshness::Freshness;
+use tidetrack_core::traffic::turns::turn;
 use tidetrack_core::units::{Bandwidth, Millis};
 
 use support::{catalog, id, view_of, with_endpoints, without_rollout};
@@ -138,6 +140,42 @@
     assert_eq!(due(&mut other), Vec::new());
 }
 
+/// What was seen: after 104 of 295 hosts had been cut off, 204 hosts read the roll-outs of the store within two seconds
+/// for the versions of endpoints that had come back. Cause: each asked the host that watches once, and read for itself
+/// if that one did not know yet.
+#[test]
+fn what_has_to_be_known_is_asked_of_hosts_that_know_it_and_read_in_turn() {
+    let mut feeds = Feeds::default();
+    feeds.caught_up(Millis(0), Kind::Rollouts, 10, Some(10));
+    feeds.wants(Millis(0), Kind::Rollouts, 12, Some(Millis(600)));
+    let mut asked = Vec::new();
+
+    for now in (0..2_000).step_by(STEP as usize) {
+        let is_known = now >= 1_200;
+        let holder = |_, revision| (is_known && revision == 12).then(near_host);
+        let of_hosts = feeds.due_of_host(Millis(now), holder);
+        asked.extend(of_hosts.into_iter().chain(feeds.due(Millis(now))).map(|c| (now, c.source)));
+    }
+
+    assert_eq!(asked[0].1, Source::Host(near_host()), "{asked:?}");
+    assert!((1_200..1_700).contains(&asked[0].0), "{asked:?}");
+    let of_store = asked.iter().find(|(_, source)| *source == Source::Store);
+    assert!(of_store.is_some_and(|(at, _)| *at >= 1_500), "{asked:?}");
+}
+
+/// Of a large fleet one in ten has asked when word of the first answer has gone round, and all within a second.
+#[test]
+fn of_many_hosts_few_ask_at_once() {
+    for (hosts, at_first) in [(1, 1), (7, 7), (90, 18), (295, 29), (540, 54)] {
+        let draws = (0..hosts).map(|n| draw("ask", &format!("host-{n}")));
+        let turns: Vec<Millis> = draws.map(|draw| turn(draw, hosts)).collect();
+
+        let first = turns.iter().filter(|turn| **turn <= Millis(450)).count();
+        assert!((1..=at_first).contains(&first), "{hosts} hosts, {first} at first");
+        assert!(turns.iter().all(|turn| *turn <= Millis(900)), "{turns:?}");
+    }
+}
+
 #[test]
 fn a_store_that_was_seen_at_a_known_change_is_not_read() {
     let mut feeds = feeds();
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -29,7 +29,7 @@
     let runtime = Builder::new_current_thread().enable_io().enable_time().build()?;
     LocalSet::new().block_on(&runtime, async move {
         let store = Rc::new(Store::new(shared.clone()));
-        let (duties, duties_seen) = watch::channel(Duties { proves: true, watches: true });
+        let (duties, duties_seen) = watch::channel(Duties::default());
         let watches = Watches::start(shared.clone(), store.clone(), duties_seen);
         let settings = &shared.settings;
         let (host, address) = (settings.host.clone(), settings.peer_address);
--- a/crates/tidetrack-plane/src/watch/follow.rs
+++ b/crates/tidetrack-plane/src/watch/follow.rs
@@ -30,7 +30,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
 /// The same for all other hosts: they hear from those that the store is back.
-const LONGEST_PAUSE_OF_MANY: Duration = Duration::from_secs(2);
+pub(super) const LONGEST_PAUSE_OF_MANY: Duration = Duration::from_secs(4);
 
 impl Watches {
     /// Keeps one kind for as long as the process runs.
--- a/crates/tidetrack-plane/src/watch/proof.rs
+++ b/crates/tidetrack-plane/src/watch/proof.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use tidetrack_core::traffic::control::Input;
+use tidetrack_core::traffic::turns::turn;
 use tidetrack_core::units::Millis;
 
 use crate::dialect::Kind;
 use crate::store::Cause;
 
-use super::follow::{jittered, FIRST_PAUSE};
+use super::follow::{jittered, FIRST_PAUSE, LONGEST_PAUSE_OF_MANY};
 use super::read::unless_needless;
 use super::Watches;
 
@@ -28,19 +29,30 @@
     /// come from elsewhere for a while.
     pub(super) async fn keep_proof(self: Rc<Self>) {
         let mut pause = FIRST_PAUSE;
+        let mut draw = rand::random();
         loop {
             tokio::time::sleep(PROOF_LOOK).await;
-            let wanted = if self.duties.borrow().proves { PROVE_EVERY } else { PROOF_WANTED };
+            let duties = *self.duties.borrow();
+            let wanted = match duties.proves {
+                true => PROVE_EVERY,
+                false => PROOF_WANTED + turn(draw, duties.hosts),
+            };
             let after = self.position(Kind::Catalog);
             let age = self.shared.fresh.age(self.shared.now());
             let Some(age) = age.filter(|_| after > 0) else { continue };
-            // After a loss, a young proof of another host says that the store answers again.
-            let is_back = self.is_lost(Kind::Catalog) && age < PROVE_EVERY;
+            // After a loss, a young proof of another host says that the store answers again. Whether it answers this
+            // one matters only where others rely on it.
+            let mut is_back = self.is_lost(Kind::Catalog) && age < PROVE_EVERY;
+            if is_back && !duties.proves && !duties.watches {
+                self.back(Kind::Catalog);
+                is_back = false;
+            }
             // A configuration that is coming in is not the newest until it has come, and neither is ours.
             let is_coming = self.large[Kind::Catalog as usize].is_taken();
             if (age < wanted && !is_back) || is_coming {
                 continue;
             }
+            draw = rand::random();
             let read = self.read_store(Kind::Catalog, after, Millis(0), Cause::Proof);
             match read.await.or_else(unless_needless) {
                 Ok(()) => {
@@ -49,8 +61,11 @@
                 }
                 Err(e) => {
                     self.lost(Kind::Catalog, &e);
+                    let longest = self.longest_pause(Kind::Catalog);
+                    // Those that others rely on find out when the store is back, and tell.
+                    pause = if longest == LONGEST_PAUSE_OF_MANY { longest } else { pause };
                     tokio::time::sleep(jittered(pause)).await;
-                    pause = (pause * 2).min(self.longest_pause(Kind::Catalog));
+                    pause = (pause * 2).min(longest);
                 }
             }
         }
