Verdicts weigh which part of the fleet's counts they rest on

Ruled out: what is usual (proven 17 of 431 failed, told by all). Change: the logarithms needed rise by the part of the hosts that is not counted times the logarithm of their number: 0 where all are known, 5.7 where one of 295 is. Evidence lines tell how many are counted.

--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -9,6 +9,7 @@
 use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::freshness::Freshness;
 use crate::traffic::peers::{Barred, News, ToldProof, ToldTally, ROUND_EVERY};
+use crate::traffic::samples::Basis;
 use crate::traffic::trial::{Phase, Trial};
 use crate::traffic::usual::Usual;
 use crate::units::Millis;
@@ -205,18 +206,23 @@
             trial.judge.sent(now, exposure.sent());
         }
         let mut all = trial.judge.tally(now).clone();
-        self.peers.tallies(now, service, &version).for_each(|(tally, age)| all.add(tally, age));
+        let mut basis = Basis { endpoints, hosts, counted: 1 };
+        for (tally, age) in self.peers.tallies(now, service, &version) {
+            all.add(tally, age);
+            basis.counted += 1;
+        }
         if trial.is_log_due(now) {
             let age_ms = trial.age(now).0;
             let moved = trial.has_moved(now, hosts);
             let text = format!(
                 "service={service} version={version} age_ms={age_ms} moved={moved} hosts={hosts} \
-                 endpoints={endpoints} {all}"
+                 counted={} endpoints={endpoints} {all}",
+                basis.counted
             );
             actions.push(Action::Note(Event::RolloutEvidence, text));
         }
         let told = self.peers.is_barred(service, &version) && trial.bar(now);
-        let bad = trial.judge(now, &all, endpoints);
+        let bad = trial.judge(now, &all, basis);
         if let Some(exposure) = self.exposures.get(service) {
             exposure.doubt(trial.is_doubted);
         }
@@ -225,7 +231,10 @@
             None if told => "told".into(),
             None => return false,
         };
-        let text = format!("service={service} version={version} why={why} {all}");
+        let text = format!(
+            "service={service} version={version} why={why} hosts={hosts} counted={} {all}",
+            basis.counted
+        );
         actions.push(Action::Note(Event::VersionBarred, text));
         true
     }
--- a/crates/tidetrack-core/src/traffic/judge.rs
+++ b/crates/tidetrack-core/src/traffic/judge.rs
@@ -4,7 +4,8 @@
 
 use crate::ids::{EndpointId, EndpointKey, ModelId, RouteId, ServiceId, VersionName};
 use crate::traffic::samples::{
-    endpoint_group, likelihood, route_class, usual_share, Samples, Worse, LEAST_PROVEN, MARGIN,
+    endpoint_group, likelihood, route_class, usual_share, Basis, Samples, Worse, LEAST_PROVEN,
+    MARGIN,
 };
 use crate::traffic::usual::Usual;
 use crate::units::Millis;
@@ -217,17 +218,18 @@
         }
     }
 
-    /// Tells in what a version with so many endpoints is bad, if it is: a high share of its answers of late
-    /// fails or is slow, well over the proven versions', or its sample as a whole is worse than theirs.
-    pub fn shows_bad(&self, endpoints: usize) -> Option<Bad> {
-        let of_late = self.is_bad_of_late(endpoints).then_some(Bad::OfLate);
-        of_late.or_else(|| self.samples.worse(endpoints).map(Bad::Sample))
+    /// Tells in what a version is bad, if it is: a high share of its answers of late fails or is slow, well over the
+    /// proven versions', or its sample as a whole is worse than theirs.
+    pub fn shows_bad(&self, basis: Basis) -> Option<Bad> {
+        let of_late = self.is_bad_of_late(basis).then_some(Bad::OfLate);
+        of_late.or_else(|| self.samples.worse(basis).map(Bad::Sample))
     }
 
-    fn is_bad_of_late(&self, endpoints: usize) -> bool {
+    fn is_bad_of_late(&self, basis: Basis) -> bool {
         let (new, proven) = (&self.new, &self.proven);
         let is_over = |counted: f32, usual: f32, least: f32, times: f32| {
-            let is_clear = likelihood(counted, new.known(), usual + MARGIN) >= OF_LATE_FROM;
+            let is_clear =
+                likelihood(counted, new.known(), usual + MARGIN) >= OF_LATE_FROM + basis.surplus();
             is_clear && new.share(counted) >= least.max(usual * times)
         };
         // Of late few may have failed by chance, or few be known of: hosts that start again know a part.
@@ -242,7 +244,7 @@
             && is_over(new.failed, usual_failed, FAILED_SHARE, FAILED_TIMES);
         let usual_bad = proven.share(proven.bad);
         let is_bad = new.bad >= BAD_TO_BAR && is_over(new.bad, usual_bad, BAD_SHARE, BAD_TIMES);
-        (fails || is_bad) && (self.several || endpoints < 2)
+        (fails || is_bad) && (self.several || basis.endpoints < 2)
     }
 }
 
--- a/crates/tidetrack-core/src/traffic/samples.rs
+++ b/crates/tidetrack-core/src/traffic/samples.rs
@@ -185,6 +185,33 @@
     }
 }
 
+/// What a verdict rests on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Basis {
+    /// Endpoints of the new version.
+    pub endpoints: usize,
+    /// Hosts of the fleet.
+    pub hosts: usize,
+    /// Those whose counts are in the samples.
+    pub counted: usize,
+}
+
+impl Basis {
+    /// Makes the basis of a verdict on all that was seen of a version with so many endpoints.
+    pub fn whole(endpoints: usize) -> Basis {
+        Basis { endpoints, hosts: 1, counted: 1 }
+    }
+
+    /// Gets by how much the logarithms of likelihood ratios have to be beyond what tells a version from chance. Of
+    /// a large fleet each host knows another part of the counts for some seconds, and of so many parts one stands out
+    /// by chance; where all know all, they have one look together.
+    pub fn surplus(self) -> f32 {
+        let hosts = self.hosts.max(1) as f32;
+        let missing = 1.0 - (self.counted as f32 / hosts).min(1.0);
+        missing * hosts.ln()
+    }
+}
+
 /// Both samples.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Samples {
@@ -256,23 +283,26 @@
         totals
     }
 
-    /// Tells in what a version with so many endpoints is worse than the proven ones, if it is.
-    pub fn worse(&self, endpoints: usize) -> Option<Worse> {
+    /// Tells in what a version is worse than the proven ones, if it is.
+    pub fn worse(&self, basis: Basis) -> Option<Worse> {
+        let Basis { endpoints, .. } = basis;
+        let from = WORSE_FROM + basis.surplus();
+        let on_route_from = ON_ROUTE_FROM + basis.surplus();
         let (new, proven) = self.totals();
         if proven.of.all < LEAST_PROVEN {
             return None;
         }
-        if self.fails_under_load(&proven.of, endpoints) {
+        if self.fails_under_load(&proven.of, endpoints, from) {
             return Some(Worse::FailsUnderLoad);
         }
-        let is_slower = slowness(&new, &proven) >= WORSE_FROM;
+        let is_slower = slowness(&new, &proven) >= from;
         let tests: [(Worse, bool, CountOf); 6] = [
-            (Worse::Fails, self.is_over(failed, all), failed),
-            (Worse::Late, self.is_over(late, whole), late),
-            (Worse::Late, self.is_over(bad, all), bad),
-            (Worse::FailsOnRoute, self.fails_on_route(), failed),
+            (Worse::Fails, self.is_over(failed, all, from), failed),
+            (Worse::Late, self.is_over(late, whole, from), late),
+            (Worse::Late, self.is_over(bad, all, from), bad),
+            (Worse::FailsOnRoute, self.fails_on_route(on_route_from), failed),
             (Worse::Slower, is_slower, above),
-            (Worse::SlowerOnRoute, self.is_slower_on_route(), above),
+            (Worse::SlowerOnRoute, self.is_slower_on_route(on_route_from), above),
         ];
         let found = |(_, is_found, count): &&(Worse, bool, CountOf)| {
             *is_found && self.has_groups(endpoints, *count)
@@ -288,11 +318,11 @@
 
     /// Tells whether the new version counts more of something, out of some answers, than the proven ones do on the
     /// same routes, and still does without its worst group of endpoints.
-    fn is_over(&self, count: CountOf, of: CountOf) -> bool {
+    fn is_over(&self, count: CountOf, of: CountOf, from: f32) -> bool {
         let total: f32 = self.routes.iter().map(|route| count(&route.new.of)).sum();
         let others = self.part_of_others(count, of);
         total >= LEAST_COUNTED
-            && self.ratio(count, of, (1.0, 1.0)) >= WORSE_FROM
+            && self.ratio(count, of, (1.0, 1.0)) >= from
             && self.ratio(count, of, others) >= OTHERS_FROM
     }
 
@@ -330,16 +360,16 @@
         (1.0 - worst_counted / counted.max(1.0), 1.0 - worst_seen / seen.max(1.0))
     }
 
-    fn fails_on_route(&self) -> bool {
+    fn fails_on_route(&self, from: f32) -> bool {
         self.routes.iter().any(|of| {
             let usual = usual_share(of.proven.of.failed, of.proven.of.all);
-            likelihood(of.new.of.failed, of.new.of.all, usual + MARGIN) >= ON_ROUTE_FROM
+            likelihood(of.new.of.failed, of.new.of.all, usual + MARGIN) >= from
         })
     }
 
     /// Tells whether more answers fail at loaded endpoints than the proven versions' do, leaving the worst ones
     /// out: few endpoints had a turn, and some may have failed for reasons of their own.
-    fn fails_under_load(&self, proven: &Counts, endpoints: usize) -> bool {
+    fn fails_under_load(&self, proven: &Counts, endpoints: usize, from: f32) -> bool {
         let mut groups: Vec<&OfGroup> = self.groups.iter().filter(|of| of.loaded > 0).collect();
         if groups.len() < least_groups(endpoints) {
             return false;
@@ -349,11 +379,11 @@
         groups.truncate(groups.len() - left_out);
         let (failed, all) = loaded_of(groups);
         let usual = usual_share(proven.failed, proven.all) * ODD_TIMES + LOADED_MARGIN;
-        likelihood(failed, all, usual) >= WORSE_FROM
+        likelihood(failed, all, usual) >= from
     }
 
-    fn is_slower_on_route(&self) -> bool {
-        self.routes.iter().any(|of| slowness(&of.new, &of.proven) >= ON_ROUTE_FROM)
+    fn is_slower_on_route(&self, from: f32) -> bool {
+        self.routes.iter().any(|of| slowness(&of.new, &of.proven) >= from)
     }
 
     fn of_route(&mut self, route: u8) -> &mut OfRoute {
--- a/crates/tidetrack-core/src/traffic/trial.rs
+++ b/crates/tidetrack-core/src/traffic/trial.rs
@@ -13,6 +13,7 @@
 use crate::ids::{ServiceId, VersionName};
 use crate::traffic::exposure::{full_sample, sample_of, ExposureBound, MOST_SAMPLED};
 use crate::traffic::judge::{Bad, Judge, Tally};
+use crate::traffic::samples::Basis;
 use crate::units::{Millis, Share};
 
 /// Difference in an order's age for which traffic's view is made anew: messages differ by a few
@@ -335,10 +336,10 @@
     }
 
     /// Judges the version by the counts of all hosts; tells in what it is bad, if it is barred by that.
-    pub fn judge(&mut self, now: Millis, all: &Tally, endpoints: usize) -> Option<Bad> {
+    pub fn judge(&mut self, now: Millis, all: &Tally, basis: Basis) -> Option<Bad> {
         let is_open = self.phase() == Phase::Sample;
         self.is_doubted = is_open && all.samples.is_doubtful();
-        let bad = all.shows_bad(endpoints).filter(|_| is_open)?;
+        let bad = all.shows_bad(basis).filter(|_| is_open)?;
         self.bar(now).then_some(bad)
     }
 
--- a/crates/tidetrack-core/tests/few_calls.rs
+++ b/crates/tidetrack-core/tests/few_calls.rs
@@ -204,3 +204,21 @@
         assert!((outcome.new as f64) <= allowed, "seed {seed}: {outcome:?}");
     }
 }
+
+/// A good version of a plain service on hundreds of hosts.
+const ON_HUNDREDS: Case = Case { hosts: 295, endpoints: 6, rate: 218.0, share: 0.0, times: 1.0 };
+
+#[test]
+fn a_good_version_of_a_plain_service_is_completed_on_hundreds_of_hosts() {
+    let outcome = Play::new(0, ON_HUNDREDS).run();
+
+    assert!(outcome.is_completed, "{outcome:?}");
+}
+
+/// By chance 15 of 22 answers fail on the route where 0.24 do on any version, four times the usual spread.
+#[test]
+fn a_good_version_is_completed_where_one_route_fails_often() {
+    let outcome = Play::new(13, ON_HUNDREDS).run();
+
+    assert!(outcome.is_completed, "{outcome:?}");
+}
--- a/crates/tidetrack-core/tests/verdicts.rs
+++ b/crates/tidetrack-core/tests/verdicts.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use tidetrack_core::traffic::judge::{AttemptEnd, Bad, Judge, Observed};
-use tidetrack_core::traffic::samples::Worse;
+use tidetrack_core::traffic::samples::{Basis, Worse};
 use tidetrack_core::traffic::usual::Usual;
 use tidetrack_core::units::Millis;
 
@@ -146,7 +146,7 @@
     }
     judge.sent(Millis(500), 5_008);
 
-    assert_eq!(judge.tally(Millis(500)).shows_bad(4), Some(Bad::OfLate));
+    assert_eq!(judge.tally(Millis(500)).shows_bad(Basis::whole(4)), Some(Bad::OfLate));
 }
 
 /// What was seen: of plain calls with few requests, 9 of 43 real ones of a new version were late, 1 in 30 usual, and
@@ -171,7 +171,47 @@
         judge.see_new(Millis(100), &answered(&format!("n{}", n / 4 % 4), n, ms), &usual);
     }
 
-    assert_eq!(judge.tally(Millis(100)).shows_bad(4), Some(Bad::Sample(Worse::Late)));
+    assert_eq!(judge.tally(Millis(100)).shows_bad(Basis::whole(4)), Some(Bad::Sample(Worse::Late)));
+}
+
+/// What was seen: a good version of a plain service was rolled back in 2 of 10 plays alone on 295 hosts, in one for
+/// failing on a route, by 3.9 of the 4.9 answers that a host knew of, of some 20 that had come. Cause: by then a host
+/// has heard a third of the others, each a different third, and one of 295 parts stands out by chance.
+#[test]
+fn a_part_of_the_counts_of_a_large_fleet_has_to_show_more_than_all_of_them() {
+    let usual = Usual::default();
+    let mut judge = Judge::default();
+    for n in 0..160 {
+        let end = if n % 35 == 0 { AttemptEnd::Failed } else { AttemptEnd::Whole };
+        judge.see_proven(Millis(0), &answer(&format!("o{}", n % 4), end), &usual);
+    }
+    for n in 0..5 {
+        let end = if n == 0 { AttemptEnd::Whole } else { AttemptEnd::Failed };
+        judge.see_new(Millis(100), &answer(&format!("n{n}"), end), &usual);
+    }
+
+    let tally = judge.tally(Millis(100));
+    let verdict = |counted| tally.shows_bad(Basis { endpoints: 6, hosts: 295, counted });
+
+    assert_eq!(verdict(98), None);
+    assert!(verdict(295).is_some());
+}
+
+/// Where all answers fail a host needs few more of them, however little it knows of the others.
+#[test]
+fn a_version_that_always_fails_is_found_by_what_one_host_of_hundreds_knows() {
+    let usual = Usual::default();
+    let mut judge = Judge::default();
+    for n in 0..160 {
+        judge.see_proven(Millis(0), &answer(&format!("o{}", n % 4), AttemptEnd::Whole), &usual);
+    }
+    for n in 0..6 {
+        judge.see_new(Millis(100), &answer(&format!("n{n}"), AttemptEnd::Failed), &usual);
+    }
+
+    let basis = Basis { endpoints: 6, hosts: 295, counted: 1 };
+
+    assert!(judge.tally(Millis(100)).shows_bad(basis).is_some());
 }
 
 #[test]
