What is kept and logged of entries that cannot be read does not grow with them

Cause, by the new test: of an entry with a name or a field of 1 MB a host kept 3,145,800 bytes, for the name, and the name and the value again in the reason; 10,000 bad entries were 10,000 log lines a list. Change: 100 characters of a name and of a reason, with a mark that no name has; 20 lines of a reply, the last with the number of the others. Test: 10,000 bad entries and five with a megabyte, as a list and as changes: at most 1,024 bytes an entry, the good ones hold.

--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -3,11 +3,13 @@
 //! The plane knows what these things mean; a dialect knows their names. No function here decides
 //! anything.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Response};
 
+use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::ids::{EndpointId, ModelId, ServiceId, WorkspaceId};
 use tidetrack_core::traffic::cascade::GenerationSize;
@@ -117,15 +119,37 @@
     Rollout(RolloutOrder),
 }
 
+/// Characters of a name or a reason that are kept: no name of ours has as many.
+const MOST_KEPT: usize = 100;
+
 /// An object that could not be read.
 #[derive(Debug)]
 pub struct Unreadable {
-    /// Its name.
+    /// Its name, or how that begins.
     pub name: String,
     /// Why.
     pub why: Error,
 }
 
+impl Unreadable {
+    /// Takes note of an object by its name and of what is wrong with it. A writer that goes wrong may write a
+    /// megabyte into either, and each host keeps and logs them.
+    pub fn of(kind: Kind, name: &str, why: &dyn fmt::Display) -> Unreadable {
+        let name = beginning(name);
+        let why = beginning(&why.to_string());
+        let why = Error::new(Code::BadDeclaration, format!("{kind:?}/{name}: {why}"));
+        Unreadable { name, why }
+    }
+}
+
+/// Gets how a text begins; where that is not all, it ends with a mark that no name has.
+fn beginning(text: &str) -> String {
+    match text.char_indices().nth(MOST_KEPT) {
+        Some((end, _)) => format!("{}…", &text[..end]),
+        None => text.to_string(),
+    }
+}
+
 /// One page of a list.
 #[derive(Debug, Default)]
 pub struct Page {
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -24,6 +24,9 @@
 /// and a slow one in some hundred.
 const CALL_WITHIN: Duration = Duration::from_millis(1_200);
 
+/// Unreadable objects of one reply that are logged.
+const MOST_LOGGED: usize = 20;
+
 /// Name of the store in the pool of connections.
 const STORE: &str = "store";
 
@@ -191,11 +194,15 @@
         }
     }
 
-    /// Logs objects that could not be read.
+    /// Logs objects that could not be read, as many as do not drown other lines.
     pub fn note_unreadable(&self, unreadable: &[Unreadable]) {
-        for object in unreadable {
-            let fields: [(&'static str, &dyn std::fmt::Display); 2] =
-                [("name", &object.name), ("why", &object.why)];
+        for (i, object) in unreadable.iter().take(MOST_LOGGED).enumerate() {
+            let others = match i + 1 {
+                MOST_LOGGED => unreadable.len() - MOST_LOGGED,
+                _ => 0,
+            };
+            let fields: [(&'static str, &dyn std::fmt::Display); 3] =
+                [("name", &object.name), ("why", &object.why), ("others", &others)];
             self.shared.journal.line(Event::ConfigRejected, &fields);
         }
     }
