tidetrackctl calls: what hosts call the store for, summed over them

Reads hosts' metrics pages, sums by kind, cause, age and result, as a table or JSON; a host that is gone or refuses is told by its address and a code, and the others are still shown. Lines of another form are passed over.

--- a/crates/tidetrack-ctl/src/lib.rs
+++ b/crates/tidetrack-ctl/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod apply;
 pub mod bill;
+pub mod calls;
 pub mod dry_run;
 pub mod explain;
 pub mod folder;
--- a/crates/tidetrack-ctl/src/main.rs
+++ b/crates/tidetrack-ctl/src/main.rs
@@ -14,7 +14,7 @@
 use tidetrack_core::events::events_table;
 use tidetrack_core::facts::{Fact, Subject};
 use tidetrack_core::ids::{RolloutId, RouteId, VersionRef};
-use tidetrack_ctl::{apply, bill, dry_run, explain, folder, rollout, status};
+use tidetrack_ctl::{apply, bill, calls, dry_run, explain, folder, rollout, status};
 use tidetrack_wire::platform::{config_name, PlatformClient};
 
 const USAGE: &str = "tidetrackctl COMMAND [options]
@@ -27,6 +27,7 @@
   withdraw MODEL@VERSION      let a version take no new work
   rollout VERB NAME           start, pause, resume, advance or abort a roll-out
   status                      show what hosts know and have in force
+  calls                       add up what hosts call the store for, from their metrics
   bill                        add up the ledger
   dry-run DIR ROUTE FILE      run a policy on recorded requests beside an old script's choices
   explain ID [FILE...]        tell a request's story from hosts' logs (else standard input)
@@ -46,7 +47,12 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("", "platform", "the object API", "IP:PORT");
-    options.optmulti("", "host", "a router, for status and withdraw --via", "IP:PORT");
+    options.optmulti(
+        "",
+        "host",
+        "a router, for status and withdraw --via; its metrics, for calls",
+        "IP:PORT",
+    );
     options.optopt("", "key", "the operators' key (or TIDETRACK_OPERATOR_KEY)", "KEY");
     options.optopt("", "reason", "why, for people", "TEXT");
     options.optflag("", "via", "withdraw through --host, for when the object API is down");
@@ -96,6 +102,7 @@
         ["withdraw", version] => withdraw(&matches, version),
         ["rollout", verb, name] => do_rollout(&matches, verb, name),
         ["status"] => show_status(&matches),
+        ["calls"] => show_calls(&matches),
         ["bill"] => show_bill(&matches),
         ["dry-run", dir, route, file] => do_dry_run(&matches, dir, route, file),
         ["explain", id, ref files @ ..] => explain_request(id, files),
@@ -237,6 +244,29 @@
     }
 }
 
+fn show_calls(matches: &Matches) -> Result<()> {
+    let hosts = matches.opt_strs("host");
+    if hosts.is_empty() {
+        return Err(usage("calls needs --host, once for each host's metrics address"));
+    }
+    let (mut pages, mut failed) = (Vec::new(), None);
+    for host in &hosts {
+        match calls::fetch(host) {
+            Ok(page) => pages.push(page),
+            Err(e) => {
+                eprintln!("{e}");
+                failed = Some(e);
+            }
+        }
+    }
+    let all = calls::sum(pages.iter().map(String::as_str));
+    match matches.opt_present("json") {
+        true => print_json(&all)?,
+        false => print(&calls::render(&all))?,
+    }
+    failed.map_or(Ok(()), |e| Err(e.into()))
+}
+
 fn show_bill(matches: &Matches) -> Result<()> {
     let totals = bill::totals(&platform(matches)?)?;
     match matches.opt_present("json") {
--- /dev/null
+++ b/crates/tidetrack-ctl/tests/calls.rs
@@ -0,0 +1,54 @@
+//! Sums of hosts' calls to the store.
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+
+use tidetrack_core::codes::Code;
+use tidetrack_ctl::calls::{fetch, render, sum};
+
+/// A metrics page of one host, with lines of other counters and of no form.
+const PAGE: &str = r#"# TYPE tidetrack_store_calls_total counter
+tidetrack_store_calls_total{age="newest",cause="proof",kind="Catalog",result="answered"} 7
+tidetrack_store_calls_total{age="newest",cause="told",kind="Endpoints",result="failed"} 2
+tidetrack_store_calls_total{age="newest",cause="told"
+tidetrack_store_calls_total{age="newest",cause="told",kind="Endpoints",result="failed"} NaN
+tidetrack_feed_calls_total{source="host"} 90
+"#;
+
+/// Serves one request with a reply, and gets its address.
+fn host(reply: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buf = [0; 1024];
+        // What is asked does not matter here.
+        let _ = stream.read(&mut buf);
+        let _ = stream.write_all(reply.as_bytes());
+    });
+    address
+}
+
+#[test]
+fn calls_of_several_hosts_are_summed_by_purpose() {
+    let all = sum([PAGE, PAGE, "no page"]);
+
+    let told: Vec<(&str, &str, u64)> = all
+        .iter()
+        .map(|c| (c.purpose.cause.as_str(), c.purpose.result.as_str(), c.calls))
+        .collect();
+    assert_eq!(told, [("proof", "answered", 14), ("told", "failed", 4)]);
+    let text = render(&all);
+    assert!(text.lines().nth(1).is_some_and(|l| l.contains("14  Catalog")), "{text}");
+}
+
+#[test]
+fn a_host_that_refuses_or_is_gone_is_told_by_its_address_and_a_code() {
+    let page = host(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{PAGE}", PAGE.len()));
+    let refusing = host("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".into());
+
+    assert_eq!(fetch(&page).expect("a page"), PAGE);
+    let e = fetch(&refusing).expect_err("no page");
+    assert_eq!(e.code, Code::EndpointFailed);
+    assert!(e.to_string().contains(&refusing) && e.to_string().contains("404"), "{e}");
+}
