The plane's test of calls gives the time with what is caught up

Feeds::caught_up takes the time since; this test of the plane did not compile from there to here (I had run the core's and the platform's tests, not the plane's). It asserts what it did.

--- a/crates/tidetrack-plane/tests/call.rs
+++ b/crates/tidetrack-plane/tests/call.rs
@@ -55,7 +55,7 @@
 /// for, and when.
 async fn ask_host(address: SocketAddr, within: Duration) -> Vec<(Duration, Catch)> {
     let feeds = RefCell::new(Feeds::default());
-    feeds.borrow_mut().caught_up(Kind::Endpoints, KNOWN, Some(KNOWN));
+    feeds.borrow_mut().caught_up(Millis(0), Kind::Endpoints, KNOWN, Some(KNOWN));
     let mut told = Revisions::default();
     told.raise(Kind::Endpoints, TOLD);
     let began = Instant::now();
