Signals are caught before anything else a start does

Trace: its log has the end of one life (E102, 019.038) and the start of another (E100, 020.398); the stop of the plan was at 019.977 (5.372 s after the plan's beginning, which the first stop, E101 at 016.017, gives). So a life between them was stopped before it logged its start. Cause: the signals were caught last, after settings, metrics and threads. Ruled out: a second stop during the first (E102 was logged and 0.9 s lie between). Change: plane::signals, caught before the settings are read; a stop that comes then is carried out once the host serves.

--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -5,12 +5,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use arc_swap::ArcSwap;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
 use tokio::runtime::Builder;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 use tidetrack_core::events::Event;
@@ -27,6 +25,7 @@
 use crate::server::{accept_loop, listen, serve_small, Connections, ServerOptions, StopStage};
 use crate::settings::HostSettings;
 use crate::shared::{Clock, Shared};
+use crate::signals::{Asked, Signals};
 
 /// Time after a stop signal in which requests are still taken: a balancer asks for readiness once a
 /// second and acts on the second miss.
@@ -55,18 +54,12 @@
     shared: Arc<Shared>,
 }
 
-/// What a signal asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Asked {
-    Stop,
-    Reload,
-}
-
 impl Host {
     /// Serves until a stop signal; `reload` reads the settings anew.
     pub fn run(
         settings: HostSettings,
         dialect: Dialect,
+        signals: Signals,
         reload: impl Fn() -> Result<HostSettings>,
     ) -> Result<()> {
         let journal = Journal::start(settings.host.as_str())?;
@@ -89,7 +82,6 @@
                 journal.line(Event::ThreadPanicked, &[("why", &e)]);
             }
         })?;
-        let signals = signals()?;
         let runtime = Builder::new_current_thread().enable_io().enable_time().build()?;
         let host = Host { shared };
         LocalSet::new().block_on(&runtime, host.serve(signals, reload))
@@ -97,7 +89,7 @@
 
     async fn serve(
         self,
-        mut signals: mpsc::Receiver<Asked>,
+        mut signals: Signals,
         reload: impl Fn() -> Result<HostSettings>,
     ) -> Result<()> {
         let settings = &self.shared.settings;
@@ -115,7 +107,7 @@
         tokio::task::spawn_local(sweep(traffic.clone()));
         let address = settings.caller_address;
         self.shared.journal.line(Event::Started, &[("address", &address)]);
-        while let Some(asked) = signals.recv().await {
+        while let Some(asked) = signals.next().await {
             match asked {
                 Asked::Reload => self.note_reload(reload()),
                 Asked::Stop => break,
@@ -186,22 +178,6 @@
     }
 }
 
-/// Turns signals into messages.
-fn signals() -> Result<mpsc::Receiver<Asked>> {
-    let (tx, rx) = mpsc::channel(8);
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("signals")?;
-    let thread = std::thread::Builder::new().name("signals".into()).stack_size(64 << 10);
-    thread.spawn(move || {
-        for signal in signals.forever() {
-            let asked = if signal == SIGHUP { Asked::Reload } else { Asked::Stop };
-            if tx.blocking_send(asked).is_err() {
-                return;
-            }
-        }
-    })?;
-    Ok(rx)
-}
-
 /// Closes kept connections that rested too long or whose endpoint is gone.
 async fn sweep(traffic: Rc<Traffic>) {
     let is_listed = |name: &str| {
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -33,9 +33,11 @@
 pub mod server;
 pub mod settings;
 pub mod shared;
+mod signals;
 pub mod store;
 pub mod watch;
 pub mod way;
 
 pub use host::Host;
 pub use settings::HostSettings;
+pub use signals::Signals;
