--- /dev/null
+++ b/crates/tidetrack-core/src/traffic/basis.rs
@@ -0,0 +1,31 @@
+//! What a verdict on a new version rests on.
+//!
+//! Hosts tell each other their counts in turn, so in a large fleet each knows another part of them for some seconds.
+//! This answers the load of a roll-out on hundreds of hosts, where so many look, each at a part.
+
+/// What a verdict rests on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Basis {
+    /// Endpoints of the new version.
+    pub endpoints: usize,
+    /// Hosts of the fleet.
+    pub hosts: usize,
+    /// Those whose counts are in the samples.
+    pub counted: usize,
+}
+
+impl Basis {
+    /// Makes the basis of a verdict on all that was seen of a version with so many endpoints.
+    pub fn whole(endpoints: usize) -> Basis {
+        Basis { endpoints, hosts: 1, counted: 1 }
+    }
+
+    /// Gets by how much the logarithms of likelihood ratios have to be beyond what tells a version from chance. Of
+    /// a large fleet each host knows another part of the counts for some seconds, and of so many parts one stands out
+    /// by chance; where all know all, they have one look together.
+    pub fn surplus(self) -> f32 {
+        let hosts = self.hosts.max(1) as f32;
+        let missing = 1.0 - (self.counted as f32 / hosts).min(1.0);
+        missing * hosts.ln()
+    }
+}
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -32,11 +32,14 @@
 /// a fleet starts or a large service is replaced, and a view of thousands takes milliseconds to make.
 const VIEW_EVERY: Millis = Millis(100);
 
+mod duties;
 mod rollouts;
 mod rounds;
 mod versions;
 mod views;
 
+pub use duties::Duties;
+
 /// How a change of beliefs bears on the view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Bearing {
@@ -131,24 +134,6 @@
     Note(Event, String),
 }
 
-/// What a host does for the others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Duties {
-    /// It proves the configuration at short intervals.
-    pub proves: bool,
-    /// It watches the store.
-    pub watches: bool,
-    /// The hosts it hears, and itself.
-    pub hosts: usize,
-}
-
-impl Default for Duties {
-    /// A host that hears no other does all for itself.
-    fn default() -> Duties {
-        Duties { proves: true, watches: true, hosts: 1 }
-    }
-}
-
 /// The beliefs of a host.
 #[derive(Debug)]
 pub struct Beliefs {
--- a/crates/tidetrack-core/src/traffic/judge.rs
+++ b/crates/tidetrack-core/src/traffic/judge.rs
@@ -3,9 +3,9 @@
 use std::fmt;
 
 use crate::ids::{EndpointId, EndpointKey, ModelId, RouteId, ServiceId, VersionName};
+use crate::traffic::basis::Basis;
 use crate::traffic::samples::{
-    endpoint_group, likelihood, route_class, usual_share, Basis, Samples, Worse, LEAST_PROVEN,
-    MARGIN,
+    endpoint_group, likelihood, route_class, usual_share, Samples, Worse, LEAST_PROVEN, MARGIN,
 };
 use crate::traffic::usual::Usual;
 use crate::units::Millis;
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 //! The modules take values and times and give back values; sockets, clocks and threads are the
 //! business of `tidetrack-plane`.
 
+pub mod basis;
 pub mod budget;
 pub mod cascade;
 pub mod catalog;
--- a/crates/tidetrack-core/src/traffic/samples.rs
+++ b/crates/tidetrack-core/src/traffic/samples.rs
@@ -13,6 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::traffic::basis::Basis;
 use crate::traffic::usual::Measured;
 use crate::units::Millis;
 
@@ -185,33 +186,6 @@
     }
 }
 
-/// What a verdict rests on.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Basis {
-    /// Endpoints of the new version.
-    pub endpoints: usize,
-    /// Hosts of the fleet.
-    pub hosts: usize,
-    /// Those whose counts are in the samples.
-    pub counted: usize,
-}
-
-impl Basis {
-    /// Makes the basis of a verdict on all that was seen of a version with so many endpoints.
-    pub fn whole(endpoints: usize) -> Basis {
-        Basis { endpoints, hosts: 1, counted: 1 }
-    }
-
-    /// Gets by how much the logarithms of likelihood ratios have to be beyond what tells a version from chance. Of
-    /// a large fleet each host knows another part of the counts for some seconds, and of so many parts one stands out
-    /// by chance; where all know all, they have one look together.
-    pub fn surplus(self) -> f32 {
-        let hosts = self.hosts.max(1) as f32;
-        let missing = 1.0 - (self.counted as f32 / hosts).min(1.0);
-        missing * hosts.ln()
-    }
-}
-
 /// Both samples.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Samples {
--- a/crates/tidetrack-core/src/traffic/trial.rs
+++ b/crates/tidetrack-core/src/traffic/trial.rs
@@ -11,9 +11,9 @@
 //! under the object's revision.
 
 use crate::ids::{ServiceId, VersionName};
+use crate::traffic::basis::Basis;
 use crate::traffic::exposure::{full_sample, sample_of, ExposureBound, MOST_SAMPLED};
 use crate::traffic::judge::{Bad, Judge, Tally};
-use crate::traffic::samples::Basis;
 use crate::units::{Millis, Share};
 
 /// Difference in an order's age for which traffic's view is made anew: messages differ by a few
--- a/crates/tidetrack-core/tests/verdicts.rs
+++ b/crates/tidetrack-core/tests/verdicts.rs
@@ -4,8 +4,9 @@
 
 mod support;
 
+use tidetrack_core::traffic::basis::Basis;
 use tidetrack_core::traffic::judge::{AttemptEnd, Bad, Judge, Observed};
-use tidetrack_core::traffic::samples::{Basis, Worse};
+use tidetrack_core::traffic::samples::Worse;
 use tidetrack_core::traffic::usual::Usual;
 use tidetrack_core::units::Millis;
 
