Calls that take several times as long as usual are weighed apart from those that are late

Cause: a call is late from twice the usual time on, and so is one usual call in twenty to thirty; the few that are slow by a factor of eight counted no more than these. Change: calls over four times the usual mean are a count of their own, with the same tests and margin.

--- a/crates/tidetrack-core/src/traffic/samples.rs
+++ b/crates/tidetrack-core/src/traffic/samples.rs
@@ -83,6 +83,8 @@
     /// Those that failed, and plain calls that took clearly longer than is usual: past its time an
     /// endpoint may answer with a failure.
     pub bad: f32,
+    /// Plain calls that took several times as long as is usual.
+    pub far_late: f32,
     /// Those above the usual pace.
     pub above: f32,
 }
@@ -94,11 +96,13 @@
         self.failed += one(seen.failed);
         // A stream that begins late may have read a prompt that is kept elsewhere; its pace tells.
         self.bad += one(seen.failed || seen.late);
+        self.far_late += one(seen.far_late);
         self.above += one(seen.above == Some(true));
     }
 
     fn scale(&mut self, part: f32) {
-        for count in [&mut self.all, &mut self.failed, &mut self.bad, &mut self.above] {
+        let Counts { all, failed, bad, far_late, above } = self;
+        for count in [all, failed, bad, far_late, above] {
             *count *= part;
         }
     }
@@ -107,6 +111,7 @@
         self.all += other.all;
         self.failed += other.failed;
         self.bad += other.bad;
+        self.far_late += other.far_late;
         self.above += other.above;
     }
 }
@@ -278,9 +283,10 @@
             return Some(Worse::FailsUnderLoad);
         }
         let is_slower = slowness(&new, &proven) >= from;
-        let tests: [(Worse, bool, CountOf); 6] = [
+        let tests: [(Worse, bool, CountOf); 7] = [
             (Worse::Fails, self.is_over(failed, all, from), failed),
             (Worse::Late, self.is_over(late, whole, from), late),
+            (Worse::Late, self.is_over(far_late, whole, from), far_late),
             (Worse::Late, self.is_over(bad, all, from), bad),
             (Worse::FailsOnRoute, self.fails_on_route(on_route_from), failed),
             (Worse::Slower, is_slower, above),
@@ -322,7 +328,8 @@
     /// Tells whether the new version looks worse than the proven ones, too little to say so.
     pub fn is_doubtful(&self) -> bool {
         let (new, proven) = self.totals();
-        let ratios = [(failed, all), (late, whole), (bad, all)] as [(CountOf, CountOf); 3];
+        let ratios: [(CountOf, CountOf); 4] =
+            [(failed, all), (late, whole), (far_late, whole), (bad, all)];
         let is_doubtful = |(count, of)| self.ratio(count, of, (1.0, 1.0)) >= DOUBTED_FROM;
         let is_slow = slowness(&new, &proven) >= DOUBTED_FROM;
         proven.of.all >= LEAST_PROVEN && (is_slow || ratios.into_iter().any(is_doubtful))
@@ -468,6 +475,10 @@
     of.bad - of.failed
 }
 
+fn far_late(of: &Counts) -> f32 {
+    of.far_late
+}
+
 fn all(of: &Counts) -> f32 {
     of.all
 }
--- a/crates/tidetrack-core/src/traffic/usual.rs
+++ b/crates/tidetrack-core/src/traffic/usual.rs
@@ -34,6 +34,9 @@
 /// theirs, so it need not be rare: a version that takes several times as long is late in nearly all of its calls.
 const LATE_TIMES: f64 = 2.0;
 
+/// The same for a call that is far late: hardly any of the proven versions' is, so few of them tell.
+const FAR_LATE_TIMES: f64 = 4.0;
+
 /// Slack of a late call over the proven versions' mean, in milliseconds: calls of a sample come on connections
 /// that are new or have rested, some milliseconds later.
 const LATE_SLACK_MS: f64 = 15.0;
@@ -125,6 +128,8 @@
     pub slow: bool,
     /// Whether it was a plain call that took clearly longer than is usual.
     pub late: bool,
+    /// Whether it was a plain call that took several times as long as is usual.
+    pub far_late: bool,
     /// Whether it was above the usual pace; `None` if it has no pace, or none is known.
     pub above: Option<bool>,
 }
@@ -142,8 +147,10 @@
     pub fn measure(&self, seen: &Observed) -> Measured {
         let failed = seen.failed();
         let slow = !failed && self.is_slow(seen);
-        let late = !failed && !seen.is_stream && self.is_late(seen);
-        Measured { failed, slow, late, above: self.is_above(seen) }
+        let is_call = !failed && !seen.is_stream;
+        let late = is_call && self.is_late(seen, LATE_TIMES);
+        let far_late = is_call && self.is_late(seen, FAR_LATE_TIMES);
+        Measured { failed, slow, late, far_late, above: self.is_above(seen) }
     }
 
     /// Learns from an answer of a proven version.
@@ -202,9 +209,9 @@
         is_slow(MeanOf::Head(kind), seen.head_ms) || is_slow(MeanOf::Gap(kind), seen.gap_ms)
     }
 
-    fn is_late(&self, seen: &Observed) -> bool {
+    fn is_late(&self, seen: &Observed, times: f64) -> bool {
         let kind = kind_of(&seen.route, seen.model.as_ref());
-        self.is_over(MeanOf::Head(kind), seen.head_ms, LATE_TIMES, LATE_SLACK_MS)
+        self.is_over(MeanOf::Head(kind), seen.head_ms, times, LATE_SLACK_MS)
     }
 
     fn is_above(&self, seen: &Observed) -> Option<bool> {
--- a/crates/tidetrack-core/tests/verdicts.rs
+++ b/crates/tidetrack-core/tests/verdicts.rs
@@ -175,6 +175,30 @@
     assert_eq!(judge.tally(Millis(100)).shows_bad(Basis::whole(4)), Some(Bad::Sample(Worse::Late)));
 }
 
+/// Guards against a slow version whose few far late calls pass for late ones, of which any version has some.
+#[test]
+fn far_late_calls_tell_though_some_late_ones_are_usual() {
+    let took = |endpoint: &str, ms: f64| Observed {
+        head_ms: Some(ms),
+        ..answer(endpoint, AttemptEnd::Whole)
+    };
+    let mut usual = Usual::default();
+    let mut judge = Judge::default();
+    for n in 0..80 {
+        let ms = if n % 16 == 0 { 100.0 } else { 30.0 };
+        let seen = took(&format!("o{}", n % 4), ms);
+        judge.see_proven(Millis(0), &seen, &usual);
+        usual.learn(&seen);
+    }
+
+    for n in 0..45 {
+        let ms = if n % 5 == 0 { 240.0 } else { 30.0 };
+        judge.see_new(Millis(100), &took(&format!("n{}", n % 4), ms), &usual);
+    }
+
+    assert_eq!(judge.tally(Millis(100)).shows_bad(Basis::whole(4)), Some(Bad::Sample(Worse::Late)));
+}
+
 /// What was seen: a good version of a plain service was rolled back in 2 of 10 plays alone on 295 hosts, in one for
 /// failing on a route, by 3.9 of the 4.9 answers that a host knew of, of some 20 that had come. Cause: by then a host
 /// has heard a third of the others, each a different third, and one of 295 parts stands out by chance.
