Counts of a roll-out are told in steps of a 64th, in as many bytes as they need

A host judges by others' counts to 1/128; the smallest step that a verdict rests on is a whole answer. Bound and test as they were.

--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -24,6 +24,7 @@
 pub mod prefixes;
 pub mod reach;
 pub mod samples;
+mod short;
 pub mod trial;
 pub mod turns;
 pub mod usual;
--- a/crates/tidetrack-core/src/traffic/samples.rs
+++ b/crates/tidetrack-core/src/traffic/samples.rs
@@ -77,15 +77,20 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
     /// All answers.
+    #[serde(with = "crate::traffic::short")]
     pub all: f32,
     /// Those that failed.
+    #[serde(with = "crate::traffic::short")]
     pub failed: f32,
     /// Those that failed, and plain calls that took clearly longer than is usual: past its time an
     /// endpoint may answer with a failure.
+    #[serde(with = "crate::traffic::short")]
     pub bad: f32,
     /// Plain calls that took several times as long as is usual.
+    #[serde(with = "crate::traffic::short")]
     pub far_late: f32,
     /// Those above the usual pace.
+    #[serde(with = "crate::traffic::short")]
     pub above: f32,
 }
 
@@ -122,6 +127,7 @@
     /// The answers.
     pub of: Counts,
     /// Those whose pace could be compared.
+    #[serde(with = "crate::traffic::short")]
     pub paced: f32,
 }
 
