Hosts together bar a request after endpoints crashed under it three times

Cause: nothing outlived a request. Bounds on attempts are of one request at one host, and rates. The class: evidence about what is asked for was kept by attempt, and lost with it. Shown by the test (one fingerprint at all hosts, each time attempt=1). Ruled out: cut connections (nobody listened at the endpoints); one request's own retries alone (they end with most_attempts).

Change: core::traffic::suspects. Each crash is kept under the request's fingerprint and told to others at once, within the message that hosts send anyway; who hears tells on. At two crashes one copy runs at a time on a host. Against false bars: a run that ended well here or elsewhere clears a request; ends of one domain at the same moment count once unless the request was sent after the first of them; crashes that a barred request explains count against no other. 1,024 requests, 128 of a caller, ten minutes. An answer that ends with its connection clears nothing.

--- a/crates/tidetrack-core/src/codes.rs
+++ b/crates/tidetrack-core/src/codes.rs
@@ -71,6 +71,7 @@
     TicketGone, 1013, 409, Unknown, "The host that made the ticket is gone; not repeated.";
     TooLong, 1014, 400, No, "The prompt is longer than any allowed endpoint can hold.";
     CallerLeft, 1015, 499, Yes, "The caller left before the end of the answer.";
+    CrashesEndpoints, 1016, 400, No, "Endpoints crashed each time they ran this request; it is not run any more.";
     OverLimit, 2001, 429, No, "The workspace's rate or concurrency limit is reached.";
     Overloaded, 2002, 503, No, "No endpoint has room for the request.";
     Draining, 2003, 503, No, "The host is leaving; ask another.";
@@ -79,6 +80,7 @@
     Stale, 2006, 503, No, "The host has not confirmed its configuration for too long.";
     BillUnsafe, 2007, 503, No, "No place to keep the bill safe can be reached.";
     RetryBudget, 2008, 503, Unknown, "The attempt failed and the retry budget is spent.";
+    SuspectRuns, 2009, 503, No, "Endpoints crashed under this request, and it runs already; come back for its outcome.";
     EndpointRefused, 3001, 503, No, "The endpoint refused the request before running it.";
     EndpointFailed, 3002, 502, Unknown, "The endpoint failed or its answer was cut.";
     EndpointUnreachable, 3003, 502, No, "No connection to the endpoint could be made.";
--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -60,6 +60,8 @@
     ProgressLost, 233, "a roll-out's progress could not be written";
     RolloutEvidence, 234, "what is known of a version under roll-out so far";
     RolloutsUnknown, 235, "a service runs several versions and no roll-out is known that tells them apart";
+    RequestBarred, 236, "a request under which endpoints crashed takes no more runs";
+    RequestCleared, 237, "a request under which endpoints crashed is under suspicion no more";
     RequestDone, 300, "a request was answered";
     RequestRefused, 301, "a request was refused or failed";
     AttemptFailed, 302, "an attempt at an endpoint failed";
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -21,6 +21,7 @@
 use crate::traffic::outliers::Outliers;
 use crate::traffic::peers::{Barred, News, PeerBook, PeerMessage, Question, ROUND_EVERY};
 use crate::traffic::prefixes::Prefixes;
+use crate::traffic::suspects::{Suspects, FIRST_TOLD};
 use crate::traffic::trial::{ProgressWrite, RolloutOrder, Trial, USUAL_BOUND};
 use crate::traffic::usual::Usual;
 use crate::traffic::view::FleetView;
@@ -157,6 +158,8 @@
     prefixes: HashMap<ServiceId, Arc<Prefixes>>,
     live: HashMap<EndpointId, Arc<EndpointLive>>,
     outliers: Outliers,
+    /// Requests under which endpoints crashed; traffic adds to it and asks it.
+    suspects: Arc<Suspects>,
     peers: PeerBook,
     feeds: Feeds,
     /// Until when this host tells the others of itself more often, if it lacks something since its start.
@@ -201,6 +204,7 @@
             prefixes: HashMap::new(),
             live: HashMap::new(),
             outliers: Outliers::default(),
+            suspects: Arc::default(),
         }
     }
 
@@ -215,6 +219,16 @@
         Beliefs { bound, ..self }
     }
 
+    /// Shares what is known of requests under which endpoints crashed.
+    pub fn sharing(self, suspects: Arc<Suspects>) -> Beliefs {
+        Beliefs { suspects, ..self }
+    }
+
+    /// Gets what is known of requests under which endpoints crashed.
+    pub fn suspects(&self) -> &Arc<Suspects> {
+        &self.suspects
+    }
+
     /// Tells whether this host is to watch the store for others.
     pub fn is_watcher(&self) -> bool {
         self.duties.watches
@@ -249,7 +263,10 @@
         };
         let mut bearing = self.apply(now, input, &mut actions);
         if let Some(question) = question {
-            let news = News { proof: self.told_proof(now, fresh), ..self.told.clone() };
+            let mut news = News { proof: self.told_proof(now, fresh), ..self.told.clone() };
+            if question.is_first {
+                news.suspects = self.suspects.told(now, FIRST_TOLD);
+            }
             let reply = self.peers.reply(now, &question, &news);
             actions.push(Action::Send(vec![(question.address, reply)]));
         }
@@ -277,9 +294,11 @@
         actions
     }
 
-    /// Tells whether other hosts are to be told what this one knows: at once of a session that began here.
+    /// Tells whether other hosts are to be told what this one knows: at once of a session that began here, and of an
+    /// endpoint that crashed under a request.
     fn is_round_due(&self, now: Millis) -> bool {
-        let has_untold = self.exposures.values().any(|exposure| exposure.has_untold());
+        let has_session = self.exposures.values().any(|exposure| exposure.has_untold());
+        let has_untold = has_session || self.suspects.has_untold();
         let every = if has_untold { SOONEST_ROUND } else { ROUND_EVERY };
         now >= self.last_round + every
     }
@@ -423,6 +442,7 @@
                 prefixes.hear(now, reads);
             }
         }
+        self.suspects.hear(now, &msg.news.suspects);
         for told in &msg.news.tallies {
             match self.trials.get_mut(&told.service) {
                 Some(trial) if trial.order.version == told.version => {
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -10,6 +10,7 @@
 use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::freshness::Freshness;
 use crate::traffic::peers::{Barred, News, ToldProof, ToldTally, ROUND_EVERY};
+use crate::traffic::suspects::{Change, MOST_TOLD};
 use crate::traffic::trial::{Phase, Trial, Writer};
 use crate::traffic::usual::Usual;
 use crate::units::Millis;
@@ -52,6 +53,7 @@
         // entries that lapsed.
         let is_swept = self.table.sweep(now);
         self.judge_endpoints(now, actions);
+        self.note_suspects(actions);
         let is_swept = self.look_at_versions(now, actions) || is_swept;
         self.told = self.news(now, fresh);
         let mut messages = self.peers.round(now, &self.told);
@@ -74,6 +76,17 @@
         services.iter().map(|s| self.judge(now, s, actions)).fold(is_swept, |a, b| a | b)
     }
 
+    /// Logs which requests under suspicion were barred or cleared.
+    fn note_suspects(&self, actions: &mut Vec<Action>) {
+        for change in self.suspects.take_changes() {
+            let event = match change {
+                Change::Barred { .. } => Event::RequestBarred,
+                Change::Cleared(_) => Event::RequestCleared,
+            };
+            actions.push(Action::Note(event, change.to_string()));
+        }
+    }
+
     /// Forgets versions that are gone, and lets others serve; tells whether the view changed.
     fn look_at_versions(&mut self, now: Millis, actions: &mut Vec<Action>) -> bool {
         let is_swept = self.versions.sweep(now, self.table.records());
@@ -140,6 +153,7 @@
         let mut news = News {
             proof,
             results: self.outliers.told(now),
+            suspects: self.suspects.told(now, MOST_TOLD),
             changed: self.feeds.changed(),
             complete: self.feeds.all_complete(),
             barred: self.versions.bad().cloned().collect(),
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -26,6 +26,7 @@
 pub mod reach;
 pub mod samples;
 mod short;
+pub mod suspects;
 pub mod trial;
 pub mod turns;
 pub mod usual;
--- a/crates/tidetrack-core/src/traffic/peers.rs
+++ b/crates/tidetrack-core/src/traffic/peers.rs
@@ -26,6 +26,7 @@
 use crate::traffic::judge::Tally;
 use crate::traffic::outliers::Results;
 use crate::traffic::prefixes::ToldRead;
+use crate::traffic::suspects::ToldSuspect;
 use crate::traffic::usual::ToldUsual;
 use crate::units::Millis;
 
@@ -112,6 +113,8 @@
     pub sessions: Vec<(ServiceId, Vec<ToldSession>)>,
     /// Where it had shared parts read of late.
     pub reads: Vec<(ServiceId, Vec<ToldRead>)>,
+    /// Requests under which endpoints crashed.
+    pub suspects: Vec<ToldSuspect>,
 }
 
 /// One message.
--- /dev/null
+++ b/crates/tidetrack-core/tests/suspects.rs
@@ -0,0 +1,237 @@
+//! Requests under which endpoints crash: when they are barred, which others must not be, and how hosts of fleets of
+//! all sizes learn of it.
+
+mod support;
+
+use std::sync::Arc;
+
+use rand::RngExt;
+
+use tidetrack_core::codes::Code;
+use tidetrack_core::ids::WorkspaceId;
+use tidetrack_core::traffic::fingerprint::{Fingerprint, Repeated};
+use tidetrack_core::traffic::suspects::{Change, SuspectOptions, Suspects, MOST_TOLD};
+use tidetrack_core::units::Millis;
+
+use support::fleet::{Fleet, STEP};
+use support::id;
+
+/// Time after which hosts in touch know what one of them learned, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+
+/// Sends of a request that may follow that time, as the users' pages have it.
+const MOST_LATE: usize = 3;
+
+/// How long a run lasts until its endpoint crashes, in milliseconds.
+const RUN_MS: u64 = 30;
+
+fn print_of(workspace: &str, body: &str) -> Fingerprint {
+    let workspace: WorkspaceId = id(workspace);
+    Fingerprint::of(&Repeated {
+        workspace: Some(&workspace),
+        hostname: "shop.example",
+        method: "POST",
+        path: "/a/x",
+        body: body.as_bytes(),
+    })
+}
+
+fn crash(of: &Suspects, at: u64, print: Fingerprint, endpoint: &str, domain: &str) -> usize {
+    let sent_at = Millis(at.saturating_sub(RUN_MS));
+    of.crashed(Millis(at), print, &id(endpoint), &id(domain), sent_at)
+}
+
+/// Crashes endpoints under a request one after another, a second apart.
+fn crash_times(of: &Suspects, from: u64, print: Fingerprint, times: u64) {
+    for n in 0..times {
+        crash(of, from + n * 1_000, print, &format!("{from}-e{n}"), "hall");
+    }
+}
+
+fn code_of(of: &Arc<Suspects>, at: u64, print: Fingerprint) -> Option<Code> {
+    of.admit(Millis(at), print).err().map(|e| e.code)
+}
+
+#[test]
+fn a_request_is_barred_after_three_crashes_and_no_other_one_is() {
+    let suspects = Arc::new(Suspects::default());
+    let (deadly, other) = (print_of("north", "deadly"), print_of("south", "deadly"));
+
+    crash_times(&suspects, 1_000, deadly, 3);
+
+    assert_eq!(code_of(&suspects, 4_000, deadly), Some(Code::CrashesEndpoints));
+    assert!(suspects.check(Millis(4_000), deadly).is_err());
+    assert_eq!(code_of(&suspects, 4_000, other), None);
+    let changes = suspects.take_changes();
+    assert_eq!(changes, [Change::Barred { fingerprint: deadly, crashes: 3 }]);
+}
+
+#[test]
+fn a_request_under_which_two_endpoints_crashed_runs_once_at_a_time() {
+    let suspects = Arc::new(Suspects::default());
+    let print = print_of("north", "maybe");
+    crash_times(&suspects, 1_000, print, 2);
+
+    let running = suspects.admit(Millis(3_000), print).expect("it may run once");
+
+    assert_eq!(code_of(&suspects, 3_000, print), Some(Code::SuspectRuns));
+    drop(running);
+    assert_eq!(code_of(&suspects, 3_000, print), None);
+}
+
+#[test]
+fn a_run_that_comes_to_its_end_clears_a_request_before_and_after_crashes() {
+    let suspects = Arc::new(Suspects::default());
+    let (before, after) = (print_of("north", "before"), print_of("north", "after"));
+
+    suspects.ended_well(Millis(500), before);
+    crash_times(&suspects, 1_000, before, 5);
+    crash_times(&suspects, 1_000, after, 3);
+    suspects.ended_well(Millis(5_000), after);
+
+    assert_eq!(code_of(&suspects, 6_000, before), None);
+    assert_eq!(code_of(&suspects, 6_000, after), None);
+}
+
+/// Guards against barring a request whose copies ran in a rack that lost its power.
+#[test]
+fn endpoints_of_a_domain_that_end_at_once_count_as_one_crash() {
+    let suspects = Arc::new(Suspects::default());
+    let print = print_of("north", "alike");
+
+    let end = |n: u64| crash(&suspects, 1_000 + n, print, &format!("e{n}"), "hall");
+    let counted: Vec<usize> = (0..6).map(end).collect();
+
+    assert_eq!(counted, [1; 6]);
+    assert_eq!(code_of(&suspects, 2_000, print), None);
+}
+
+/// Guards against barring a request that was sent to the endpoints which another one crashed.
+#[test]
+fn crashes_that_a_barred_request_explains_count_against_no_other() {
+    let suspects = Arc::new(Suspects::default());
+    let (deadly, beside) = (print_of("north", "deadly"), print_of("north", "beside"));
+
+    for n in 0..5 {
+        let (at, endpoint) = (1_000 + n * 400, format!("e{n}"));
+        if n > 0 && n < 4 {
+            crash(&suspects, at, beside, &endpoint, "hall");
+        }
+        crash(&suspects, at, deadly, &endpoint, "hall");
+    }
+
+    assert_eq!(code_of(&suspects, 4_000, deadly), Some(Code::CrashesEndpoints));
+    assert_eq!(code_of(&suspects, 4_000, beside), None);
+}
+
+#[test]
+fn what_is_remembered_is_bounded_and_no_caller_drives_out_anothers() {
+    let opts = SuspectOptions { most: 64, most_of_caller: 16, ..SuspectOptions::default() };
+    let suspects = Arc::new(Suspects::new(opts));
+    let barred = print_of("north", "deadly");
+    crash_times(&suspects, 1_000, barred, 3);
+
+    for n in 0..200 {
+        crash(&suspects, 5_000 + n, print_of("south", &n.to_string()), "e", "hall");
+    }
+    let of_south = suspects.len() - 1;
+    for n in 0..200 {
+        let workspace = format!("w{}", n % 20);
+        crash(&suspects, 6_000 + n, print_of(&workspace, &n.to_string()), "e", "hall");
+    }
+
+    assert_eq!(of_south, 16);
+    assert_eq!(suspects.len(), 64);
+    assert_eq!(code_of(&suspects, 7_000, barred), Some(Code::CrashesEndpoints));
+    assert!(suspects.told(Millis(7_000), MOST_TOLD).len() <= MOST_TOLD);
+}
+
+#[test]
+fn a_barred_request_is_forgotten_some_time_after_it_last_came_also_where_the_clock_jumps() {
+    let suspects = Arc::new(Suspects::default());
+    let print = print_of("north", "deadly");
+    let kept_for = SuspectOptions::default().kept_for.0;
+    crash_times(&suspects, 1_000, print, 3);
+
+    let came = 3_000 + kept_for - 1;
+    assert_eq!(code_of(&suspects, came, print), Some(Code::CrashesEndpoints));
+    assert_eq!(code_of(&suspects, came + kept_for - 1, print), Some(Code::CrashesEndpoints));
+    suspects.told(Millis(came + 3 * kept_for), MOST_TOLD);
+
+    assert!(suspects.is_empty());
+}
+
+/// What a play of a deadly request saw.
+#[derive(Debug, Default)]
+struct Played {
+    crashes: usize,
+    /// Sends later than hosts had to know of the third crash.
+    late: usize,
+}
+
+/// Sends a request that crashes endpoints to another host at each step, for some seconds.
+fn play(hosts: u32, seed: u64) -> (Fleet, Played) {
+    let mut fleet = Fleet::start(hosts, seed);
+    fleet.run(4_000, |_, _| {});
+    let deadly = print_of("north", "deadly");
+    let mut played = Played::default();
+    let mut third = None;
+    while fleet.now < 12_000 {
+        let host = fleet.seed.random_range(0..hosts as usize);
+        let now = fleet.now + RUN_MS;
+        let suspects = fleet.hosts[host].beliefs.suspects().clone();
+        if suspects.admit(Millis(fleet.now), deadly).is_ok() {
+            let n = played.crashes;
+            let (endpoint, domain) = (format!("e{n}"), format!("hall-{}", n % 4));
+            crash(&suspects, now, deadly, &endpoint, &domain);
+            played.crashes += 1;
+            played.late += usize::from(third.is_some_and(|at| fleet.now > at + CONTACT_MS));
+            third = third.or((played.crashes == 3).then_some(now));
+        }
+        fleet.run(fleet.now + STEP as u64, |_, _| {});
+    }
+    (fleet, played)
+}
+
+/// Guards against each of many hosts counting for itself.
+#[test]
+fn a_request_that_comes_to_another_host_each_time_is_barred_in_fleets_of_all_sizes() {
+    for (hosts, seeds) in [(7, 20), (67, 6), (295, 2)] {
+        for seed in 0..seeds {
+            let (_, played) = play(hosts, seed);
+            println!("{hosts} hosts, seed {seed}: {played:?}");
+            assert!(played.crashes >= 3, "{played:?}");
+            assert!(played.late <= MOST_LATE, "{hosts} hosts, seed {seed}: {played:?}");
+        }
+    }
+}
+
+#[test]
+fn a_host_that_starts_knows_barred_requests_from_the_first_answers_of_others() {
+    let (mut fleet, _) = play(7, 1);
+    let deadly = print_of("north", "deadly");
+
+    fleet.restart(3);
+    fleet.run(fleet.now + 500, |_, _| {});
+
+    let suspects = fleet.hosts[3].beliefs.suspects();
+    assert_eq!(code_of(suspects, fleet.now, deadly), Some(Code::CrashesEndpoints));
+}
+
+#[test]
+fn a_run_that_ended_well_at_one_host_clears_its_request_at_all() {
+    let mut fleet = Fleet::start(67, 5);
+    fleet.run(4_000, |_, _| {});
+    let print = print_of("north", "alike");
+    for host in 0..3 {
+        let now = fleet.now + host as u64 * 10;
+        let (endpoint, domain) = (format!("e{host}"), format!("hall-{host}"));
+        crash(fleet.hosts[host].beliefs.suspects(), now, print, &endpoint, &domain);
+    }
+    fleet.hosts[40].beliefs.suspects().ended_well(Millis(fleet.now), print);
+
+    fleet.run(fleet.now + CONTACT_MS, |_, _| {});
+
+    let codes = fleet.hosts.iter().map(|h| code_of(h.beliefs.suspects(), fleet.now, print));
+    assert_eq!(codes.flatten().count(), 0);
+}
--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -29,6 +30,15 @@
     pub lease: Lease,
 }
 
+impl Answered {
+    /// Tells whether the answer says where it ends. One that ends with its connection looks whole where its endpoint
+    /// crashed.
+    pub fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+}
+
 /// Whether an endpoint repeats the attempt's id with its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Echo {
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -40,6 +40,7 @@
     if tries.is_paid {
         return Ok(());
     }
+    shared.suspects.check(now, job.fingerprint)?;
     let bound = shared.settings.bounds.revoke_within;
     let needs_proof = tries.sent == 0 && job.admitted.holder.is_some();
     if needs_proof && bound.is_some_and(|bound| !shared.fresh.holds(now, bound)) {
@@ -64,6 +65,7 @@
     tries: &Tries,
     model: Option<&ModelId>,
 ) -> Result<Chosen> {
+    traffic.shared.suspects.check(traffic.shared.now(), job.fingerprint)?;
     let view = traffic.shared.view.load();
     let service = view.services.get(&job.service).ok_or_else(|| full("no endpoint is listed"))?;
     let who = job.version_draw();
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -49,6 +49,7 @@
         };
         let mut beliefs = Beliefs::new(host, book)
             .bounded(settings.bounds.new_version)
+            .sharing(shared.suspects.clone())
             .starting(shared.now(), starter);
         // Others are told of this start at once.
         shared.tell(Input::Tick);
--- a/crates/tidetrack-plane/src/crash.rs
+++ b/crates/tidetrack-plane/src/crash.rs
@@ -16,6 +16,8 @@
 use tidetrack_core::errors::Error;
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::EndpointId;
+use tidetrack_core::traffic::control::Input;
+use tidetrack_core::units::Millis;
 
 use crate::job::{Chosen, Job, Traffic};
 
@@ -75,14 +77,21 @@
     if !has_ended {
         return;
     }
-    chosen.live.note_unreachable(traffic.shared.now());
+    let now = traffic.shared.now();
+    chosen.live.note_unreachable(now);
+    let (endpoint, domain) = (&chosen.id, &chosen.failure_domain);
+    let sent = Millis(now.0.saturating_sub(sent_at.elapsed().as_millis() as u64));
+    let crashes = traffic.shared.suspects.crashed(now, job.fingerprint, endpoint, domain, sent);
+    // Other hosts are told within a tenth of a second.
+    traffic.shared.tell(Input::Tick);
     traffic.shared.journal.line(
         Event::EndpointCrashed,
         &[
             ("request", &job.id),
             ("fingerprint", &job.fingerprint),
-            ("endpoint", &chosen.id),
-            ("domain", &chosen.failure_domain),
+            ("endpoint", endpoint),
+            ("domain", domain),
+            ("crashes", &crashes),
         ],
     );
 }
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -163,6 +163,7 @@
         body: &body,
     });
     let id = facts.attempt_id.clone().unwrap_or_else(|| format!("#{}", traffic.next_number()));
+    let running = shared.suspects.admit(shared.now(), fingerprint)?;
     let target = route.pick_target(draw("target", &id)).cloned();
     let service = target.ok_or_else(|| Error::new(Code::UnknownRoute, "the route goes nowhere"))?;
     let age = shared.fresh.age(shared.now()).map_or(-1, |a| a.0 as i64);
@@ -184,6 +185,7 @@
         facts,
         admitted,
         fingerprint,
+        running,
         method: head.method,
         uri: head.uri,
         head: head.headers,
@@ -348,6 +350,8 @@
         return Error::new(Code::Deadline, last.message).with_ran(ran);
     }
     match ran {
+        // It is no use to come back, whatever became of it.
+        _ if last.code == Code::CrashesEndpoints => last.with_ran(ran),
         Ran::No if last.retry_after_ms.is_some() => last.with_ran(Ran::No),
         Ran::No if last.code.status() == 503 => {
             last.with_ran(Ran::No).with_retry_after(RETRY_FULL_MS)
@@ -395,12 +399,16 @@
     chosen: &Chosen,
     model: Option<&ModelId>,
 ) -> Result<Response<AnswerBody>> {
+    let is_framed = answered.is_framed();
     let Answered { head, facts, body, lease } = answered;
     let until = tokio::time::Instant::from_std(job.until);
     let late = |_| Error::new(Code::Deadline, "the answer was not whole in time");
     let collected = tokio::time::timeout_at(until, attempt::collect(body, lease));
     let (body, lease) = collected.await.map_err(late)??;
     traffic.pool.keep(chosen.id.as_str(), lease, facts.idle_time);
+    if is_framed {
+        traffic.shared.suspects.ended_well(traffic.shared.now(), job.fingerprint);
+    }
     answered_line(traffic, job, chosen, model, head.status.as_u16());
     let mut resp = Response::new(AnswerBody::whole(body));
     *resp.status_mut() = head.status;
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -13,6 +13,7 @@
 
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::freshness::Freshness;
+use tidetrack_core::traffic::suspects::Suspects;
 use tidetrack_core::traffic::view::FleetView;
 
 use crate::closes::Closes;
@@ -64,12 +65,14 @@
     ) -> Result<()> {
         let journal = Journal::start(settings.host.as_str())?;
         let (inputs, from_inputs) = flume::unbounded();
+        let suspects = Arc::new(Suspects::new(settings.suspects));
         let shared = Arc::new(Shared {
             settings,
             dialect,
             clock: Clock::start(),
             view: ArcSwap::from_pointee(FleetView::default()),
             fresh: Freshness::default(),
+            suspects,
             is_leaving: Default::default(),
             inputs,
             journal,
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -22,6 +22,7 @@
 use tidetrack_core::traffic::outlook::Outlook;
 use tidetrack_core::traffic::prefixes::PartKey;
 use tidetrack_core::traffic::reach::Reach;
+use tidetrack_core::traffic::suspects::Running;
 use tidetrack_core::units::{Millis, Tokens};
 
 use crate::crash::Looks;
@@ -122,6 +123,8 @@
     pub uri: Uri,
     /// What stays the same when the caller sends it again.
     pub fingerprint: Fingerprint,
+    /// Its place among the requests that are being served.
+    pub running: Running,
     /// The caller's head.
     pub head: HeaderMap,
     /// The whole body.
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -70,6 +70,8 @@
 /// Where the events come from.
 struct Source {
     body: Incoming,
+    /// Whether the answer says where it ends.
+    is_framed: bool,
     lease: Lease,
     idle_time: Option<Duration>,
     chosen: Chosen,
@@ -327,6 +329,10 @@
     /// Ends a stream that came to its end.
     fn finish(mut self) {
         self.observe(AttemptEnd::Whole);
+        if self.source.is_framed {
+            let shared = &self.traffic.shared;
+            shared.suspects.ended_well(shared.now(), self.job.fingerprint);
+        }
         let Stream { traffic, source, .. } = self;
         source.chosen.live.note(traffic.shared.now(), true);
         traffic.pool.keep(source.chosen.id.as_str(), source.lease, source.idle_time);
@@ -429,8 +435,10 @@
         share: WorkShare,
         sent_at: Instant,
     ) -> (http::response::Parts, Source) {
+        let is_framed = answered.is_framed();
         let Answered { head, facts, body, lease } = answered;
         let source = Source {
+            is_framed,
             body,
             lease,
             idle_time: facts.idle_time,
--- a/crates/tidetrack-plane/src/settings.rs
+++ b/crates/tidetrack-plane/src/settings.rs
@@ -5,6 +5,7 @@
 use tidetrack_core::ids::{FailureDomain, HostId};
 use tidetrack_core::traffic::cascade::CascadeOptions;
 use tidetrack_core::traffic::exposure::ExposureBound;
+use tidetrack_core::traffic::suspects::SuspectOptions;
 use tidetrack_core::units::{Bandwidth, Millis};
 
 /// The settings of a host's process.
@@ -34,6 +35,8 @@
     pub bounds: Bounds,
     /// What the choice of the model rests on.
     pub cascade: CascadeOptions,
+    /// How requests are treated under which endpoints crash.
+    pub suspects: SuspectOptions,
 }
 
 /// Bounds that the fleet keeps to. They come with the settings.
--- a/crates/tidetrack-plane/src/shared.rs
+++ b/crates/tidetrack-plane/src/shared.rs
@@ -8,6 +8,7 @@
 
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::freshness::Freshness;
+use tidetrack_core::traffic::suspects::Suspects;
 use tidetrack_core::traffic::view::FleetView;
 use tidetrack_core::units::Millis;
 
@@ -55,6 +56,8 @@
     pub view: ArcSwap<FleetView>,
     /// The youngest proof that the configuration is the newest.
     pub fresh: Freshness,
+    /// Requests under which endpoints crashed.
+    pub suspects: Arc<Suspects>,
     /// Whether the host is stopping.
     pub is_leaving: AtomicBool,
     /// Inputs for the control thread.
