Ages count the time in which a machine is suspended

After it a configuration, the word of other hosts, sessions, budgets, resting connections and deadlines looked as young as before.

Change: plane::clock reads CLOCK_BOOTTIME for every age that decides something: the clock of both programs, the rest of connections, the time that is left for a request and told to endpoints. Timers of the runtime still fire late by it; what they guard looks at an age as well. E106 and tidetrack_suspended_ms, from the two clocks' difference. rustix was in use already, for signals in tests.

A real suspension was not played: a stopped process counts both clocks on.

--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -37,6 +37,7 @@
     Ready, 103, "the host has a configuration and takes requests";
     ThreadPanicked, 104, "a request's thread panicked; the process goes on";
     AcceptFailed, 105, "a connection could not be accepted; accepting goes on";
+    Suspended, 106, "the machine was suspended; what the host knows is older by that time";
     ConfigApplied, 200, "a newer configuration is in force";
     ConfigRejected, 201, "an object of the configuration cannot be read";
     EndpointsListed, 202, "all endpoints were read anew";
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -1,7 +1,7 @@
 //! The control thread: owns the beliefs, publishes views, and talks with the store.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use flume::Receiver;
 use tokio::runtime::Builder;
@@ -15,6 +15,7 @@
 use tidetrack_core::traffic::peers::PeerBook;
 use tidetrack_core::traffic::trial::ProgressWrite;
 
+use crate::clock::{Moment, Suspensions};
 use crate::dialect::{Age, Kind};
 use crate::peers::Peers;
 use crate::shared::SharedRef;
@@ -54,12 +55,18 @@
         // Others are told of this start at once.
         shared.tell(Input::Tick);
         let outlets = Outlets { shared: shared.clone(), store, watches, peers };
+        let (began, steady) = (Moment::now(), Instant::now());
+        let mut suspensions = Suspensions::default();
         loop {
             let input = match tokio::time::timeout(TICK, inputs.recv_async()).await {
                 Ok(Ok(input)) => input,
                 Ok(Err(_)) => return,
                 Err(_) => Input::Tick,
             };
+            if let Some(time) = suspensions.look(began.elapsed(), steady.elapsed()) {
+                shared.journal.line(Event::Suspended, &[("ms", &time.as_millis())]);
+                shared.metrics.suspended(time);
+            }
             for action in beliefs.take(shared.now(), input, &shared.fresh) {
                 outlets.carry_out(action);
             }
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -28,6 +28,7 @@
 use crate::attempt::{self, Answered};
 use crate::body::AnswerBody;
 use crate::choose::{check_before_send, choose, full, weight_of, RETRY_FULL_MS};
+use crate::clock::Moment;
 use crate::crash::note_crash;
 use crate::dialect::RequestFacts;
 use crate::job::{Chosen, InFlight, Job, Traffic, Tries, WorkShare};
@@ -153,7 +154,7 @@
     let route = &admitted.route;
     let held = Duration::from_millis(route.timeout.0);
     let time = facts.time_left.map_or(held, |t| held.min(Duration::from_millis(t.0)));
-    let until = began + time;
+    let (until, due) = (began + time, Moment::now().after(time.saturating_sub(began.elapsed())));
     let body = read_body(body, limits.body_bytes, until).await?;
     let fingerprint = Fingerprint::of(&Repeated {
         workspace: admitted.holder.as_ref().map(|h| &h.workspace),
@@ -192,6 +193,7 @@
         body,
         began,
         until,
+        due,
         service,
     })
 }
@@ -340,13 +342,13 @@
         repeatable: route.work.is_repeatable(),
         answered_in_part: false,
     };
-    tries.sent < route.most_attempts && Instant::now() < job.until && may_retry(failed)
+    tries.sent < route.most_attempts && !job.is_over() && may_retry(failed)
 }
 
 /// Makes the final error of a request: it says whether the request may have run.
 fn gave_up(job: &Job, tries: &Tries, last: Error) -> Error {
     let ran = tries.ran.unwrap_or(Ran::No);
-    if Instant::now() >= job.until {
+    if job.is_over() {
         return Error::new(Code::Deadline, last.message).with_ran(ran);
     }
     match ran {
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -16,6 +16,7 @@
 use tidetrack_core::traffic::suspects::Suspects;
 use tidetrack_core::traffic::view::FleetView;
 
+use crate::clock::Clock;
 use crate::closes::Closes;
 use crate::control;
 use crate::dialect::Dialect;
@@ -25,7 +26,7 @@
 use crate::metrics::Metrics;
 use crate::server::{accept_loop, listen, serve_small, Connections, ServerOptions, StopStage};
 use crate::settings::HostSettings;
-use crate::shared::{Clock, Shared};
+use crate::shared::Shared;
 use crate::signals::{Asked, Signals};
 
 /// Time after a stop signal in which requests are still taken: a balancer asks for readiness once a
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -25,6 +25,7 @@
 use tidetrack_core::traffic::suspects::Running;
 use tidetrack_core::units::{Millis, Tokens};
 
+use crate::clock::Moment;
 use crate::crash::Looks;
 use crate::dialect::RequestFacts;
 use crate::pool::Pool;
@@ -131,8 +132,10 @@
     pub body: Bytes,
     /// When its head had been read.
     pub began: Instant,
-    /// When it is given up.
+    /// When it is given up, as timers tell the time.
     pub until: Instant,
+    /// The same, with time in which the machine is suspended.
+    pub due: Moment,
     /// The service it goes to.
     pub service: ServiceId,
 }
@@ -143,6 +146,16 @@
         self.facts.size.is_some()
     }
 
+    /// Gets the time that is left for it.
+    pub fn time_left(&self) -> Duration {
+        self.due.left().min(self.until.saturating_duration_since(Instant::now()))
+    }
+
+    /// Tells whether its time is up.
+    pub fn is_over(&self) -> bool {
+        self.time_left().is_zero()
+    }
+
     /// Gets its draw of versions.
     pub fn version_draw(&self) -> SessionDraw {
         SessionDraw::new(self.facts.session.as_deref(), &self.id)
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod body;
 pub mod call;
 pub mod choose;
+pub mod clock;
 pub mod closes;
 pub mod control;
 pub mod crash;
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and latency histograms of the traffic plane, as Prometheus text.
 
+use std::time::Duration;
+
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -44,6 +46,7 @@
     closed: Counter<u64>,
     no_sign: Counter<u64>,
     cut: Counter<u64>,
+    suspended: Counter<u64>,
     store_calls: Counter<u64>,
     peer_messages: Counter<u64>,
     feed_calls: Counter<u64>,
@@ -70,6 +73,7 @@
             closed: meter.u64_counter("tidetrack_closed").build(),
             no_sign: meter.u64_counter("tidetrack_no_sign").build(),
             cut: meter.u64_counter("tidetrack_cut_attempts").build(),
+            suspended: meter.u64_counter("tidetrack_suspended_ms").build(),
             store_calls: meter.u64_counter("tidetrack_store_calls").build(),
             peer_messages: meter.u64_counter("tidetrack_peer_messages").build(),
             feed_calls: meter.u64_counter("tidetrack_feed_calls").build(),
@@ -123,6 +127,11 @@
         self.cut.add(1, &[KeyValue::new("endpoint_ended", has_ended)]);
     }
 
+    /// Counts the time for which the machine was suspended.
+    pub fn suspended(&self, time: Duration) {
+        self.suspended.add(time.as_millis() as u64, &[]);
+    }
+
     /// Counts a call to the store by what it was for and how it went.
     pub fn store_call(&self, purpose: Purpose, result: &'static str) {
         let labels = [
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -20,6 +20,7 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::traffic::reach::PROMPT;
 
+use crate::clock::Moment;
 use crate::way::{Ends, Waits, Way};
 
 /// Longest time for a connection to come up. Within a region one takes a few milliseconds; the rest
@@ -85,8 +86,8 @@
 
 struct Idle {
     lease: Lease,
-    since: Instant,
-    until: Instant,
+    since: Moment,
+    until: Moment,
 }
 
 /// Connections by the name of their other end.
@@ -107,7 +108,7 @@
     /// Takes a kept connection that rested no longer than `most_rest`, or opens one.
     pub async fn take(&self, name: &str, address: &str, most_rest: Duration) -> Result<Lease> {
         while let Some(mut idle) = self.pop(name, most_rest) {
-            let is_usable = Instant::now() < idle.until && !idle.lease.sender.is_closed();
+            let is_usable = Moment::now() < idle.until && !idle.lease.sender.is_closed();
             if is_usable && idle.lease.sender.ready().await.is_ok() {
                 idle.lease.is_reused = true;
                 return Ok(idle.lease);
@@ -118,7 +119,7 @@
 
     /// Sees to it that a connection is kept for a request that is about to be sent.
     pub async fn prepare(&self, name: &str, address: &str, most_rest: Duration) -> Result<()> {
-        let now = Instant::now();
+        let now = Moment::now();
         let is_usable = |newest: &Idle| {
             newest.since.elapsed() <= most_rest
                 && now < newest.until
@@ -161,8 +162,8 @@
         let mut all = self.idle.borrow_mut();
         let of_end = all.entry(name.to_string()).or_default();
         if of_end.len() < MOST_IDLE {
-            let now = Instant::now();
-            of_end.push(Idle { lease, since: now, until: now + rest });
+            let now = Moment::now();
+            of_end.push(Idle { lease, since: now, until: now.after(rest) });
         }
     }
 
@@ -173,7 +174,7 @@
 
     /// Closes connections that rested too long, and those whose other end is not `wanted`.
     fn sweep(&self, wanted: impl Fn(&str) -> bool) {
-        let now = Instant::now();
+        let now = Moment::now();
         self.idle.borrow_mut().retain(|name, of_end| {
             of_end.retain(|i| now < i.until && !i.lease.sender.is_closed());
             !of_end.is_empty() && wanted(name)
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -316,7 +316,7 @@
     /// off.
     async fn resume(&mut self, tries: &mut Tries, why: Error) -> Result<()> {
         self.source_failed(&why).await;
-        if !self.can_move(tries) || Instant::now() >= self.job.until {
+        if !self.can_move(tries) || self.job.is_over() {
             return Err(why);
         }
         let model = self.model.clone();
@@ -422,7 +422,7 @@
         }
         let is_held = tries.held.as_ref().is_some_and(|held| held.is_heard());
         let is_out_of_reach = is_held && tries.unreached >= job.admitted.route.most_attempts;
-        if is_out_of_reach || Instant::now() >= job.until {
+        if is_out_of_reach || job.is_over() {
             return Err(failed);
         }
     }
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -156,7 +156,7 @@
     model: Option<&ModelId>,
     last_event: Option<u64>,
 ) -> Request<Full<Bytes>> {
-    let left = job.until.saturating_duration_since(Instant::now());
+    let left = job.time_left();
     let handover = Handover {
         time_left: Millis(left.as_millis() as u64),
         endpoint: &chosen.id,
--- a/crates/tidetrack-plane/src/shared.rs
+++ b/crates/tidetrack-plane/src/shared.rs
@@ -2,7 +2,6 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
 
 use arc_swap::ArcSwap;
 
@@ -12,38 +11,12 @@
 use tidetrack_core::traffic::view::FleetView;
 use tidetrack_core::units::Millis;
 
+use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::settings::HostSettings;
 
-/// What the clock shows at the process's start: longer than any roll-out lasts.
-const CLOCK_BEGINS: Millis = Millis(7 * 24 * 3_600 * 1_000);
-
-/// The process's steady clock.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-}
-
-impl Clock {
-    /// Starts the clock. It begins late enough that instants before the process's start can be told:
-    /// when a roll-out began, or a read at another host.
-    pub fn start() -> Clock {
-        Clock { start: Instant::now() }
-    }
-
-    /// Gets the time.
-    pub fn now(&self) -> Millis {
-        CLOCK_BEGINS + self.since_start()
-    }
-
-    /// Gets the time since the process started.
-    pub fn since_start(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64)
-    }
-}
-
 /// What the threads of a host share.
 pub struct Shared {
     /// The settings the process started with.
--- a/crates/tidetrack-router/src/shared.rs
+++ b/crates/tidetrack-router/src/shared.rs
@@ -18,7 +18,7 @@
 use tidetrack_core::tickets::TicketBook;
 use tidetrack_core::units::Millis;
 use tidetrack_core::view::{Confirmation, Freshness, View};
-pub use tidetrack_plane::shared::Clock;
+pub use tidetrack_plane::clock::Clock;
 use tidetrack_wire::platform::PlatformClient;
 
 use crate::billing::Billing;
