Test that is red: the own interface runs a request that crashes endpoints again and again

The same cause elsewhere: the product's routers have attempts and retries of their own. Four router processes, six endpoints of a plain service: 26 crashes, 13 sends later than 3 s after the third, 157 of 244 usual requests served. The crashing endpoint of the platform's tests goes to the testkit, for both.

--- a/crates/tidetrack-testkit/src/lib.rs
+++ b/crates/tidetrack-testkit/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(rust_2018_idioms)]
 
 pub use tidetrack_load::caller;
+pub mod crashing;
 pub mod fleet;
 pub mod process;
 pub mod proxy;
