Routers bar requests that crash endpoints, too

Change: both ask core::traffic::suspects before each attempt, and tell it of crashes and of runs that ended; an exchange between routers carries what is known, and is due at once while it is news. A body that broke off tells how.

--- a/crates/tidetrack-core/src/node/exchange.rs
+++ b/crates/tidetrack-core/src/node/exchange.rs
@@ -3,6 +3,7 @@
 use crate::ids::HostId;
 use crate::limits::LoanAsk;
 use crate::store::Delta;
+use crate::traffic::suspects::MOST_TOLD;
 use crate::units::Millis;
 
 use super::messages::Exchange;
@@ -38,6 +39,7 @@
             room: Some(room),
             objects,
             items,
+            suspects: self.suspects.told(now, MOST_TOLD),
             asks,
             loans: Vec::new(),
         }
@@ -81,6 +83,7 @@
             room: None,
             objects: behind.then(|| self.run_for(peer_complete_to, room)).flatten(),
             items,
+            suspects: self.suspects.told(now, MOST_TOLD),
             asks: Vec::new(),
             loans,
         }
@@ -132,6 +135,7 @@
         if let Some(delta) = message.objects {
             self.merge_objects(delta);
         }
+        self.suspects.hear(now, &message.suspects);
         let from = message.from;
         for item in message.items {
             self.merge_item(now, &from, item);
--- a/crates/tidetrack-core/src/node/links.rs
+++ b/crates/tidetrack-core/src/node/links.rs
@@ -121,6 +121,7 @@
         beats: bool,
     ) -> bool {
         let urgent = self.urgent_seq;
+        let has_suspects = self.suspects.has_news(now);
         let complete_to = self.store.complete_to();
         let beat = Millis(self.options.beat_ms);
         let link = self.links.entry(host.clone()).or_insert_with(|| Link {
@@ -133,7 +134,10 @@
             return false;
         }
         let told = link.told_complete_to.max(link.peer_complete_to);
-        let news = link.acked_by_peer < urgent || told < complete_to || link.items.is_cut();
+        let news = link.acked_by_peer < urgent
+            || told < complete_to
+            || link.items.is_cut()
+            || has_suspects;
         pulls
             || (beats && passed.0 >= self.options.beat_ms)
             || ((news || asking) && passed.0 >= self.options.news_ms)
--- a/crates/tidetrack-core/src/node/messages.rs
+++ b/crates/tidetrack-core/src/node/messages.rs
@@ -8,6 +8,7 @@
 use crate::limits::{Loan, LoanAsk};
 use crate::membership::Member;
 use crate::store::Delta;
+use crate::traffic::suspects::ToldSuspect;
 
 /// Something that hosts tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -72,6 +73,9 @@
     /// What else changed.
     #[serde(rename = "i", default, skip_serializing_if = "Vec::is_empty")]
     pub items: Vec<Item>,
+    /// Requests under which endpoints crashed.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<ToldSuspect>,
     /// Shares wanted.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub asks: Vec<LoanAsk>,
--- a/crates/tidetrack-core/src/node/mod.rs
+++ b/crates/tidetrack-core/src/node/mod.rs
@@ -17,6 +17,7 @@
 use crate::limits::Limits;
 use crate::membership::{Member, Members};
 use crate::store::Store;
+use crate::traffic::suspects::Suspects;
 use crate::units::Millis;
 use crate::view::{Confirmation, View, ViewBuilder};
 
@@ -101,6 +102,8 @@
     pub evidence: Evidence,
     /// Shares of the workspaces' limits; traffic threads use them too.
     pub limits: Arc<Mutex<Limits>>,
+    /// Requests under which endpoints crashed; traffic threads use them too.
+    pub suspects: Arc<Suspects>,
     own_counts: BTreeMap<(VersionRef, u64), OwnCounts>,
     /// Versions that a running roll-out is about.
     watched: BTreeSet<VersionRef>,
@@ -134,6 +137,7 @@
             facts: Facts::default(),
             evidence: Evidence::default(),
             limits: Arc::default(),
+            suspects: Arc::default(),
             own_counts: BTreeMap::new(),
             watched: BTreeSet::new(),
             urgent_seq: 0,
@@ -216,6 +220,7 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         self.publish_evidence(now);
+        self.note_suspects();
         self.judge_members(now);
         // A host that has met few others yet goes by the platform's list, lest its share be too large.
         let hosts = self.members.iter().count().max(self.seeds.len() + 1);
@@ -226,6 +231,13 @@
         actions
     }
 
+    /// Logs which requests under suspicion were barred or cleared.
+    fn note_suspects(&mut self) {
+        for change in self.suspects.take_changes() {
+            self.say(change.event(), change.to_string());
+        }
+    }
+
     fn say(&mut self, event: Event, text: String) {
         self.log.push(Action::Log(event, text));
     }
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -10,7 +10,7 @@
 use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::freshness::Freshness;
 use crate::traffic::peers::{Barred, News, ToldProof, ToldTally, ROUND_EVERY};
-use crate::traffic::suspects::{Change, MOST_TOLD};
+use crate::traffic::suspects::MOST_TOLD;
 use crate::traffic::trial::{Phase, Trial, Writer};
 use crate::traffic::usual::Usual;
 use crate::units::Millis;
@@ -80,11 +80,7 @@
     /// Logs which requests under suspicion were barred or cleared.
     fn note_suspects(&self, actions: &mut Vec<Action>) {
         for change in self.suspects.take_changes() {
-            let event = match change {
-                Change::Barred { .. } => Event::RequestBarred,
-                Change::Cleared(_) => Event::RequestCleared,
-            };
-            actions.push(Action::Note(event, change.to_string()));
+            actions.push(Action::Note(change.event(), change.to_string()));
         }
     }
 
--- a/crates/tidetrack-core/src/traffic/suspects.rs
+++ b/crates/tidetrack-core/src/traffic/suspects.rs
@@ -21,6 +21,7 @@
 
 use crate::codes::Code;
 use crate::errors::{Error, Result};
+use crate::events::Event;
 use crate::ids::{EndpointId, EndpointKey, FailureDomain};
 use crate::traffic::fingerprint::Fingerprint;
 use crate::units::Millis;
@@ -122,6 +123,16 @@
     Cleared(Fingerprint),
 }
 
+impl Change {
+    /// Gets the event that it is logged as.
+    pub fn event(&self) -> Event {
+        match self {
+            Change::Barred { .. } => Event::RequestBarred,
+            Change::Cleared(_) => Event::RequestCleared,
+        }
+    }
+}
+
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -387,6 +398,11 @@
         self.has_untold.load(Ordering::Relaxed)
     }
 
+    /// Tells whether something became known here of late that others may not know.
+    pub fn has_news(&self, now: Millis) -> bool {
+        self.state().suspects.values().any(|s| now < s.changed_at + TOLD_FOR)
+    }
+
     /// Lists up to `most` requests to tell other hosts: what is new, then barred ones in turn.
     pub fn told(&self, now: Millis, most: usize) -> Vec<ToldSuspect> {
         self.has_untold.store(false, Ordering::Relaxed);
--- a/crates/tidetrack-core/tests/slow_link.rs
+++ b/crates/tidetrack-core/tests/slow_link.rs
@@ -93,6 +93,7 @@
         room: Some(0),
         objects: None,
         items: (0..count).map(item).collect(),
+        suspects: Vec::new(),
         asks: Vec::new(),
         loans: Vec::new(),
     }
--- a/crates/tidetrack-router/src/chat/attempts.rs
+++ b/crates/tidetrack-router/src/chat/attempts.rs
@@ -96,6 +96,7 @@
         out: &mut Out,
     ) -> Result<bool> {
         let fresh = self.shared().confirm();
+        self.shared().suspects.check(self.shared().now(), self.fingerprint)?;
         let view = self.shared().view.load_full();
         let workspace = self.workspace(&view)?;
         if chosen.is_none() {
@@ -119,6 +120,7 @@
             endpoint,
             work: work_of(Tokens(self.chat.prompt_tokens()), Tokens(self.answer_tokens())),
             id: attempt,
+            fingerprint: self.fingerprint,
             deadline: self.deadline,
             any_status: false,
             is_repeatable: true,
--- a/crates/tidetrack-router/src/chat/mod.rs
+++ b/crates/tidetrack-router/src/chat/mod.rs
@@ -14,6 +14,7 @@
 use tidetrack_core::placement::{draw, PoolEndpoint};
 use tidetrack_core::policy::{Features, Plan};
 use tidetrack_core::session::Session;
+use tidetrack_core::traffic::fingerprint::{Fingerprint, Repeated};
 use tidetrack_core::units::Tokens;
 use tidetrack_core::view::{Chosen, View};
 use tidetrack_wire::caller::{ChatRequest, Usage};
@@ -49,6 +50,7 @@
 struct Call<'a> {
     caller: &'a Caller<'a>,
     chat: ChatRequest,
+    fingerprint: Fingerprint,
     route: RouteId,
     session: Option<Session>,
     draw: f64,
@@ -142,6 +144,13 @@
                 route: route.to_string(),
                 ..Labels::default()
             },
+            fingerprint: Fingerprint::of(&Repeated {
+                workspace: Some(&caller.workspace),
+                hostname: "",
+                method: request.method().as_str(),
+                path: request.url(),
+                body,
+            }),
             caller,
             chat,
             session,
--- a/crates/tidetrack-router/src/control.rs
+++ b/crates/tidetrack-router/src/control.rs
@@ -205,6 +205,7 @@
     /// Makes the thread's state.
     pub fn new(shared: Arc<Shared>, mut node: Node, outlets: Outlets) -> Control {
         node.limits = shared.limits.clone();
+        node.suspects = shared.suspects.clone();
         Control {
             shared,
             node,
--- a/crates/tidetrack-router/src/errands.rs
+++ b/crates/tidetrack-router/src/errands.rs
@@ -20,7 +20,7 @@
 use tidetrack_plane::attempt::{self, Answered, Attempt, Echo};
 use tidetrack_plane::body::WAITING;
 use tidetrack_plane::dialect::AnswerFacts;
-use tidetrack_plane::pool::{most_rest, Pool};
+use tidetrack_plane::pool::{broke, most_rest, Pool};
 use tidetrack_wire::headers;
 
 /// A request to an endpoint.
@@ -123,7 +123,9 @@
                 Err(_) => continue,
             },
             Ok(None) => return true,
-            Ok(Some(Err(e))) => Err(broken(Code::EndpointFailed, &e.to_string())),
+            Ok(Some(Err(e))) => {
+                Err(broken(Code::EndpointFailed, &e.to_string()).with_broke(broke(&e)))
+            }
             Err(_) => Err(broken(Code::Deadline, "the answer was not whole in time")),
         };
         let is_over = part.is_err();
--- a/crates/tidetrack-router/src/router.rs
+++ b/crates/tidetrack-router/src/router.rs
@@ -110,6 +110,7 @@
             gate: Gate::default(),
             leaving: AtomicBool::new(false),
             limits: Arc::default(),
+            suspects: Arc::default(),
             tickets: Mutex::new(TicketBook::new(own.clone(), TicketOptions::default())),
             retries: Mutex::default(),
             control: control_tx.clone(),
--- a/crates/tidetrack-router/src/services.rs
+++ b/crates/tidetrack-router/src/services.rs
@@ -11,6 +11,7 @@
 use tidetrack_core::retry::{may_retry, Failed};
 use tidetrack_core::seal::digest;
 use tidetrack_core::tickets::{Admission, KeptAnswer, Ticket};
+use tidetrack_core::traffic::fingerprint::{Fingerprint, Repeated};
 use tidetrack_core::units::Tokens;
 use tidetrack_core::view::{ServiceView, View};
 use tidetrack_wire::headers;
@@ -70,6 +71,7 @@
     path: String,
     content_type: String,
     body: Vec<u8>,
+    fingerprint: Fingerprint,
     labels: Labels,
     deadline: Instant,
 }
@@ -81,9 +83,17 @@
     let mut labels = Labels { workspace: caller.workspace.to_string(), ..Labels::default() };
     let result = find(caller, &view, &request).and_then(|(name, service, path)| {
         labels.route = name.to_string();
+        let fingerprint = Fingerprint::of(&Repeated {
+            workspace: Some(&caller.workspace),
+            hostname: "",
+            method: request.method().as_str(),
+            path: request.url(),
+            body: &body,
+        });
         let mut call = Call {
             caller,
             service,
+            fingerprint,
             name,
             method: request.method().clone(),
             path,
@@ -213,7 +223,7 @@
             let failed = Failed { ran: e.ran, repeatable, answered_in_part: false };
             let again = tried.len() < MOST_ATTEMPTS
                 && may_retry(failed)
-                && e.code != Code::Overloaded
+                && !matches!(e.code, Code::Overloaded | Code::CrashesEndpoints)
                 && Instant::now() < self.deadline;
             let again = again && {
                 let retries = self.caller.shared.retries.lock();
@@ -236,6 +246,7 @@
     ) -> Result<ServiceAnswer> {
         let shared = self.caller.shared;
         shared.confirm();
+        shared.suspects.check(shared.now(), self.fingerprint)?;
         let salt = rendezvous("endpoint", &self.caller.id.to_string());
         let ask = Ask { place: salt, salt, need: Tokens(0), tried, priority: 0, ..Ask::default() };
         let endpoint = self.service.pool.pick(shared.now(), &ask)?.clone();
@@ -252,6 +263,7 @@
             endpoint,
             work: CALL_WORK,
             id: format!("{}/{}-{}", self.caller.id, self.name, tried.len()),
+            fingerprint: self.fingerprint,
             deadline: self.deadline,
             any_status: true,
             is_repeatable,
--- a/crates/tidetrack-router/src/shared.rs
+++ b/crates/tidetrack-router/src/shared.rs
@@ -16,6 +16,7 @@
 use tidetrack_core::limits::Limits;
 use tidetrack_core::retry::RetryBudget;
 use tidetrack_core::tickets::TicketBook;
+use tidetrack_core::traffic::suspects::Suspects;
 use tidetrack_core::units::Millis;
 use tidetrack_core::view::{Confirmation, Freshness, View};
 pub use tidetrack_plane::clock::Clock;
@@ -164,6 +165,8 @@
     pub leaving: AtomicBool,
     /// Shares of the workspaces' limits.
     pub limits: Arc<Mutex<Limits>>,
+    /// Requests under which endpoints crashed.
+    pub suspects: Arc<Suspects>,
     /// This incarnation's tickets.
     pub tickets: Mutex<TicketBook>,
     /// The budget of retries.
--- a/crates/tidetrack-router/src/upstream.rs
+++ b/crates/tidetrack-router/src/upstream.rs
@@ -5,7 +5,9 @@
 //! failed attempt, above all whether it ran, is told by its error.
 
 use std::collections::VecDeque;
-use std::time::Instant;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use flume::{Receiver, Sender};
@@ -13,10 +15,13 @@
 use http_body_util::Full;
 use tokio::sync::oneshot;
 
+use tidetrack_core::broke::Broke;
 use tidetrack_core::codes::{Code, Ran};
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::placement::PoolEndpoint;
+use tidetrack_core::traffic::fingerprint::Fingerprint;
+use tidetrack_core::units::Millis;
 use tidetrack_plane::events::EventSplitter;
 use tidetrack_wire::endpoint::{read_load_header, AttemptAsk};
 use tidetrack_wire::headers;
@@ -28,6 +33,9 @@
 /// Seconds that a call to cancel may take.
 const CANCEL_SECONDS: u64 = 1;
 
+/// Longest wait for the outcome of a new connection to an endpoint that broke one off.
+const LOOK_WITHIN: Duration = Duration::from_millis(150);
+
 /// When to come back to a pool whose endpoint refused, in milliseconds.
 const RETRY_REFUSED_MS: u64 = 1_000;
 
@@ -62,6 +70,7 @@
     work: u64,
     began: Instant,
     id: String,
+    fingerprint: Fingerprint,
     finished: bool,
 }
 
@@ -77,6 +86,8 @@
     pub work: u64,
     /// The attempt's id.
     pub id: String,
+    /// What stays the same when the caller sends the request again.
+    pub fingerprint: Fingerprint,
     /// When the request must have ended.
     pub deadline: Instant,
     /// Whether any status is an answer, as with plain services.
@@ -123,6 +134,7 @@
             work: begin.work,
             began: Instant::now(),
             id: begin.id,
+            fingerprint: begin.fingerprint,
             finished: false,
         }
     }
@@ -225,13 +237,36 @@
         if ill {
             self.endpoint.live.note(self.shared.now(), false);
         }
+        if e.ran != Ran::No && matches!(e.broke, Some(Broke::Closed | Broke::Reset)) {
+            self.note_crash();
+        }
         self.shared.metrics.event("attempt_failed");
         self.shared.log(Event::AttemptFailed, &format!("{} {e}", self.id));
         self.finish(e.ran != Ran::No);
     }
 
+    /// Takes note of the crash of an endpoint at whose address nobody listens any more.
+    fn note_crash(&self) {
+        let address: Option<SocketAddr> = self.endpoint.address.parse().ok();
+        let connect = |address| TcpStream::connect_timeout(&address, LOOK_WITHIN).err();
+        let refused = address.and_then(connect).map(|e| e.kind());
+        if refused != Some(ErrorKind::ConnectionRefused) {
+            return;
+        }
+        let now = self.shared.now();
+        let sent_at = Millis(now.0.saturating_sub(self.began.elapsed().as_millis() as u64));
+        let PoolEndpoint { id, failure_domain, live, .. } = &self.endpoint;
+        live.note_unreachable(now);
+        let suspects = &self.shared.suspects;
+        let crashes = suspects.crashed(now, self.fingerprint, id, failure_domain, sent_at);
+        self.shared.metrics.event("endpoint_crashed");
+        let text = format!("{} {id} fingerprint={} crashes={crashes}", self.id, self.fingerprint);
+        self.shared.log(Event::EndpointCrashed, &text);
+    }
+
     /// Takes note that the whole answer was read.
     pub fn succeeded(&mut self) {
+        self.shared.suspects.ended_well(self.shared.now(), self.fingerprint);
         self.endpoint.live.note(self.shared.now(), true);
         self.endpoint.live.took(self.work, self.began.elapsed().as_micros() as u64);
         self.finish(false);
