--- a/crates/tidetrack-testkit/src/crashing.rs
+++ b/crates/tidetrack-testkit/src/crashing.rs
@@ -57,6 +57,8 @@
 /// A request that came, and when.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    /// The attempt's id, where it has one.
+    pub id: String,
     /// When.
     pub at: Instant,
     /// Whether it is one that crashes endpoints.
@@ -178,7 +180,8 @@
                 return;
             }
             let is_deadly = req.body == DEADLY;
-            self.state().arrivals.push(Arrival { at: Instant::now(), is_deadly });
+            let id = req.header("tidetrack-attempt-id").to_string();
+            self.state().arrivals.push(Arrival { id, at: Instant::now(), is_deadly });
             std::thread::sleep(if is_deadly { DEADLY_AFTER } else { USUAL_RUN });
             if !self.is_life(life) {
                 return;
