--- a/crates/tidetrack-core/src/node/exchange.rs
+++ b/crates/tidetrack-core/src/node/exchange.rs
@@ -39,7 +39,7 @@
             room: Some(room),
             objects,
             items,
-            suspects: self.suspects.told(now, MOST_TOLD),
+            suspects: self.suspects.told_to_one(now, MOST_TOLD),
             asks,
             loans: Vec::new(),
         }
@@ -83,7 +83,7 @@
             room: None,
             objects: behind.then(|| self.run_for(peer_complete_to, room)).flatten(),
             items,
-            suspects: self.suspects.told(now, MOST_TOLD),
+            suspects: self.suspects.told_to_one(now, MOST_TOLD),
             asks: Vec::new(),
             loans,
         }
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -275,7 +275,8 @@
         if let Some(question) = question {
             let mut news = News { proof: self.told_proof(now, fresh), ..self.told.clone() };
             if question.is_first {
-                news.suspects = self.suspects.told(now, FIRST_TOLD);
+                news.suspects = self.suspects.told_to_one(now, FIRST_TOLD);
+                news.limits = self.limits.told_to_one(now);
             }
             let reply = self.peers.reply(now, &question, &news);
             actions.push(Action::Send(vec![(question.address, reply)]));
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -10,7 +10,6 @@
 use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::freshness::Freshness;
 use crate::traffic::peers::{Barred, News, ToldProof, ToldTally, ROUND_EVERY};
-use crate::traffic::suspects::MOST_TOLD;
 use crate::traffic::trial::{Phase, Trial, Writer};
 use crate::traffic::usual::Usual;
 use crate::units::Millis;
@@ -150,7 +149,7 @@
         let mut news = News {
             proof,
             results: self.outliers.told(now),
-            suspects: self.suspects.told(now, MOST_TOLD),
+            suspects: self.suspects.told(now),
             limits: self.limits.told(now),
             changed: self.feeds.changed(),
             complete: self.feeds.all_complete(),
--- a/crates/tidetrack-core/src/traffic/endpoint_limits.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_limits.rs
@@ -18,8 +18,12 @@
 /// Limits that one message tells at most.
 const MOST_TOLD: usize = 32;
 
-/// How long a change is told before others.
-const FRESH_FOR: Millis = Millis(2_000);
+/// How long a host tells a change that it learned: some rounds, after which two dozen others tell it on.
+const TOLD_FOR: Millis = Millis(800);
+
+/// How often the rest is told again, and for how long each time: a round at the least.
+const TOLD_AGAIN: Millis = Millis(2_000);
+const AGAIN_FOR: Millis = Millis(300);
 
 /// How long it is told that a limit ended.
 const ENDED_KEPT: Millis = Millis(10_000);
@@ -109,19 +113,29 @@
         self.named.get(&endpoint).map(|named| named.rate)
     }
 
-    /// Lists what to tell other hosts: what is new, then the others in turn.
+    /// Lists what to tell other hosts in a round: what is new, and now and then the rest.
     pub fn told(&mut self, now: Millis) -> Vec<ToldLimit> {
+        self.tell(now, |endpoint| (now.0 + u64::from(endpoint.get())) % TOLD_AGAIN.0 < AGAIN_FOR.0)
+    }
+
+    /// Lists what to tell a host that knows nothing: what is new, then the rest in turn.
+    pub fn told_to_one(&mut self, now: Millis) -> Vec<ToldLimit> {
+        self.tell(now, |_| true)
+    }
+
+    fn tell(&mut self, now: Millis, is_told: impl Fn(&EndpointKey) -> bool) -> Vec<ToldLimit> {
         self.has_untold = false;
-        let is_fresh = |named: &&Named| now < named.known_at + FRESH_FOR;
         let told = |(endpoint, named): (&EndpointKey, &Named)| ToldLimit {
             endpoint: *endpoint,
             rate: steps(named.rate),
             age_ms: u32::try_from((now - named.answered_at).0).unwrap_or(u32::MAX),
         };
+        let is_fresh = |named: &Named| now < named.known_at + TOLD_FOR;
         let fresh = self.named.iter().filter(|(_, named)| is_fresh(named));
         let mut all: Vec<ToldLimit> = fresh.take(MOST_TOLD).map(told).collect();
-        let others: Vec<ToldLimit> =
-            self.named.iter().filter(|(_, named)| !is_fresh(named)).map(told).collect();
+        let is_other =
+            |(endpoint, named): &(&EndpointKey, &Named)| !is_fresh(named) && is_told(endpoint);
+        let others: Vec<ToldLimit> = self.named.iter().filter(is_other).map(told).collect();
         let left = (MOST_TOLD - all.len()).min(others.len());
         all.extend(others.iter().cycle().skip(self.turn % others.len().max(1)).take(left));
         self.turn = self.turn.wrapping_add(left);
--- a/crates/tidetrack-core/src/traffic/fingerprint.rs
+++ b/crates/tidetrack-core/src/traffic/fingerprint.rs
@@ -58,6 +58,12 @@
         Fingerprint { caller: xxh3_64(workspace.as_bytes()) as u32, hash }
     }
 
+    /// Gets the beginning of the hash, the same number at every host.
+    pub fn hash_start(&self) -> u32 {
+        let [a, b, c, d, ..] = self.hash;
+        u32::from_le_bytes([a, b, c, d])
+    }
+
     /// Gets what stands for the request's caller.
     pub fn caller(&self) -> u32 {
         self.caller
--- a/crates/tidetrack-core/src/traffic/suspects.rs
+++ b/crates/tidetrack-core/src/traffic/suspects.rs
@@ -50,8 +50,12 @@
 /// Requests that the answer to a host's first message tells at most: it has to know them before it sends.
 pub const FIRST_TOLD: usize = 24;
 
-/// How long a change is told: until it has reached a fleet of hundreds.
-const TOLD_FOR: Millis = Millis(2_000);
+/// How long a host tells a change that it learned: some rounds, after which two dozen others tell it on.
+const TOLD_FOR: Millis = Millis(800);
+
+/// How often it is told again that a request is barred, and for how long each time: a round at the least.
+const TOLD_AGAIN: Millis = Millis(2_000);
+const AGAIN_FOR: Millis = Millis(300);
 
 /// Fingerprints of runs that ended well, in each of two halves that take turns.
 const MOST_RECENT: usize = 2_048;
@@ -403,8 +407,27 @@
         self.state().suspects.values().any(|s| now < s.changed_at + TOLD_FOR)
     }
 
-    /// Lists up to `most` requests to tell other hosts: what is new, then barred ones in turn.
-    pub fn told(&self, now: Millis, most: usize) -> Vec<ToldSuspect> {
+    /// Lists what to tell other hosts in a round: what is new, and now and then what is barred, for hosts that missed
+    /// it.
+    pub fn told(&self, now: Millis) -> Vec<ToldSuspect> {
+        let is_again = |fingerprint: &Fingerprint| {
+            let phase = u64::from(fingerprint.hash_start());
+            (now.0 + phase) % TOLD_AGAIN.0 < AGAIN_FOR.0
+        };
+        self.tell(now, MOST_TOLD, is_again)
+    }
+
+    /// Lists up to `most` requests to tell one other host: what is new, then barred ones in turn.
+    pub fn told_to_one(&self, now: Millis, most: usize) -> Vec<ToldSuspect> {
+        self.tell(now, most, |_| true)
+    }
+
+    fn tell(
+        &self,
+        now: Millis,
+        most: usize,
+        is_told: impl Fn(&Fingerprint) -> bool,
+    ) -> Vec<ToldSuspect> {
         self.has_untold.store(false, Ordering::Relaxed);
         let mut state = self.state();
         self.forget(&mut state, now);
@@ -413,7 +436,7 @@
         for (fingerprint, suspect) in &state.suspects {
             if now < suspect.changed_at + TOLD_FOR {
                 fresh.push((fingerprint, suspect));
-            } else if suspect.is_barred {
+            } else if suspect.is_barred && is_told(fingerprint) {
                 barred.push((fingerprint, suspect));
             }
         }
--- a/crates/tidetrack-core/tests/suspects.rs
+++ b/crates/tidetrack-core/tests/suspects.rs
@@ -143,7 +143,7 @@
     assert_eq!(of_south, 16);
     assert_eq!(suspects.len(), 64);
     assert_eq!(code_of(&suspects, 7_000, barred), Some(Code::CrashesEndpoints));
-    assert!(suspects.told(Millis(7_000), MOST_TOLD).len() <= MOST_TOLD);
+    assert!(suspects.told(Millis(7_000)).len() <= MOST_TOLD);
 }
 
 #[test]
@@ -156,7 +156,7 @@
     let came = 3_000 + kept_for - 1;
     assert_eq!(code_of(&suspects, came, print), Some(Code::CrashesEndpoints));
     assert_eq!(code_of(&suspects, came + kept_for - 1, print), Some(Code::CrashesEndpoints));
-    suspects.told(Millis(came + 3 * kept_for), MOST_TOLD);
+    suspects.told(Millis(came + 3 * kept_for));
 
     assert!(suspects.is_empty());
 }
--- a/crates/tidetrack-ctl/src/explain.rs
+++ b/crates/tidetrack-ctl/src/explain.rs
@@ -1,4 +1,5 @@
-//! `explain`: a request's story from the logs of several hosts.
+//! `explain`: a request's story from the logs of several hosts, or that of all copies of a request, by its
+//! fingerprint.
 //!
 //! Lines of the request come in order of their time, with the inputs that decided. Between them stand
 //! the changes of belief that the same hosts logged shortly before and meanwhile: a lost store, an
@@ -11,6 +12,7 @@
 
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
+use tidetrack_core::traffic::fingerprint::Fingerprint;
 
 /// Beliefs that changed so long before the request still belong to its story, in seconds: a lost
 /// store matters once its last proof is too old.
@@ -46,6 +48,11 @@
         self.event.starts_with("E2") || self.event.starts_with("E1")
     }
 
+    /// Tells whether a text names something the line is about.
+    fn names(&self, text: &str) -> bool {
+        self.fields.values().filter_map(Value::as_str).any(|value| value.contains(text))
+    }
+
     fn render(&self, began: f64, out: &mut String) {
         let msg = self.fields.get("msg").and_then(Value::as_str).unwrap_or_default();
         let mark = if self.request.is_some() { ' ' } else { '~' };
@@ -72,7 +79,14 @@
     let lines = logs.iter().flat_map(|text| text.lines()).filter_map(Line::read);
     let mut lines: Vec<Line> = lines.collect();
     lines.sort_by(|a, b| a.time.total_cmp(&b.time));
-    let own = |l: &&Line| l.request.as_deref() == Some(id);
+    let is_print = id.parse::<Fingerprint>().is_ok();
+    let has_print = |l: &&Line| l.fields.get("fingerprint").and_then(Value::as_str) == Some(id);
+    let copies: BTreeSet<String> =
+        lines.iter().filter(has_print).filter_map(|l| l.request.clone()).collect();
+    let own = |l: &&Line| {
+        let is_copy = l.request.as_deref().is_some_and(|r| r == id || copies.contains(r));
+        is_copy || (is_print && l.names(id))
+    };
     let times: Vec<f64> = lines.iter().filter(own).map(|l| l.time).collect();
     let (Some(began), Some(ended)) = (times.first().copied(), times.last().copied()) else {
         return Err(Error::new(
--- a/crates/tidetrack-ctl/tests/explain.rs
+++ b/crates/tidetrack-ctl/tests/explain.rs
@@ -39,3 +39,30 @@
 fn an_unknown_request_is_said_to_be_unknown() {
     assert!(explain("r9", &[line(1.0, "h1", "E307", ",\"request\":\"r1\"")]).is_err());
 }
+
+#[test]
+fn a_fingerprint_tells_of_all_copies_of_a_request_and_why_it_was_barred() {
+    let print = "0000000a-000102030405060708090a0b0c0d0e0f";
+    let of = |name: &str| format!(",\"request\":\"{name}\",\"fingerprint\":\"{print}\"");
+    let first = [
+        line(10.0, "h1", "E307", &of("r1")),
+        line(10.1, "h1", "E308", ",\"request\":\"r1\",\"attempt\":\"1\""),
+        line(10.2, "h1", "E316", &of("r1")),
+    ];
+    let second = [
+        line(11.0, "h2", "E236", &format!(",\"detail\":\"fingerprint={print} crashes=3\"")),
+        line(
+            12.0,
+            "h2",
+            "E301",
+            &format!(",\"request\":\"r2\",\"why\":\"request {print} is barred\""),
+        ),
+        line(13.0, "h2", "E307", ",\"request\":\"r3\""),
+    ];
+
+    let story = explain(print, &[first.concat(), second.concat()]).expect("a story");
+
+    let has = |event: &str| story.contains(event);
+    assert!(["E307", "E308", "E316", "E236", "E301"].into_iter().all(has), "{story}");
+    assert_eq!(story.lines().count(), 6, "{story}");
+}
