A host that starts is ready once it may send to an endpoint

Cause: versions are held until the roll-outs are known, and those of a list were cleared only when the list's revision was told, a message later; the view in between had no endpoint, and readiness looked at the list alone. Ruled out: load; both logs show the request between the two messages.

Change: a service's only version is cleared with the list; readiness waits while all endpoints are held.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -149,6 +149,8 @@
     catalog: Option<Arc<Catalog>>,
     table: EndpointTable,
     has_endpoints: bool,
+    /// Whether a request could be sent to one of them since the start.
+    could_send: bool,
     trials: BTreeMap<ServiceId, Trial>,
     /// Versions outside of their trials.
     versions: Versions,
@@ -203,6 +205,7 @@
             catalog: None,
             table: EndpointTable::default(),
             has_endpoints: false,
+            could_send: false,
             trials: BTreeMap::new(),
             versions: Versions::default(),
             bound: USUAL_BOUND,
@@ -334,6 +337,7 @@
                 // A host that starts lists both, in either order.
                 self.trials.keys().for_each(|service| self.versions.ordered(service));
                 self.table.replace(now, records);
+                self.clear_versions(now);
                 let n = self.table.records().count();
                 actions.push(Action::Note(Event::EndpointsListed, format!("endpoints={n}")));
                 Bearing::Now
--- a/crates/tidetrack-core/src/traffic/control/views.rs
+++ b/crates/tidetrack-core/src/traffic/control/views.rs
@@ -40,8 +40,15 @@
         }
         self.live = live;
         let services = sides.into_iter().map(|(s, (p, n))| (s.clone(), self.service(&s, p, n)));
-        let services = services.collect::<Vec<_>>().into_iter().collect();
-        FleetView { catalog: self.catalog.clone(), services, has_endpoints: self.has_endpoints }
+        let services: Vec<(ServiceId, ServiceView)> = services.collect();
+        // A host that has just started may hold all of them until it has read the roll-outs.
+        self.could_send |= !services.is_empty();
+        let are_held = !self.could_send && self.table.records().next().is_some();
+        FleetView {
+            catalog: self.catalog.clone(),
+            services: services.into_iter().collect(),
+            has_endpoints: self.has_endpoints && !are_held,
+        }
     }
 
     fn service(
--- a/crates/tidetrack-core/tests/starts.rs
+++ b/crates/tidetrack-core/tests/starts.rs
@@ -2,11 +2,15 @@
 
 mod support;
 
+use std::sync::Arc;
+
+use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::feeds::Kind;
 use tidetrack_core::traffic::joining::held_for;
 use tidetrack_core::units::{Bandwidth, Millis};
 
 use support::fleet::{ColdStart, Fleet};
+use support::{beliefs, catalog, caught_up, fresh_since, id, record, rollouts, view_of};
 
 /// A configuration of 1,400 routes.
 const LARGE_CATALOG: u64 = 337_000;
@@ -118,3 +122,35 @@
     assert!((400..=500).contains(&stream), "{stream}");
     assert_eq!((late, after), (100, 0));
 }
+
+/// Guards against a host that is ready while it holds all endpoints until it has read the roll-outs.
+#[test]
+fn a_host_that_starts_has_endpoints_once_it_may_send_to_one() {
+    let fresh = fresh_since(0);
+    let mut beliefs = beliefs(2);
+    beliefs.take(Millis(0), Input::Catalog(Arc::new(catalog(3))), &fresh);
+    let list = vec![record("o1", "v1"), record("n1", "v2")];
+
+    let listed = beliefs.take(Millis(10), Input::EndpointList(list), &fresh);
+    beliefs.take(Millis(11), caught_up(Kind::Endpoints, 10), &fresh);
+    beliefs.take(Millis(12), rollouts(Vec::new()), &fresh);
+    let read = beliefs.take(Millis(13), caught_up(Kind::Rollouts, 10), &fresh);
+
+    let before = view_of(&listed).expect("a view");
+    let after = view_of(&read).expect("a view");
+    assert!(!before.has_endpoints && before.services.is_empty());
+    assert!(after.has_endpoints && after.services.contains_key(&id("llm")));
+}
+
+/// Guards against holding the only version of a service for the moment between the list and its revision.
+#[test]
+fn endpoints_of_a_services_only_version_serve_with_the_list_that_names_them() {
+    let fresh = fresh_since(0);
+    let mut beliefs = beliefs(2);
+    beliefs.take(Millis(0), Input::Catalog(Arc::new(catalog(3))), &fresh);
+
+    let listed = beliefs.take(Millis(10), Input::EndpointList(vec![record("o1", "v1")]), &fresh);
+
+    let view = view_of(&listed).expect("a view");
+    assert!(view.has_endpoints && view.services.contains_key(&id("llm")));
+}
