A bar ends some time after the last crash; settings of routers

What made endpoints crash may be mended: a bar that each refusal renewed would have stayed for as long as callers asked. Now one copy at a time runs again ten minutes after the last crash, and the next crash bars it anew; an hour after it the request is forgotten. Routers read [suspects] from their settings, faults named. Only what changed of endpoints' limits is logged. What is told of suspects goes to a file of its own.

--- a/crates/tidetrack-core/src/traffic/control/limits.rs
+++ b/crates/tidetrack-core/src/traffic/control/limits.rs
@@ -20,9 +20,9 @@
             return;
         }
         let hosts = self.hosts();
-        let is_changed = self.limits.take_changed();
+        let changed = self.limits.take_changed();
         let is_young = |(at, of): (Millis, usize)| now < at + ALLOT_EVERY && of == hosts;
-        if !is_changed && self.allotted.is_some_and(is_young) {
+        if changed.is_empty() && self.allotted.is_some_and(is_young) {
             return;
         }
         self.allotted = Some((now, hosts));
@@ -30,7 +30,8 @@
             self.table.records().map(|r| EndpointKey::from(&r.id)).collect();
         self.limits.sweep(now, |key| listed.contains(&key));
         for record in self.table.records() {
-            let Some(named) = self.limits.of(EndpointKey::from(&record.id)) else { continue };
+            let key = EndpointKey::from(&record.id);
+            let Some(named) = self.limits.of(key) else { continue };
             let Some(live) = self.live.get(&record.id) else { continue };
             let allotted = match named {
                 None => Allotted::All,
@@ -45,7 +46,7 @@
             };
             live.allot(allotted);
             // What an answer names next is compared with this.
-            if live.names_limit(named) || is_changed {
+            if live.names_limit(named) || changed.contains(&key) {
                 let text = match named {
                     Some(limit) => {
                         format!("endpoint={} limit={limit} allotted={allotted:?}", record.id)
--- a/crates/tidetrack-core/src/traffic/endpoint_limits.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_limits.rs
@@ -8,7 +8,7 @@
 //!
 //! The newest answer counts, whichever host it came to. A limit ends when an answer names none.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -59,8 +59,8 @@
 pub struct EndpointLimits {
     named: BTreeMap<EndpointKey, Named>,
     has_untold: bool,
-    /// Whether shares are to be worked out anew.
-    is_changed: bool,
+    /// Endpoints whose shares are to be worked out anew.
+    changed: BTreeSet<EndpointKey>,
     turn: usize,
 }
 
@@ -90,7 +90,7 @@
     fn take(&mut self, endpoint: EndpointKey, named: Named) {
         self.named.insert(endpoint, named);
         self.has_untold = true;
-        self.is_changed = true;
+        self.changed.insert(endpoint);
     }
 
     /// Tells whether something is known here that no other host was told of.
@@ -98,9 +98,9 @@
         self.has_untold
     }
 
-    /// Tells whether shares are to be worked out anew since the last call.
-    pub fn take_changed(&mut self) -> bool {
-        std::mem::take(&mut self.is_changed)
+    /// Gets the endpoints of which something else is known since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<EndpointKey> {
+        std::mem::take(&mut self.changed)
     }
 
     /// Tells whether nothing is known of any limit.
--- a/crates/tidetrack-core/src/traffic/suspects.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/mod.rs
@@ -12,7 +12,6 @@
 //! The room is fixed, each caller has a part of it, and everything is forgotten after a time.
 
 use std::collections::{HashMap, HashSet};
-use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -21,11 +20,14 @@
 
 use crate::codes::Code;
 use crate::errors::{Error, Result};
-use crate::events::Event;
 use crate::ids::{EndpointId, EndpointKey, FailureDomain};
 use crate::traffic::fingerprint::Fingerprint;
 use crate::units::Millis;
 
+mod told;
+
+pub use told::{Change, ToldCrash, ToldSuspect};
+
 /// Crashes from which a request runs at one place at a time on a host.
 const ALONE_FROM: usize = 2;
 
@@ -60,12 +62,16 @@
 /// Fingerprints of runs that ended well, in each of two halves that take turns.
 const MOST_RECENT: usize = 2_048;
 
-/// How suspicion is handled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How suspicion is handled. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct SuspectOptions {
     /// Crashes from which a request is barred.
     pub barred_from: usize,
-    /// How long a request is remembered after it last came while barred, or an endpoint ended under it.
+    /// How long it is barred after the last crash. What made endpoints crash may have been mended by then, so one copy
+    /// at a time runs again; the next crash bars it anew.
+    pub barred_for: Millis,
+    /// How long a request is remembered after the last crash.
     pub kept_for: Millis,
     /// How long a cleared request is under no new suspicion.
     pub cleared_for: Millis,
@@ -79,7 +85,8 @@
     fn default() -> SuspectOptions {
         SuspectOptions {
             barred_from: 3,
-            kept_for: Millis(600_000),
+            barred_for: Millis(600_000),
+            kept_for: Millis(3_600_000),
             cleared_for: Millis(60_000),
             most: 1_024,
             most_of_caller: 128,
@@ -87,67 +94,6 @@
     }
 }
 
-/// The end of an endpoint under a request, as it is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldCrash {
-    /// The endpoint.
-    pub endpoint: EndpointKey,
-    /// Stands for its failure domain.
-    pub domain: u16,
-    /// Milliseconds for which the request had been there.
-    pub ran_ms: u32,
-    /// Milliseconds since.
-    pub ago_ms: u32,
-}
-
-/// A request under which endpoints crashed, as hosts tell each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldSuspect {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// The newest crashes.
-    pub crashes: Vec<ToldCrash>,
-    /// Milliseconds since it last came while barred, or an endpoint ended under it.
-    pub last_ms: u32,
-    /// Milliseconds since a run came to its end, if one did.
-    pub cleared_ms: Option<u32>,
-}
-
-/// What became of a request under suspicion, for the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// It takes no more runs.
-    Barred {
-        /// The request.
-        fingerprint: Fingerprint,
-        /// Crashes that count against it.
-        crashes: usize,
-    },
-    /// It is under no suspicion any more.
-    Cleared(Fingerprint),
-}
-
-impl Change {
-    /// Gets the event that it is logged as.
-    pub fn event(&self) -> Event {
-        match self {
-            Change::Barred { .. } => Event::RequestBarred,
-            Change::Cleared(_) => Event::RequestCleared,
-        }
-    }
-}
-
-impl fmt::Display for Change {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Change::Barred { fingerprint, crashes } => {
-                write!(f, "fingerprint={fingerprint} crashes={crashes}")
-            }
-            Change::Cleared(fingerprint) => write!(f, "fingerprint={fingerprint}"),
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Crash {
     endpoint: EndpointKey,
@@ -185,8 +131,7 @@
     cleared_at: Option<Millis>,
     /// When this host learned something new of it.
     changed_at: Millis,
-    /// When it last came while barred, or an endpoint ended under it.
-    last_at: Millis,
+    /// Whether so many crashes count against it that it is barred for a time after the last one.
     is_barred: bool,
 }
 
@@ -203,6 +148,11 @@
         true
     }
 
+    /// Gets when an endpoint last ended under it.
+    fn last_at(&self) -> Millis {
+        self.crashes.iter().map(|c| c.at).max().unwrap_or_default()
+    }
+
     /// Gets what may be told of it at `now`.
     fn told(&self, now: Millis, fingerprint: Fingerprint) -> ToldSuspect {
         let newest = self.crashes.iter().rev().take(CRASHES_TOLD);
@@ -215,7 +165,6 @@
         ToldSuspect {
             fingerprint,
             crashes: newest.map(told).collect(),
-            last_ms: age_ms(now, self.last_at),
             cleared_ms: self.cleared_at.map(|at| age_ms(now, at)),
         }
     }
@@ -288,17 +237,12 @@
 
     /// Checks, before each send, that a request is not barred.
     pub fn check(&self, now: Millis, fingerprint: Fingerprint) -> Result<()> {
-        let mut state = self.state();
-        if state.suspects.is_empty() {
-            return Ok(());
-        }
+        let state = self.state();
+        let Some(suspect) = state.suspects.get(&fingerprint) else { return Ok(()) };
         let crashes = self.crashes(&state, now, fingerprint);
-        if crashes < self.opts.barred_from {
+        if crashes < self.opts.barred_from || now >= suspect.last_at() + self.opts.barred_for {
             return Ok(());
         }
-        if let Some(suspect) = state.suspects.get_mut(&fingerprint) {
-            suspect.last_at = now;
-        }
         let text = format!(
             "endpoints crashed {crashes} times while they ran request {fingerprint}; it is not run any more"
         );
@@ -326,7 +270,6 @@
             suspect.changed_at = now;
             self.has_untold.store(true, Ordering::Relaxed);
         }
-        suspect.last_at = now;
         self.look(&mut state, now);
         self.crashes(&state, now, fingerprint)
     }
@@ -371,13 +314,12 @@
 
     fn hear_one(&self, state: &mut State, now: Millis, told: &ToldSuspect) {
         let ago = |ms: u32| Millis(now.0.saturating_sub(u64::from(ms)));
-        let last_at = ago(told.last_ms);
-        let is_old = now >= last_at + self.opts.kept_for;
-        if is_old || (told.crashes.is_empty() && !state.suspects.contains_key(&told.fingerprint)) {
+        let newest = told.crashes.iter().map(|c| ago(c.ago_ms)).max();
+        let is_old = newest.is_none_or(|at| now >= at + self.opts.kept_for);
+        if is_old && !state.suspects.contains_key(&told.fingerprint) {
             return;
         }
         let suspect = self.entry(state, told.fingerprint);
-        suspect.last_at = suspect.last_at.max(last_at);
         let mut is_news = false;
         for told in told.crashes.iter().rev() {
             let (endpoint, domain, at) = (told.endpoint, told.domain, ago(told.ago_ms));
@@ -515,7 +457,7 @@
     }
 
     fn has_lapsed(&self, suspect: &Suspect, now: Millis) -> bool {
-        now >= suspect.last_at + self.opts.kept_for
+        now >= suspect.last_at() + self.opts.kept_for
     }
 
     /// Finds requests that are barred by what is known now, and those that no longer are.
@@ -552,7 +494,7 @@
     /// Forgets the entry that matters least of some.
     fn evict(&mut self, is_meant: impl Fn(&Fingerprint) -> bool) {
         let meant = self.suspects.iter().filter(|(f, _)| is_meant(f));
-        let least = meant.min_by_key(|(f, s)| (s.is_barred, s.crashes.len(), s.last_at, **f));
+        let least = meant.min_by_key(|(f, s)| (s.is_barred, s.crashes.len(), s.last_at(), **f));
         if let Some(fingerprint) = least.map(|(f, _)| *f) {
             self.suspects.remove(&fingerprint);
         }
--- /dev/null
+++ b/crates/tidetrack-core/src/traffic/suspects/told.rs
@@ -0,0 +1,68 @@
+//! What hosts tell each other of requests under which endpoints crashed, and what is logged of them.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::events::Event;
+use crate::ids::EndpointKey;
+use crate::traffic::fingerprint::Fingerprint;
+
+/// The end of an endpoint under a request, as it is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldCrash {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Stands for its failure domain.
+    pub domain: u16,
+    /// Milliseconds for which the request had been there.
+    pub ran_ms: u32,
+    /// Milliseconds since.
+    pub ago_ms: u32,
+}
+
+/// A request under which endpoints crashed, as hosts tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldSuspect {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The newest crashes.
+    pub crashes: Vec<ToldCrash>,
+    /// Milliseconds since a run came to its end, if one did.
+    pub cleared_ms: Option<u32>,
+}
+
+/// What became of a request under suspicion, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It takes no more runs.
+    Barred {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Crashes that count against it.
+        crashes: usize,
+    },
+    /// It is under no suspicion any more.
+    Cleared(Fingerprint),
+}
+
+impl Change {
+    /// Gets the event that it is logged as.
+    pub fn event(&self) -> Event {
+        match self {
+            Change::Barred { .. } => Event::RequestBarred,
+            Change::Cleared(_) => Event::RequestCleared,
+        }
+    }
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Change::Barred { fingerprint, crashes } => {
+                write!(f, "fingerprint={fingerprint} crashes={crashes}")
+            }
+            Change::Cleared(fingerprint) => write!(f, "fingerprint={fingerprint}"),
+        }
+    }
+}
--- a/crates/tidetrack-router/src/router.rs
+++ b/crates/tidetrack-router/src/router.rs
@@ -16,6 +16,7 @@
 use tidetrack_core::membership::{Member, MemberState};
 use tidetrack_core::node::Node;
 use tidetrack_core::tickets::{TicketBook, TicketOptions};
+use tidetrack_core::traffic::suspects::Suspects;
 use tidetrack_core::units::Millis;
 use tidetrack_core::view::View;
 use tidetrack_wire::platform::PlatformClient;
@@ -110,7 +111,7 @@
             gate: Gate::default(),
             leaving: AtomicBool::new(false),
             limits: Arc::default(),
-            suspects: Arc::default(),
+            suspects: Arc::new(Suspects::new(settings.suspects)),
             tickets: Mutex::new(TicketBook::new(own.clone(), TicketOptions::default())),
             retries: Mutex::default(),
             control: control_tx.clone(),
--- a/crates/tidetrack-router/src/settings.rs
+++ b/crates/tidetrack-router/src/settings.rs
@@ -8,6 +8,7 @@
 use tidetrack_core::ids::{FailureDomain, HostId};
 use tidetrack_core::node::NodeOptions;
 use tidetrack_core::seal::KeyRing;
+use tidetrack_core::traffic::suspects::SuspectOptions;
 
 /// Least characters of a secret.
 const MIN_SECRET_LEN: usize = 16;
@@ -48,6 +49,9 @@
     /// Times and sizes of the control state.
     #[serde(default)]
     pub control: NodeOptions,
+    /// How requests are treated under which endpoints crash.
+    #[serde(default)]
+    pub suspects: SuspectOptions,
     /// Log lines below this are left out: `debug`, `info`, `warning` or `error`.
     #[serde(default = "default_level")]
     pub log_level: String,
@@ -158,6 +162,12 @@
         if self.limits.threads == 0 {
             say("limits.threads: none would carry a request".to_string());
         }
+        if self.suspects.barred_from == 0 {
+            say("suspects.barred_from: every request would be barred".to_string());
+        }
+        if self.suspects.most == 0 || self.suspects.most_of_caller == 0 {
+            say("suspects.most, suspects.most_of_caller: none would be remembered".to_string());
+        }
         if !crate::logging::LEVELS.contains(&self.log_level.as_str()) {
             say(format!("log_level: one of {:?} is taken", crate::logging::LEVELS));
         }
@@ -178,4 +188,16 @@
         assert!(err.message.contains("`failure_domain`"), "{err}");
         assert!(err.message.contains("r.toml:4:"), "{err}");
     }
+
+    #[test]
+    fn suspects_that_would_bar_all_or_remember_none_are_refused() {
+        let example = include_str!("../../../examples/routers/router-1.toml");
+        let with = |more: &str| Settings::from_toml("r.toml", &format!("{example}\n{more}"));
+
+        let good = with("[suspects]\nbarred_from = 5\nbarred_for = 60000\n").expect("settings");
+        let none = with("[suspects]\nbarred_from = 0\nmost = 0\n").expect_err("faults");
+
+        assert_eq!(good.suspects.barred_from, 5);
+        assert!(none.message.contains("barred_from") && none.message.contains("most"), "{none}");
+    }
 }
--- a/crates/tidetrack-testkit/src/fleet.rs
+++ b/crates/tidetrack-testkit/src/fleet.rs
@@ -7,6 +7,7 @@
 use tidetrack_core::declare::{read_folder, Declared};
 use tidetrack_core::node::NodeOptions;
 use tidetrack_core::seal::{digest, Key, KeyRing};
+use tidetrack_core::traffic::suspects::SuspectOptions;
 use tidetrack_ctl::{apply, status};
 use tidetrack_router::control::Status;
 use tidetrack_router::settings::{ProcessLimits, Times};
@@ -269,6 +270,7 @@
             limits: ProcessLimits { threads: self.options.threads, ..ProcessLimits::default() },
             times: self.options.times.clone(),
             control: self.options.control.clone(),
+            suspects: SuspectOptions::default(),
             log_level: "info".into(),
         };
         self.hosts.push(Host { process: None, to_platform, to_peer, to_caller, settings });
