--- a/crates/tidetrack-plane/tests/clock.rs
+++ b/crates/tidetrack-plane/tests/clock.rs
@@ -1,55 +1,16 @@
-//! Ages on a machine that is suspended.
-
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+//! The process's clock.
 
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::units::Millis;
-use tidetrack_plane::clock::{Clock, Moment, Suspensions};
-
-/// Time since the machine's start, in milliseconds, as the test sets it.
-static NOW_MS: AtomicU64 = AtomicU64::new(50_000);
-
-fn now() -> Duration {
-    Duration::from_millis(NOW_MS.load(Ordering::Relaxed))
-}
+use tidetrack_plane::clock::Clock;
 
-/// Guards against a configuration that looks as young after a suspension as before.
 #[test]
-fn a_proof_is_older_by_the_time_in_which_the_machine_was_suspended() {
-    let bound = Millis(5_000);
-    let clock = Clock::reading(now);
+fn a_proof_from_before_the_start_keeps_its_age() {
+    let clock = Clock::start();
     let fresh = Freshness::default();
-    fresh.proved(clock.now());
-    let was_fresh = fresh.holds(clock.now(), bound);
-
-    NOW_MS.fetch_add(4_000, Ordering::Relaxed);
-
-    assert!(was_fresh);
-    assert!(!fresh.holds(clock.now(), bound));
-    assert_eq!(clock.since_start(), Millis(4_000));
-}
-
-#[test]
-fn a_suspension_is_noticed_once_and_a_stopped_process_is_none() {
-    let mut suspensions = Suspensions::default();
-    let s = Duration::from_secs;
-    let looks = [(s(1), s(1)), (s(9), s(9)), (s(14), s(10)), (s(15), s(11))];
-
-    let seen: Vec<Option<Duration>> =
-        looks.iter().map(|(counting, steady)| suspensions.look(*counting, *steady)).collect();
-
-    assert_eq!(seen, [None, None, Some(s(4)), None]);
-}
-
-#[test]
-fn moments_go_on_with_the_time() {
-    let (began, steady) = (Moment::now(), Instant::now());
-    let due = began.after(Duration::from_millis(30));
 
-    std::thread::sleep(Duration::from_millis(30));
+    // Another host read 4 s ago, when this process did not run yet.
+    fresh.proved(clock.now() - Millis(4_000));
 
-    assert!(began.elapsed() >= Duration::from_millis(30));
-    assert!(began.elapsed() <= steady.elapsed() + Duration::from_secs(1));
-    assert_eq!(due.left(), Duration::ZERO);
+    assert!(!fresh.holds(clock.now(), Millis(5_000)));
 }
--- a/crates/tidetrack-plane/tests/messages.rs
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -1,62 +1,116 @@
-//! Sizes of what hosts tell each other of requests that crash endpoints and of endpoints' limits.
-
-use tidetrack_core::ids::{EndpointId, EndpointKey, WorkspaceId};
-use tidetrack_core::traffic::endpoint_limits::EndpointLimits;
-use tidetrack_core::traffic::fingerprint::{Fingerprint, Repeated};
-use tidetrack_core::traffic::suspects::Suspects;
-use tidetrack_core::units::{Millis, Rate};
-
-/// Bytes that a message may take for either: with all else it has to stay below 8 KiB.
-const MOST_BYTES: usize = 2_048;
-
-const NOW: Millis = Millis(604_800_000);
-
-fn fingerprint(n: usize) -> Fingerprint {
-    let workspace: WorkspaceId = format!("w-{}", n % 12).parse().expect("a name");
-    Fingerprint::of(&Repeated {
-        workspace: Some(&workspace),
-        hostname: "shop.example",
-        method: "POST",
-        path: "/a/x",
-        body: n.to_string().as_bytes(),
-    })
+//! Sizes of the messages between hosts.
+
+use tidetrack_core::ids::{EndpointId, EndpointKey};
+use tidetrack_core::traffic::judge::{AttemptEnd, Judge, Observed, Tally};
+use tidetrack_core::traffic::peers::{News, PeerMessage, ToldProof, ToldTally};
+use tidetrack_core::traffic::prefixes::{PartKey, Prefixes};
+use tidetrack_core::traffic::usual::Usual;
+use tidetrack_core::units::Millis;
+
+/// Bytes that one endpoint in use may add to a message.
+const MOST_BYTES_AN_ENDPOINT: usize = 8;
+
+/// Bytes of a message that tell where prefixes were read.
+const MOST_BYTES_OF_READS: usize = 162;
+
+/// Bytes of a message besides the endpoints in use.
+const MOST_BYTES_ELSE: usize = 220;
+
+/// Bytes of a message that tell what was counted of one roll-out, however many routes and endpoints it has.
+const MOST_BYTES_OF_A_TALLY: usize = 1_050;
+
+fn message(endpoints: usize) -> PeerMessage {
+    let key = |i| EndpointKey::from(&format!("i-{i:010}").parse::<EndpointId>().expect("a name"));
+    let tally = ToldTally {
+        service: "model-service".parse().expect("a name"),
+        version: "v2".parse().expect("a name"),
+        age_ms: 4_000,
+        tally: Tally::default(),
+        usual: Vec::new(),
+    };
+    PeerMessage {
+        from: "edge-some-hall-1".parse().expect("a name"),
+        incarnation: 0,
+        address: "10.1.0.40:8229".parse().expect("an address"),
+        failure_domain: "some-hall".parse().expect("a name"),
+        is_strong: false,
+        wants_reply: true,
+        stamp_ms: 604_800_000,
+        echo_ms: Some(604_800_000),
+        hints: vec!["10.1.0.41:8229".parse().expect("an address"); 6],
+        news: News {
+            proof: Some(ToldProof { version: 1_000, age_ms: 900 }),
+            loads: (0..endpoints).map(|i| (key(i), 2_000)).collect(),
+            tallies: vec![tally],
+            ..News::default()
+        },
+    }
+}
+
+fn size(endpoints: usize) -> usize {
+    postcard::to_allocvec(&message(endpoints)).expect("it can be written").len()
 }
 
-fn bytes<T: serde::Serialize>(told: &T) -> usize {
-    postcard::to_allocvec(told).expect("plain values").len()
+#[test]
+fn a_message_grows_by_a_few_bytes_for_each_endpoint_in_use() {
+    let (none, some, many) = (size(0), size(20), size(200));
+
+    println!("bytes of a message with 0, 20, 200 endpoints in use: {none}, {some}, {many}");
+    assert!(none <= MOST_BYTES_ELSE, "{none}");
+    assert!(many - none <= 200 * MOST_BYTES_AN_ENDPOINT, "{many}");
 }
 
 #[test]
-fn what_is_told_of_barred_requests_fits_into_a_message_however_many_there_are() {
-    let suspects = Suspects::default();
-    for n in 0..1_024 {
-        for crash in 0..8 {
-            let endpoint: EndpointId = format!("e-{n}-{crash}").parse().expect("a name");
-            let at = NOW + Millis(crash * 1_000);
-            let domain = "hall".parse().expect("a name");
-            suspects.crashed(at, fingerprint(n), &endpoint, &domain, at);
-        }
+fn what_is_told_of_prefixes_stays_small_however_many_were_read() {
+    let prefixes = Prefixes::default();
+    for i in 0..5_000u64 {
+        let endpoint = format!("i-{i:010}").parse::<EndpointId>().expect("a name");
+        prefixes.used(Millis(i), PartKey::new(&i.to_string(), None), EndpointKey::from(&endpoint));
     }
 
-    let told = suspects.told(NOW + Millis(8_000));
+    let told = prefixes.told(Millis(5_000), Millis(20_000));
+    let bytes = postcard::to_allocvec(&told).expect("it can be written").len();
 
-    let size = bytes(&told);
-    println!("{} barred requests told of {}: {size} bytes", told.len(), suspects.len());
-    assert_eq!(suspects.len(), 1_024);
-    assert!(size <= MOST_BYTES, "{size} bytes");
+    println!("bytes of what a message tells of prefixes: {bytes}");
+    assert!(bytes <= MOST_BYTES_OF_READS, "{bytes}");
 }
 
 #[test]
-fn what_is_told_of_limits_fits_into_a_message_however_many_there_are() {
-    let mut limits = EndpointLimits::default();
-    for n in 0..4_200 {
-        let id: EndpointId = format!("e-{n}").parse().expect("a name");
-        limits.answered(NOW, EndpointKey::from(&id), Some(Rate(1.6)));
+fn what_is_told_of_a_roll_out_stays_small_however_many_routes_and_endpoints_it_has() {
+    let mut judge = Judge::default();
+    let usual = Usual::default();
+    for i in 0..5_000 {
+        let seen = Observed {
+            service: "model-service".parse().expect("a name"),
+            new_version: None,
+            endpoint: format!("i-{i:010}").parse().expect("a name"),
+            is_loaded: false,
+            route: format!("route-{i}").parse().expect("a name"),
+            model: None,
+            end: AttemptEnd::Whole,
+            is_stream: true,
+            load: 0.0,
+            head_ms: Some(50.0),
+            gap_ms: Some(20.0),
+        };
+        judge.see_proven(Millis(i), &seen, &usual);
+        judge.see_new(Millis(i), &seen, &usual);
+        judge.see_new(Millis(i), &Observed { is_loaded: true, ..seen }, &usual);
     }
 
-    let told = limits.told(NOW + Millis(100));
+    let told = postcard::to_allocvec(judge.tally(Millis(5_000))).expect("it can be written");
+
+    println!("bytes of what a message tells of a roll-out: {}", told.len());
+    assert!(told.len() <= MOST_BYTES_OF_A_TALLY, "{}", told.len());
+}
+
+#[test]
+fn a_message_reads_as_it_was_written_and_cut_ones_are_refused() {
+    let message = message(20);
+    let bytes = postcard::to_allocvec(&message).expect("it can be written");
 
-    let size = bytes(&told);
-    println!("{} limits told of 4200: {size} bytes", told.len());
-    assert!(size <= MOST_BYTES, "{size} bytes");
+    assert_eq!(postcard::from_bytes::<PeerMessage>(&bytes).expect("it can be read"), message);
+    for len in 0..bytes.len() {
+        assert!(postcard::from_bytes::<PeerMessage>(&bytes[..len]).is_err(), "{len} bytes");
+    }
 }
--- /dev/null
+++ b/crates/tidetrack-plane/tests/told_sizes.rs
@@ -0,0 +1,62 @@
+//! Sizes of what hosts tell each other of requests that crash endpoints and of endpoints' limits.
+
+use tidetrack_core::ids::{EndpointId, EndpointKey, WorkspaceId};
+use tidetrack_core::traffic::endpoint_limits::EndpointLimits;
+use tidetrack_core::traffic::fingerprint::{Fingerprint, Repeated};
+use tidetrack_core::traffic::suspects::Suspects;
+use tidetrack_core::units::{Millis, Rate};
+
+/// Bytes that a message may take for either: with all else it has to stay below 8 KiB.
+const MOST_BYTES: usize = 2_048;
+
+const NOW: Millis = Millis(604_800_000);
+
+fn fingerprint(n: usize) -> Fingerprint {
+    let workspace: WorkspaceId = format!("w-{}", n % 12).parse().expect("a name");
+    Fingerprint::of(&Repeated {
+        workspace: Some(&workspace),
+        hostname: "shop.example",
+        method: "POST",
+        path: "/a/x",
+        body: n.to_string().as_bytes(),
+    })
+}
+
+fn bytes<T: serde::Serialize>(told: &T) -> usize {
+    postcard::to_allocvec(told).expect("plain values").len()
+}
+
+#[test]
+fn what_is_told_of_barred_requests_fits_into_a_message_however_many_there_are() {
+    let suspects = Suspects::default();
+    for n in 0..1_024 {
+        for crash in 0..8 {
+            let endpoint: EndpointId = format!("e-{n}-{crash}").parse().expect("a name");
+            let at = NOW + Millis(crash * 1_000);
+            let domain = "hall".parse().expect("a name");
+            suspects.crashed(at, fingerprint(n), &endpoint, &domain, at);
+        }
+    }
+
+    let told = suspects.told(NOW + Millis(8_000));
+
+    let size = bytes(&told);
+    println!("{} barred requests told of {}: {size} bytes", told.len(), suspects.len());
+    assert_eq!(suspects.len(), 1_024);
+    assert!(size <= MOST_BYTES, "{size} bytes");
+}
+
+#[test]
+fn what_is_told_of_limits_fits_into_a_message_however_many_there_are() {
+    let mut limits = EndpointLimits::default();
+    for n in 0..4_200 {
+        let id: EndpointId = format!("e-{n}").parse().expect("a name");
+        limits.answered(NOW, EndpointKey::from(&id), Some(Rate(1.6)));
+    }
+
+    let told = limits.told(NOW + Millis(100));
+
+    let size = bytes(&told);
+    println!("{} limits told of 4200: {size} bytes", told.len());
+    assert!(size <= MOST_BYTES, "{size} bytes");
+}
