When hosts tell of requests under suspicion stands in a module of its own; one lock to admit a request

An admission took the lock and worked the crashes out twice. Behaviour is the same; the tests of suspects pass unchanged.

--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -28,6 +28,7 @@
 pub mod samples;
 mod short;
 pub mod suspects;
+mod telling;
 pub mod trial;
 pub mod turns;
 pub mod usual;
--- a/crates/tidetrack-core/src/traffic/suspects/mod.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/mod.rs
@@ -22,6 +22,7 @@
 use crate::errors::{Error, Result};
 use crate::ids::{EndpointId, EndpointKey, FailureDomain};
 use crate::traffic::fingerprint::Fingerprint;
+use crate::traffic::telling::{is_news, is_told_again, news_then_rest};
 use crate::units::Millis;
 
 mod told;
@@ -52,13 +53,6 @@
 /// Requests that the answer to a host's first message tells at most: it has to know them before it sends.
 pub const FIRST_TOLD: usize = 24;
 
-/// How long a host tells a change that it learned: some rounds, after which two dozen others tell it on.
-const TOLD_FOR: Millis = Millis(800);
-
-/// How often it is told again that a request is barred, and for how long each time: a round at the least.
-const TOLD_AGAIN: Millis = Millis(2_000);
-const AGAIN_FOR: Millis = Millis(300);
-
 /// Fingerprints of runs that ended well, in each of two halves that take turns.
 const MOST_RECENT: usize = 2_048;
 
@@ -221,9 +215,8 @@
 
     /// Admits a request unless it is barred, or runs here already and is close to that.
     pub fn admit(self: &Arc<Self>, now: Millis, fingerprint: Fingerprint) -> Result<Running> {
-        self.check(now, fingerprint)?;
         let mut state = self.state();
-        let crashes = self.crashes(&state, now, fingerprint);
+        let crashes = self.check_in(&state, now, fingerprint)?;
         let copies = state.running.entry(fingerprint).or_default();
         if crashes >= ALONE_FROM && *copies > 0 {
             let text = format!(
@@ -237,11 +230,15 @@
 
     /// Checks, before each send, that a request is not barred.
     pub fn check(&self, now: Millis, fingerprint: Fingerprint) -> Result<()> {
-        let state = self.state();
-        let Some(suspect) = state.suspects.get(&fingerprint) else { return Ok(()) };
-        let crashes = self.crashes(&state, now, fingerprint);
+        self.check_in(&self.state(), now, fingerprint).map(drop)
+    }
+
+    /// Checks the same; gets the crashes that count against the request.
+    fn check_in(&self, state: &State, now: Millis, fingerprint: Fingerprint) -> Result<usize> {
+        let Some(suspect) = state.suspects.get(&fingerprint) else { return Ok(0) };
+        let crashes = self.crashes(state, now, fingerprint);
         if crashes < self.opts.barred_from || now >= suspect.last_at() + self.opts.barred_for {
-            return Ok(());
+            return Ok(crashes);
         }
         let text = format!(
             "endpoints crashed {crashes} times while they ran request {fingerprint}; it is not run any more"
@@ -346,17 +343,13 @@
 
     /// Tells whether something became known here of late that others may not know.
     pub fn has_news(&self, now: Millis) -> bool {
-        self.state().suspects.values().any(|s| now < s.changed_at + TOLD_FOR)
+        self.state().suspects.values().any(|s| is_news(now, s.changed_at))
     }
 
     /// Lists what to tell other hosts in a round: what is new, and now and then what is barred, for hosts that missed
     /// it.
     pub fn told(&self, now: Millis) -> Vec<ToldSuspect> {
-        let is_again = |fingerprint: &Fingerprint| {
-            let phase = u64::from(fingerprint.hash_start());
-            (now.0 + phase) % TOLD_AGAIN.0 < AGAIN_FOR.0
-        };
-        self.tell(now, MOST_TOLD, is_again)
+        self.tell(now, MOST_TOLD, |fingerprint| is_told_again(now, fingerprint.hash_start()))
     }
 
     /// Lists up to `most` requests to tell one other host: what is new, then barred ones in turn.
@@ -376,7 +369,7 @@
         let mut fresh: Vec<(&Fingerprint, &Suspect)> = Vec::new();
         let mut barred: Vec<(&Fingerprint, &Suspect)> = Vec::new();
         for (fingerprint, suspect) in &state.suspects {
-            if now < suspect.changed_at + TOLD_FOR {
+            if is_news(now, suspect.changed_at) {
                 fresh.push((fingerprint, suspect));
             } else if suspect.is_barred && is_told(fingerprint) {
                 barred.push((fingerprint, suspect));
@@ -386,11 +379,10 @@
             std::cmp::Reverse((s.is_barred, s.crashes.len(), s.changed_at, **fingerprint))
         });
         barred.sort_by_key(|(fingerprint, _)| **fingerprint);
-        let left = most.saturating_sub(fresh.len()).min(barred.len());
-        let again = barred.iter().cycle().skip(state.turn % barred.len().max(1)).take(left);
-        let all = fresh.iter().take(most).chain(again);
-        let told = all.map(|(fingerprint, s)| s.told(now, **fingerprint)).collect();
-        state.turn = state.turn.wrapping_add(left);
+        let mut turn = state.turn;
+        let all = news_then_rest(&fresh, &barred, most, &mut turn);
+        let told = all.iter().map(|(fingerprint, s)| s.told(now, **fingerprint)).collect();
+        state.turn = turn;
         told
     }
 
