--- a/crates/tidetrack-core/src/traffic/endpoint_limits.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_limits.rs
@@ -13,18 +13,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::EndpointKey;
+use crate::traffic::telling::{is_news, is_told_again, news_then_rest};
 use crate::units::{Millis, Rate};
 
 /// Limits that one message tells at most.
 const MOST_TOLD: usize = 32;
 
-/// How long a host tells a change that it learned: some rounds, after which two dozen others tell it on.
-const TOLD_FOR: Millis = Millis(800);
-
-/// How often the rest is told again, and for how long each time: a round at the least.
-const TOLD_AGAIN: Millis = Millis(2_000);
-const AGAIN_FOR: Millis = Millis(300);
-
 /// How long it is told that a limit ended.
 const ENDED_KEPT: Millis = Millis(10_000);
 
@@ -115,7 +109,7 @@
 
     /// Lists what to tell other hosts in a round: what is new, and now and then the rest.
     pub fn told(&mut self, now: Millis) -> Vec<ToldLimit> {
-        self.tell(now, |endpoint| (now.0 + u64::from(endpoint.get())) % TOLD_AGAIN.0 < AGAIN_FOR.0)
+        self.tell(now, |endpoint| is_told_again(now, endpoint.get()))
     }
 
     /// Lists what to tell a host that knows nothing: what is new, then the rest in turn.
@@ -125,21 +119,20 @@
 
     fn tell(&mut self, now: Millis, is_told: impl Fn(&EndpointKey) -> bool) -> Vec<ToldLimit> {
         self.has_untold = false;
-        let told = |(endpoint, named): (&EndpointKey, &Named)| ToldLimit {
-            endpoint: *endpoint,
-            rate: steps(named.rate),
-            age_ms: u32::try_from((now - named.answered_at).0).unwrap_or(u32::MAX),
-        };
-        let is_fresh = |named: &Named| now < named.known_at + TOLD_FOR;
-        let fresh = self.named.iter().filter(|(_, named)| is_fresh(named));
-        let mut all: Vec<ToldLimit> = fresh.take(MOST_TOLD).map(told).collect();
-        let is_other =
-            |(endpoint, named): &(&EndpointKey, &Named)| !is_fresh(named) && is_told(endpoint);
-        let others: Vec<ToldLimit> = self.named.iter().filter(is_other).map(told).collect();
-        let left = (MOST_TOLD - all.len()).min(others.len());
-        all.extend(others.iter().cycle().skip(self.turn % others.len().max(1)).take(left));
-        self.turn = self.turn.wrapping_add(left);
-        all
+        let (mut news, mut rest) = (Vec::new(), Vec::new());
+        for (endpoint, named) in &self.named {
+            let told = ToldLimit {
+                endpoint: *endpoint,
+                rate: steps(named.rate),
+                age_ms: u32::try_from((now - named.answered_at).0).unwrap_or(u32::MAX),
+            };
+            match is_news(now, named.known_at) {
+                true => news.push(told),
+                false if is_told(endpoint) => rest.push(told),
+                false => {}
+            }
+        }
+        news_then_rest(&news, &rest, MOST_TOLD, &mut self.turn)
     }
 
     /// Forgets endpoints that are gone, and limits that ended a while ago.
