Further attempts of a request that failed are no evidence against a version

What was seen: a good version of a plain service rolled back on 83 hosts, "of_late failed=4.5 of=8.3", 3.4 s into its sample; others on 67 and 295 virtual hosts.

Cause: each attempt counted as an answer of its own. Some requests fail at any endpoint, and a failed one is sent to two more of the same version, so one request gave up to three failures. The verdicts weigh shares as of independent answers.

Ruled out for these: the share that is usual was learnt right (the same repeats are in it), and the number of looks.

--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -210,7 +210,7 @@
         let is_new = |r: &&EndpointRecord| r.service == *service && r.version == version;
         let endpoints = self.table.records().filter(is_new).count();
         if let Some(exposure) = self.exposures.get(service) {
-            trial.judge.sent(now, exposure.sent());
+            trial.judge.sent(now, exposure.sent_first());
         }
         let mut all = trial.judge.tally(now).clone();
         let mut basis = Basis { endpoints, hosts, counted: 1 };
--- a/crates/tidetrack-core/src/traffic/exposure.rs
+++ b/crates/tidetrack-core/src/traffic/exposure.rs
@@ -115,6 +115,8 @@
 pub struct Exposure {
     all: AtomicU64,
     new: AtomicU64,
+    /// Those of the new version's that had not failed before.
+    new_first: AtomicU64,
     held: Mutex<HashMap<SessionKey, Held>>,
     /// Whether a session began here that no other host was told of.
     has_untold: AtomicBool,
@@ -208,14 +210,15 @@
         self.is_doubted.store(is_doubted, Ordering::Relaxed);
     }
 
-    /// Counts a request sent to the new version.
-    pub fn sent_to_new(&self) {
+    /// Counts a request sent to the new version, for which an endpoint may have failed before.
+    pub fn sent_to_new(&self, has_failed: bool) {
         self.new.fetch_add(1, Ordering::Relaxed);
+        self.new_first.fetch_add(u64::from(!has_failed), Ordering::Relaxed);
     }
 
-    /// Gets the requests sent to the new version so far.
-    pub fn sent(&self) -> u64 {
-        self.new.load(Ordering::Relaxed)
+    /// Gets the requests sent to the new version so far that had not failed before.
+    pub fn sent_first(&self) -> u64 {
+        self.new_first.load(Ordering::Relaxed)
     }
 
     /// Takes note that a session is at work on a proven version.
--- a/crates/tidetrack-core/tests/support/answers.rs
+++ b/crates/tidetrack-core/tests/support/answers.rs
@@ -293,6 +293,7 @@
             route: id(route),
             model: None,
             end: if failed { AttemptEnd::Failed } else { AttemptEnd::Whole },
+            has_failed: false,
             is_stream,
             load,
             head_ms: Some(ms),
--- a/crates/tidetrack-core/tests/verdicts.rs
+++ b/crates/tidetrack-core/tests/verdicts.rs
@@ -108,6 +108,7 @@
         route: "return".parse().expect("a name"),
         model: None,
         end,
+        has_failed: false,
         is_stream: false,
         load: 0.0,
         head_ms: Some(10.0),
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -85,7 +85,7 @@
                 }
                 match side {
                     Side::Proven => service.exposure.hold(now, who, hold_for),
-                    Side::New => service.exposure.sent_to_new(),
+                    Side::New => service.exposure.sent_to_new(job.has_failed.get()),
                 }
                 return Ok(chosen);
             }
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -3,6 +3,7 @@
 //! The loop here only carries out what the core decides: admission, side of a roll-out, endpoint,
 //! model, whether to try again. Each decision is one line of the log.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -187,6 +188,7 @@
         admitted,
         fingerprint,
         running,
+        has_failed: Cell::new(false),
         method: head.method,
         uri: head.uri,
         head: head.headers,
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -120,6 +120,8 @@
     pub admitted: Admitted,
     /// Method of the request.
     pub method: Method,
+    /// Whether an endpoint failed for it.
+    pub has_failed: Cell<bool>,
     /// Path and query, unaltered.
     pub uri: Uri,
     /// What stays the same when the caller sends it again.
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -152,6 +152,7 @@
     let shared = &traffic.shared;
     let load = chosen.live.load(shared.now());
     let head_ms = seen.head.map(|d| d.as_secs_f64() * 1_000.0);
+    let has_failed = job.has_failed.replace(job.has_failed.get() || seen.end == AttemptEnd::Failed);
     if let Some(version) = &chosen.new_version {
         shared.metrics.version_attempt(job.service.as_str(), seen.end.as_str());
         shared.journal.routine(
@@ -163,6 +164,7 @@
                 ("version", version),
                 ("model", &model.map_or("-", ModelId::as_str)),
                 ("end", &seen.end.as_str()),
+                ("has_failed", &has_failed),
                 ("head_ms", &format_args!("{:.0}", head_ms.unwrap_or(-1.0))),
                 ("gap_ms", &format_args!("{:.1}", seen.gap_ms.unwrap_or(-1.0))),
                 ("load", &format_args!("{load:.0}")),
@@ -181,6 +183,7 @@
         route: job.admitted.route.name.clone(),
         model: model.cloned(),
         end: seen.end,
+        has_failed,
         is_stream: job.admitted.route.work.is_stream(),
         load,
         head_ms,
--- a/crates/tidetrack-plane/tests/messages.rs
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -88,6 +88,7 @@
             route: format!("route-{i}").parse().expect("a name"),
             model: None,
             end: AttemptEnd::Whole,
+            has_failed: false,
             is_stream: true,
             load: 0.0,
             head_ms: Some(50.0),
