Test: a host whose machine was suspended learns of barred requests

Virtual fleets of 7, 67 and 295 hosts: one host does nothing for 8 s while the others bar a request; 0.5 s after it goes on it has it barred. It passes on the code as it is: a suspended host has lost sight of the others, meets them anew and gets what is barred with their first answers.

--- a/crates/tidetrack-core/tests/support/fleet.rs
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -112,6 +112,8 @@
     pub links: Links<Coming>,
     /// Hosts that do not answer others.
     pub deaf: Vec<usize>,
+    /// Hosts whose machines are suspended: they do nothing, and what is sent to them is lost.
+    pub suspended: Vec<usize>,
     /// Whether the store shows those that watch it nothing.
     pub are_watchers_blind: bool,
     /// Whether the store fails the calls of hosts that do not watch it.
@@ -156,6 +158,7 @@
             giving: vec![Giving::new(Bandwidth(f64::INFINITY)); hosts as usize],
             links: Links::wide(hosts as usize),
             deaf: Vec::new(),
+            suspended: Vec::new(),
             are_watchers_blind: false,
             store_is_down: false,
             calls: 0,
@@ -202,6 +205,7 @@
             giving: Vec::new(),
             links: Links::wide(all),
             deaf: Vec::new(),
+            suspended: Vec::new(),
             are_watchers_blind: true,
             store_is_down: false,
             calls: 0,
@@ -242,7 +246,9 @@
             self.deliver();
             self.catch();
             self.tell_rollout();
-            for i in 0..self.hosts.len() {
+            let all = 0..self.hosts.len();
+            let awake: Vec<usize> = all.filter(|i| !self.suspended.contains(i)).collect();
+            for i in awake {
                 self.prove(i);
                 self.watch(i);
                 self.take(i, Input::Tick);
@@ -398,6 +404,7 @@
         for _ in 0..2 {
             for (address, message) in std::mem::take(&mut self.on_the_way) {
                 let to = host_at(address).filter(|i| *i < self.hosts.len());
+                let to = to.filter(|i| !self.suspended.contains(i));
                 if let Some(to) = to.filter(|_| self.seed.random::<f64>() >= LOST) {
                     self.take(to, Input::Heard(Box::new(message)));
                 }
--- a/crates/tidetrack-core/tests/suspects.rs
+++ b/crates/tidetrack-core/tests/suspects.rs
@@ -226,6 +226,29 @@
     assert_eq!(code_of(suspects, fleet.now, deadly), Some(Code::CrashesEndpoints));
 }
 
+/// Guards against a machine that goes on after a suspension with what it knew before.
+#[test]
+fn a_host_that_was_suspended_knows_barred_requests_soon() {
+    for hosts in [7, 67, 295] {
+        let mut fleet = Fleet::start(hosts, 6);
+        fleet.run(4_000, |_, _| {});
+        let print = print_of("north", "deadly");
+        let suspended = hosts as usize / 2;
+        fleet.suspended = vec![suspended];
+        for host in 0..3 {
+            let (endpoint, domain) = (format!("e{host}"), format!("hall-{host}"));
+            crash(fleet.hosts[host].beliefs.suspects(), fleet.now, print, &endpoint, &domain);
+        }
+        fleet.run(fleet.now + 8_000, |_, _| {});
+
+        fleet.suspended.clear();
+        fleet.run(fleet.now + 500, |_, _| {});
+
+        let code = code_of(fleet.hosts[suspended].beliefs.suspects(), fleet.now, print);
+        assert_eq!(code, Some(Code::CrashesEndpoints), "{hosts} hosts");
+    }
+}
+
 #[test]
 fn a_run_that_ended_well_at_one_host_clears_its_request_at_all() {
     let mut fleet = Fleet::start(67, 5);
