A host that lost sight of most others keeps its share of a limit, and takes over none

What endpoints saw: a machine that was suspended, or hosts that were cut off, hear nobody for a moment, rank first among those they hear and took an endpoint's whole limit beside the hosts that held it.

Cause: shares were divided among the hosts that are heard, and few that are heard of a sudden counted as a small fleet.

--- a/crates/tidetrack-core/src/placement/live.rs
+++ b/crates/tidetrack-core/src/placement/live.rs
@@ -270,6 +270,11 @@
         self.send_gap_us.store(gap, Ordering::Relaxed);
     }
 
+    /// Tells whether this host may not send whatever it has.
+    pub fn is_limited(&self) -> bool {
+        self.send_gap_us.load(Ordering::Relaxed) != 0
+    }
+
     /// Gets when this host may send to the endpoint; `None` if it may not.
     pub fn sends_from(&self, now: Millis) -> Option<Millis> {
         match self.send_gap_us.load(Ordering::Relaxed) {
--- a/crates/tidetrack-core/src/traffic/control/limits.rs
+++ b/crates/tidetrack-core/src/traffic/control/limits.rs
@@ -16,10 +16,11 @@
 impl Beliefs {
     /// Works out what this host may send to endpoints that named limits, if that may have changed.
     pub(super) fn allot(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let hosts = self.hosts();
+        let is_alone = self.sight.is_lost(now, hosts);
         if self.limits.is_empty() {
             return;
         }
-        let hosts = self.hosts();
         let changed = self.limits.take_changed();
         let is_young = |(at, of): (Millis, usize)| now < at + ALLOT_EVERY && of == hosts;
         if changed.is_empty() && self.allotted.is_some_and(is_young) {
@@ -33,6 +34,10 @@
             let key = EndpointKey::from(&record.id);
             let Some(named) = self.limits.of(key) else { continue };
             let Some(live) = self.live.get(&record.id) else { continue };
+            // The others divide the whole among themselves, and this host adds to it what it had.
+            if is_alone && named.is_some() && live.is_limited() && !changed.contains(&key) {
+                continue;
+            }
             let allotted = match named {
                 None => Allotted::All,
                 Some(limit) => {
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -22,6 +22,7 @@
 use crate::traffic::outliers::Outliers;
 use crate::traffic::peers::{Barred, News, PeerBook, PeerMessage, Question, ROUND_EVERY};
 use crate::traffic::prefixes::Prefixes;
+use crate::traffic::sight::Sight;
 use crate::traffic::suspects::{Suspects, FIRST_TOLD};
 use crate::traffic::trial::{ProgressWrite, RolloutOrder, Trial, USUAL_BOUND};
 use crate::traffic::usual::Usual;
@@ -170,6 +171,8 @@
     limits: EndpointLimits,
     /// When shares of them were worked out, and for how many hosts.
     allotted: Option<(Millis, usize)>,
+    /// How many hosts were heard of late.
+    sight: Sight,
     peers: PeerBook,
     feeds: Feeds,
     /// Until when this host tells the others of itself more often, if it lacks something since its start.
@@ -218,6 +221,7 @@
             suspects: Arc::default(),
             limits: EndpointLimits::default(),
             allotted: None,
+            sight: Sight::default(),
         }
     }
 
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -27,6 +27,7 @@
 pub mod reach;
 pub mod samples;
 mod short;
+mod sight;
 pub mod suspects;
 mod telling;
 pub mod trial;
--- a/crates/tidetrack-core/tests/endpoint_limits.rs
+++ b/crates/tidetrack-core/tests/endpoint_limits.rs
@@ -44,6 +44,9 @@
     let mut came = Vec::new();
     while fleet.now < until {
         for host in 0..fleet.hosts.len() {
+            if fleet.suspended.contains(&host) {
+                continue;
+            }
             let live = live_at(fleet, host);
             let has_request = fleet.seed.random::<f64>() < 0.5;
             if !has_request || !live.may_send(Millis(fleet.now)) {
@@ -115,6 +118,45 @@
     assert!((3..=allowed(1.0)).contains(&most), "{most}");
 }
 
+/// Guards against a machine that takes all shares after a suspension, as it has lost sight of all other hosts.
+#[test]
+fn a_host_that_was_suspended_leaves_the_others_their_shares() {
+    for (hosts, limit) in [(7, 1.0), (67, 4.0), (295, 4.0)] {
+        let mut fleet = Fleet::start(hosts, 7);
+        fleet.run(4_000, |_, _| {});
+        send(&mut fleet, 4_000, Some(limit));
+        fleet.suspended = (0..hosts as usize).step_by(4).collect();
+        send(&mut fleet, 8_000, Some(limit));
+
+        fleet.suspended.clear();
+        let resumed_at = fleet.now;
+        let came = send(&mut fleet, CONTACT_MS + 2 * WINDOW_MS, Some(limit));
+
+        let (at_once, most) =
+            (most_in_window(&came, resumed_at), most_in_window(&came, resumed_at + CONTACT_MS));
+        println!("{hosts} hosts, {limit} a second: {at_once} in 4 s at first, then {most}");
+        assert!(at_once <= allowed(limit), "{hosts} hosts, {limit} a second: {at_once} at once");
+        assert!(most <= allowed(limit), "{hosts} hosts, {limit} a second: {most}");
+    }
+}
+
+/// Guards against a limit that each part of a fleet takes as a whole, once a cut has parted them.
+#[test]
+fn a_few_hosts_that_are_cut_off_do_not_take_the_whole_limit() {
+    for (hosts, limit) in [(7, 4.0), (67, 8.0), (295, 20.0)] {
+        let mut fleet = Fleet::start(hosts, 8);
+        fleet.run(4_000, |_, _| {});
+        send(&mut fleet, 4_000, Some(limit));
+        fleet.cut_off = (0..hosts as usize * 2 / 5).collect();
+
+        let came = send(&mut fleet, 20_000, Some(limit));
+
+        let most = most_in_window(&came, fleet.now - 20_000);
+        println!("{hosts} hosts, {limit} a second: {most} in 4 s, {} allowed", allowed(limit));
+        assert!(most <= allowed(limit), "{hosts} hosts, {limit} a second: {most}");
+    }
+}
+
 #[test]
 fn a_pool_that_takes_no_more_for_now_refuses_at_once_with_the_time_of_the_next_send() {
     let mut fleet = Fleet::start(1, 6);
--- a/crates/tidetrack-core/tests/support/fleet.rs
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -114,6 +114,8 @@
     pub deaf: Vec<usize>,
     /// Hosts whose machines are suspended: they do nothing, and what is sent to them is lost.
     pub suspended: Vec<usize>,
+    /// Hosts that hear each other only; the rest hear each other.
+    pub cut_off: Vec<usize>,
     /// Whether the store shows those that watch it nothing.
     pub are_watchers_blind: bool,
     /// Whether the store fails the calls of hosts that do not watch it.
@@ -159,6 +161,7 @@
             links: Links::wide(hosts as usize),
             deaf: Vec::new(),
             suspended: Vec::new(),
+            cut_off: Vec::new(),
             are_watchers_blind: false,
             store_is_down: false,
             calls: 0,
@@ -206,6 +209,7 @@
             links: Links::wide(all),
             deaf: Vec::new(),
             suspended: Vec::new(),
+            cut_off: Vec::new(),
             are_watchers_blind: true,
             store_is_down: false,
             calls: 0,
@@ -404,7 +408,9 @@
         for _ in 0..2 {
             for (address, message) in std::mem::take(&mut self.on_the_way) {
                 let to = host_at(address).filter(|i| *i < self.hosts.len());
-                let to = to.filter(|i| !self.suspended.contains(i));
+                let is_cut_off = |i: Option<usize>| i.is_some_and(|i| self.cut_off.contains(&i));
+                let is_cut = is_cut_off(to) != is_cut_off(host_at(message.address));
+                let to = to.filter(|i| !is_cut && !self.suspended.contains(i));
                 if let Some(to) = to.filter(|_| self.seed.random::<f64>() >= LOST) {
                     self.take(to, Input::Heard(Box::new(message)));
                 }
