--- a/crates/tidetrack-core/src/placement/live.rs
+++ b/crates/tidetrack-core/src/placement/live.rs
@@ -1,5 +1,6 @@
 //! What a host knows of one endpoint's load and health.
 
+use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use crate::units::{Millis, Rate, Tokens};
@@ -78,6 +79,16 @@
     Nothing,
 }
 
+impl fmt::Display for Allotted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Allotted::All => f.write_str("all"),
+            Allotted::Share(rate) => rate.fmt(f),
+            Allotted::Nothing => f.write_str("nothing"),
+        }
+    }
+}
+
 /// How many requests at an endpoint went well, and how many failed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Outcomes {
--- a/crates/tidetrack-core/src/traffic/control/limits.rs
+++ b/crates/tidetrack-core/src/traffic/control/limits.rs
@@ -54,7 +54,7 @@
             if live.names_limit(named) || changed.contains(&key) {
                 let text = match named {
                     Some(limit) => {
-                        format!("endpoint={} limit={limit} allotted={allotted:?}", record.id)
+                        format!("endpoint={} limit={limit} allotted={allotted}", record.id)
                     }
                     None => format!("endpoint={} limit=-", record.id),
                 };
