An endpoint's failure does not clear a request under which endpoints crash

What callers saw: where one endpoint fails a request at once instead of crashing under it, the request was cleared, and went on crashing all others.

Cause: what clears a request was any whole answer. A 5xx says that the endpoint failed, not that the request ran to a good end; endpoints that fail a part of their requests are usual.

Change: only an answer that is no server error clears, at hosts and at routers.

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -31,11 +31,13 @@
 }
 
 impl Answered {
-    /// Tells whether the answer says where it ends. One that ends with its connection looks whole where its endpoint
-    /// crashed.
-    pub fn is_framed(&self) -> bool {
+    /// Tells whether the answer, once whole, shows that its request ran to a good end. One that ends with its connection
+    /// looks whole where its endpoint crashed, and an endpoint may fail a request before running it.
+    pub fn shows_good_end(&self) -> bool {
         let headers = &self.head.headers;
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        is_framed && !self.head.status.is_server_error()
     }
 }
 
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -403,14 +403,14 @@
     chosen: &Chosen,
     model: Option<&ModelId>,
 ) -> Result<Response<AnswerBody>> {
-    let is_framed = answered.is_framed();
+    let shows_good_end = answered.shows_good_end();
     let Answered { head, facts, body, lease } = answered;
     let until = tokio::time::Instant::from_std(job.until);
     let late = |_| Error::new(Code::Deadline, "the answer was not whole in time");
     let collected = tokio::time::timeout_at(until, attempt::collect(body, lease));
     let (body, lease) = collected.await.map_err(late)??;
     traffic.pool.keep(chosen.id.as_str(), lease, facts.idle_time);
-    if is_framed {
+    if shows_good_end {
         traffic.shared.suspects.ended_well(traffic.shared.now(), job.fingerprint);
     }
     answered_line(traffic, job, chosen, model, head.status.as_u16());
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -70,8 +70,8 @@
 /// Where the events come from.
 struct Source {
     body: Incoming,
-    /// Whether the answer says where it ends.
-    is_framed: bool,
+    /// Whether the answer, once whole, shows that its request ran to a good end.
+    shows_good_end: bool,
     lease: Lease,
     idle_time: Option<Duration>,
     chosen: Chosen,
@@ -329,7 +329,7 @@
     /// Ends a stream that came to its end.
     fn finish(mut self) {
         self.observe(AttemptEnd::Whole);
-        if self.source.is_framed {
+        if self.source.shows_good_end {
             let shared = &self.traffic.shared;
             shared.suspects.ended_well(shared.now(), self.job.fingerprint);
         }
@@ -435,10 +435,10 @@
         share: WorkShare,
         sent_at: Instant,
     ) -> (http::response::Parts, Source) {
-        let is_framed = answered.is_framed();
+        let shows_good_end = answered.shows_good_end();
         let Answered { head, facts, body, lease } = answered;
         let source = Source {
-            is_framed,
+            shows_good_end,
             body,
             lease,
             idle_time: facts.idle_time,
--- a/crates/tidetrack-router/src/upstream.rs
+++ b/crates/tidetrack-router/src/upstream.rs
@@ -74,6 +74,8 @@
     began: Instant,
     id: String,
     fingerprint: Fingerprint,
+    /// Whether the answer tells a failure of the endpoint's.
+    is_failure: bool,
     finished: bool,
 }
 
@@ -120,7 +122,10 @@
             .and_then(|request| attempt.exchange(request, is_repeatable, deadline))
             .and_then(|reply| attempt.read_head(&reply, any_status).map(|()| reply));
         match sent {
-            Ok(reply) => Ok((attempt, reply)),
+            Ok(reply) => {
+                attempt.is_failure = reply.head.status.is_server_error();
+                Ok((attempt, reply))
+            }
             Err(e) => {
                 attempt.failed(&e);
                 Err(e)
@@ -138,6 +143,7 @@
             began: Instant::now(),
             id: begin.id,
             fingerprint: begin.fingerprint,
+            is_failure: false,
             finished: false,
         }
     }
@@ -266,7 +272,10 @@
 
     /// Takes note that the whole answer was read.
     pub fn succeeded(&mut self) {
-        self.shared.suspects.ended_well(self.shared.now(), self.fingerprint);
+        // An endpoint may fail a request before running it.
+        if !self.is_failure {
+            self.shared.suspects.ended_well(self.shared.now(), self.fingerprint);
+        }
         self.endpoint.live.note(self.shared.now(), true);
         self.endpoint.live.took(self.work, self.began.elapsed().as_micros() as u64);
         self.finish(false);
--- a/crates/tidetrack-router/tests/crashes.rs
+++ b/crates/tidetrack-router/tests/crashes.rs
@@ -21,16 +21,22 @@
 const HOSTS: usize = 4;
 const ENDPOINTS: usize = 6;
 
-fn start_endpoint() -> Crashing {
+/// Starts an endpoint that crashes under deadly requests, or one that fails them.
+fn start_endpoint(survives: bool) -> Crashing {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
     drop(listener);
-    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone";
+    let answer =
+        |status| format!("HTTP/1.1 {status}\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone");
     let manners = Manners {
-        answer: Box::new(move |_, _| answer.to_string()),
+        answer: Box::new(move |req, _| match req.body == DEADLY {
+            true => answer("500 X"),
+            false => answer("200 OK"),
+        }),
         comes_up: Box::new(|_| ()),
         has_gone: Box::new(|_| ()),
         listens_on: LISTENS_ON,
+        survives,
     };
     Crashing::start(&address, manners)
 }
@@ -53,7 +59,16 @@
 /// Guards against each router running a request anew under which endpoints crashed at other routers.
 #[test]
 fn a_request_that_crashes_endpoints_is_barred_by_all_routers_after_the_third() {
-    let endpoints: Vec<Crashing> = (0..ENDPOINTS).map(|_| start_endpoint()).collect();
+    play((0..ENDPOINTS).map(|_| start_endpoint(false)).collect());
+}
+
+/// Guards against taking an endpoint's failure for a run that ended well.
+#[test]
+fn a_failure_at_one_endpoint_does_not_clear_a_request_that_crashes_the_others() {
+    play((0..ENDPOINTS).map(|n| start_endpoint(n == 0)).collect());
+}
+
+fn play(endpoints: Vec<Crashing>) {
     let fleet = fleet_before(&endpoints);
     let is_over = AtomicBool::new(false);
 
--- a/crates/tidetrack-testkit/src/crashing.rs
+++ b/crates/tidetrack-testkit/src/crashing.rs
@@ -52,6 +52,8 @@
     pub comes_up: Box<Told>,
     /// How long it listens on after its connections were closed.
     pub listens_on: Duration,
+    /// Whether it answers deadly requests like others.
+    pub survives: bool,
     /// Is told that a life has ended, when the next one is about to begin.
     pub has_gone: Box<Told>,
 }
@@ -191,7 +193,7 @@
             if !self.is_life(life) {
                 return;
             }
-            if is_deadly {
+            if is_deadly && !self.manners.survives {
                 self.state().crashes.push(Instant::now());
                 return self.crash();
             }
