Endpoints that crash bind their address again while a started process holds a copy of the socket

A test of limits failed once: "Address already in use" at the stand-in's start. Its address is found by binding and closing a socket; a process that another thread starts in between holds a copy of each open socket until it has begun. The stand-in tries again for up to a second.

--- a/crates/tidetrack-testkit/src/crashing.rs
+++ b/crates/tidetrack-testkit/src/crashing.rs
@@ -2,7 +2,7 @@
 //! comes back as another life.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -19,6 +19,9 @@
 /// How long an endpoint is away after a crash.
 const AWAY: Duration = Duration::from_millis(900);
 
+/// Longest time until its address can be bound.
+const BOUND_WITHIN: Duration = Duration::from_secs(1);
+
 /// Pause between looks for a new connection.
 const LOOK: Duration = Duration::from_millis(1);
 
@@ -115,7 +118,7 @@
     }
 
     fn come_up(&self) {
-        let listener = TcpListener::bind(&self.address).expect("the address is ours");
+        let listener = bind(&self.address);
         listener.set_nonblocking(true).expect("an option");
         let life = {
             let mut state = self.state();
@@ -205,6 +208,21 @@
     }
 }
 
+/// Binds an address that is ours. A process that is being started holds a copy of each open socket for a moment, also of
+/// the one by which the address was found.
+fn bind(address: &str) -> TcpListener {
+    let until = Instant::now() + BOUND_WITHIN;
+    loop {
+        match TcpListener::bind(address) {
+            Ok(listener) => return listener,
+            Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                std::thread::sleep(LOOK);
+            }
+            Err(e) => panic!("{address}: {e}"),
+        }
+    }
+}
+
 /// Reads a request; `None` at the end of the connection.
 fn read(from: &mut BufReader<TcpStream>) -> Option<Request> {
     let mut req = Request::default();
