A refusal that names no limit is not the end of an endpoint's limit

What endpoints saw: one that had named a limit and refused most requests without naming it with these got all that hosts had.

Cause: the limit ended with any answer that named none. A refusal for want of room, or after the deadline, may come from a part of the endpoint that knows of no limit; the endpoint is no less in need.

Change: a refusal that names none says nothing. One that names a limit counts as before.

--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -204,8 +204,12 @@
     }
 }
 
-/// Takes the limit that an endpoint names with an answer, or that it names none.
+/// Takes the limit that an endpoint names with an answer, or that it names none. A refusal may come from a part of it
+/// that knows of no limit, so one that names none says nothing.
 fn note_limit(traffic: &Traffic, chosen: &Chosen, facts: &AnswerFacts) {
+    if facts.did_not_run && facts.limit.is_none() {
+        return;
+    }
     if chosen.live.names_limit(facts.limit) {
         traffic.shared.tell(Input::LimitNamed(chosen.id.clone(), facts.limit));
     }
