Evacuated failure domains: a fourth feed, and no request to their endpoints

Ruled out: late news. The orders weren't read at all. Change: FeedKind::Evacuations, relayed from host to host as the other kinds; a host that does not know the orders yet sends nothing and is not ready; views leave out the endpoints of evacuated domains, so first attempts, retries, second opinions, resumed streams and fetches of prompt memory do. E240, E241, metric tidetrack_evacuated_endpoints.

--- a/crates/tidetrack-core/src/codes.rs
+++ b/crates/tidetrack-core/src/codes.rs
@@ -83,6 +83,7 @@
     BillUnsafe, 2007, 503, No, "No host or store that can keep the bill safely is reachable.";
     RetryBudget, 2008, 503, Unknown, "The attempt failed and the retry budget is exhausted.";
     SuspectRuns, 2009, 503, No, "Endpoints crashed while executing this request and another attempt is running; retry later for its outcome.";
+    Evacuated, 2010, 503, No, "All endpoints of the service are in evacuated failure domains.";
     EndpointRefused, 3001, 503, No, "The endpoint refused the request before executing it.";
     EndpointFailed, 3002, 502, Unknown, "The endpoint failed or its response was truncated.";
     EndpointUnreachable, 3003, 502, No, "The connection to the endpoint could not be established.";
--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -65,6 +65,8 @@
     RolloutsUnknown, 235, "a service runs several versions without a known roll-out that says which one is the canary";
     RequestBarred, 236, "a request that endpoints crashed on gets no more attempts";
     RequestCleared, 237, "a request that endpoints crashed on is no longer suspect";
+    DomainEvacuated, 240, "a failure domain is evacuated: its endpoints receive no new requests";
+    EvacuationEnded, 241, "the evacuation of a failure domain has ended";
     RequestDone, 300, "a request succeeded";
     RequestRefused, 301, "a request was refused or failed";
     AttemptFailed, 302, "an attempt at an endpoint failed";
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 
 use crate::events::Event;
-use crate::ids::{EndpointId, EndpointKey, HostId, ServiceId};
+use crate::ids::{EndpointId, EndpointKey, FailureDomain, HostId, ServiceId};
 use crate::placement::EndpointState;
 use crate::traffic::baseline::Baseline;
 use crate::traffic::bootstrap::{BootstrapInfo, DISCOVERY_ROUND_INTERVAL, DISCOVERY_TIME};
@@ -25,6 +25,7 @@
 use crate::traffic::catalog::Catalog;
 use crate::traffic::endpoint_limits::EndpointLimits;
 use crate::traffic::endpoints::{EndpointRecord, EndpointTable};
+use crate::traffic::evacuations::{EvacuationChange, Evacuations};
 use crate::traffic::exposure::{Exposure, ExposureBound};
 use crate::traffic::feeds::{FeedKind, FeedTracker, Fetch, FetchSource, Revisions};
 use crate::traffic::freshness::Freshness;
@@ -107,6 +108,12 @@
     /// A roll-out order was changed to a state that cannot be parsed; the last known order stays in
     /// force.
     RolloutUnreadable(ServiceId),
+    /// The complete list of evacuated failure domains was read.
+    EvacuationList(BTreeSet<FailureDomain>),
+    /// The evacuation of a failure domain was ordered.
+    EvacuationStarted(FailureDomain),
+    /// The order to evacuate a failure domain was removed.
+    EvacuationEnded(FailureDomain),
     /// All changes of one kind up to a store revision have been received.
     CaughtUp {
         /// Kind of the changed objects.
@@ -166,6 +173,7 @@
     catalog: Option<Arc<Catalog>>,
     table: EndpointTable,
     has_listed_endpoints: bool,
+    evacuations: Evacuations,
     /// Whether any service has had a usable endpoint since the host started.
     was_ever_routable: bool,
     canaries: BTreeMap<ServiceId, Canary>,
@@ -227,6 +235,7 @@
             catalog: None,
             table: EndpointTable::default(),
             has_listed_endpoints: false,
+            evacuations: Evacuations::default(),
             was_ever_routable: false,
             canaries: BTreeMap::new(),
             versions: Versions::default(),
@@ -438,6 +447,19 @@
             Input::RolloutRemoved(service) => {
                 ViewUpdate::immediate_if(self.remove_order(now, &service))
             }
+            Input::EvacuationList(domains) => {
+                let was_known = self.evacuations.is_known();
+                let change = self.evacuations.replace(domains);
+                ViewUpdate::immediate_if(self.apply_evacuations(change, actions) || !was_known)
+            }
+            Input::EvacuationStarted(domain) => {
+                let change = self.evacuations.start(domain);
+                ViewUpdate::immediate_if(self.apply_evacuations(change, actions))
+            }
+            Input::EvacuationEnded(domain) => {
+                let change = self.evacuations.end(domain);
+                ViewUpdate::immediate_if(self.apply_evacuations(change, actions))
+            }
             Input::CaughtUp { kind, complete, changed } => {
                 let is_first = self.feeds.complete(kind) == 0;
                 if self.feeds.record_complete(now, kind, complete, changed) || is_first {
@@ -584,6 +606,19 @@
         true
     }
 
+    /// Logs a change of the evacuated failure domains. Returns whether there is one.
+    fn apply_evacuations(&mut self, change: EvacuationChange, actions: &mut Vec<Action>) -> bool {
+        for domain in &change.started {
+            let n = self.table.records().filter(|r| r.failure_domain == *domain).count();
+            let text = format!("domain={domain} endpoints={n}");
+            actions.push(Action::Log(Event::DomainEvacuated, text));
+        }
+        for domain in &change.ended {
+            actions.push(Action::Log(Event::EvacuationEnded, format!("domain={domain}")));
+        }
+        !change.is_empty()
+    }
+
     /// Drops the load and health of an endpoint's previous incarnation, since they describe another
     /// process. Requests that use the current view avoid the endpoint until the next view.
     fn reset_if_restarted(&mut self, record: &EndpointRecord) {
--- a/crates/tidetrack-core/src/traffic/control/views.rs
+++ b/crates/tidetrack-core/src/traffic/control/views.rs
@@ -1,6 +1,6 @@
 //! Construction of the view that traffic uses.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::ids::ServiceId;
 use crate::placement::{PoolEndpoint, PoolView};
@@ -14,6 +14,9 @@
     pub(super) fn build_view(&mut self) -> FleetView {
         let mut pools: HashMap<ServiceId, (Vec<PoolEndpoint>, Vec<PoolEndpoint>)> = HashMap::new();
         let mut endpoint_states = HashMap::new();
+        let mut evacuated_services = HashSet::new();
+        let mut evacuated_endpoints: BTreeMap<_, usize> =
+            self.evacuations.domains().map(|domain| (domain.clone(), 0)).collect();
         for record in self.table.records() {
             let canary = self.canaries.get(&record.service);
             let is_canary = canary.is_some_and(|t| t.order.version == record.version);
@@ -29,6 +32,13 @@
             if !may_serve {
                 continue;
             }
+            if !self.evacuations.permits(&record.failure_domain) {
+                if let Some(n) = evacuated_endpoints.get_mut(&record.failure_domain) {
+                    *n += 1;
+                    evacuated_services.insert(record.service.clone());
+                }
+                continue;
+            }
             let endpoint = PoolEndpoint {
                 id: record.id.clone(),
                 address: record.address.to_string(),
@@ -40,17 +50,22 @@
             if is_canary { canary_endpoints } else { stable_endpoints }.push(endpoint);
         }
         self.endpoint_states = endpoint_states;
+        evacuated_services.retain(|service| !pools.contains_key(service));
         let services = pools.into_iter().map(|(id, (stable, canary))| {
             (id.clone(), self.build_service_view(&id, stable, canary))
         });
         let services: Vec<(ServiceId, ServiceView)> = services.collect();
         // A host that has just started may withhold all versions until it has read the roll-outs.
-        self.was_ever_routable |= !services.is_empty();
+        self.was_ever_routable |= !services.is_empty() || !evacuated_services.is_empty();
         let are_all_withheld = !self.was_ever_routable && self.table.records().next().is_some();
         FleetView {
             catalog: self.catalog.clone(),
             services: services.into_iter().collect(),
-            has_endpoints: self.has_listed_endpoints && !are_all_withheld,
+            evacuated_services,
+            evacuated_endpoints,
+            has_endpoints: self.has_listed_endpoints
+                && self.evacuations.is_known()
+                && !are_all_withheld,
         }
     }
 
--- a/crates/tidetrack-core/src/traffic/feeds.rs
+++ b/crates/tidetrack-core/src/traffic/feeds.rs
@@ -52,11 +52,17 @@
     Endpoints,
     /// The roll-out orders and their progress.
     Rollouts,
+    /// The failure domains that operators have evacuated.
+    Evacuations,
 }
 
 impl FeedKind {
+    /// Number of kinds.
+    pub const COUNT: usize = 4;
+
     /// All kinds, in the order of their discriminants.
-    pub const ALL: [FeedKind; 3] = [FeedKind::Catalog, FeedKind::Endpoints, FeedKind::Rollouts];
+    pub const ALL: [FeedKind; FeedKind::COUNT] =
+        [FeedKind::Catalog, FeedKind::Endpoints, FeedKind::Rollouts, FeedKind::Evacuations];
 
     /// Reports whether the kind has a single object, so that its newest state replaces all earlier
     /// changes.
@@ -70,13 +76,14 @@
             FeedKind::Catalog => "Catalog",
             FeedKind::Endpoints => "Endpoints",
             FeedKind::Rollouts => "Rollouts",
+            FeedKind::Evacuations => "Evacuations",
         }
     }
 }
 
 /// A store revision for each kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Revisions([u64; 3]);
+pub struct Revisions([u64; FeedKind::COUNT]);
 
 impl Revisions {
     /// Returns the revision of a kind.
@@ -200,7 +207,7 @@
     complete: Revisions,
     /// The newest known change, as reported to other hosts.
     newest_changes: Revisions,
-    missing_revisions: [Option<MissingRevision>; 3],
+    missing_revisions: [Option<MissingRevision>; FeedKind::COUNT],
 }
 
 impl FeedTracker {
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 pub mod cutover_counts;
 pub mod endpoint_limits;
 pub mod endpoints;
+pub mod evacuations;
 pub mod exposure;
 pub mod feeds;
 pub mod fingerprint;
--- a/crates/tidetrack-core/src/traffic/view.rs
+++ b/crates/tidetrack-core/src/traffic/view.rs
@@ -1,10 +1,10 @@
 //! The view that traffic uses: a snapshot of the configuration and of each service's endpoints.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::errors::Result;
-use crate::ids::ServiceId;
+use crate::ids::{FailureDomain, ServiceId};
 use crate::placement::{PlacementRequest, PoolEndpoint, PoolView};
 use crate::traffic::canary::{CanaryView, Phase, ReleaseTrack};
 use crate::traffic::catalog::Catalog;
@@ -122,7 +122,11 @@
     pub catalog: Option<Arc<Catalog>>,
     /// Services with at least one endpoint that may serve.
     pub services: HashMap<ServiceId, ServiceView>,
+    /// Services whose endpoints are all in evacuated failure domains.
+    pub evacuated_services: HashSet<ServiceId>,
+    /// Number of endpoints that are passed over in each evacuated failure domain.
+    pub evacuated_endpoints: BTreeMap<FailureDomain, usize>,
     /// Whether the list of endpoints is known. It counts as unknown while a host that has just
-    /// started withholds all versions.
+    /// started withholds all versions, or does not know which failure domains are evacuated.
     pub has_endpoints: bool,
 }
--- a/crates/tidetrack-core/tests/cold_start.rs
+++ b/crates/tidetrack-core/tests/cold_start.rs
@@ -13,7 +13,7 @@
 use support::fleet::{ColdStartConfig, Fleet};
 use support::{
     catalog, caught_up_input, endpoint_record, fleet_state, freshness_confirmed_at, id,
-    last_published_view, rollout_list,
+    last_published_view, no_evacuations, rollout_list,
 };
 
 /// Size in bytes of a configuration with 1,400 routes.
@@ -159,6 +159,7 @@
     let freshness = freshness_confirmed_at(0);
     let mut fleet_state = fleet_state(2);
     fleet_state.handle_input(Millis(0), Input::Catalog(Arc::new(catalog(3))), &freshness);
+    fleet_state.handle_input(Millis(0), no_evacuations(), &freshness);
     let endpoints = vec![endpoint_record("o1", "v1"), endpoint_record("n1", "v2")];
 
     let after_list =
@@ -183,6 +184,7 @@
     let freshness = freshness_confirmed_at(0);
     let mut fleet_state = fleet_state(2);
     fleet_state.handle_input(Millis(0), Input::Catalog(Arc::new(catalog(3))), &freshness);
+    fleet_state.handle_input(Millis(0), no_evacuations(), &freshness);
 
     let actions = fleet_state.handle_input(
         Millis(10),
--- a/crates/tidetrack-core/tests/support/fleet.rs
+++ b/crates/tidetrack-core/tests/support/fleet.rs
@@ -189,6 +189,7 @@
             fleet.handle_input(host_index, caught_up_input(FeedKind::Catalog, 10));
             fleet.handle_input(host_index, rollout_list(Vec::new()));
             fleet.handle_input(host_index, caught_up_input(FeedKind::Rollouts, 10));
+            fleet.handle_input(host_index, caught_up_input(FeedKind::Evacuations, 10));
         }
         fleet
     }
@@ -249,10 +250,11 @@
             .map(|host_number| bytes_per_ms(config.link_bandwidth(host_number)))
             .collect();
         fleet.set_link_bandwidths(link_bandwidths, bytes_per_ms(STORE_LINK));
-        // The store contains no roll-outs.
-        (0..host_count).for_each(|host_index| {
-            fleet.handle_input(host_index, caught_up_input(FeedKind::Rollouts, 1))
-        });
+        // The store contains no orders of operators.
+        for host_index in 0..host_count {
+            fleet.handle_input(host_index, caught_up_input(FeedKind::Rollouts, 1));
+            fleet.handle_input(host_index, caught_up_input(FeedKind::Evacuations, 1));
+        }
         fleet
     }
 
@@ -273,7 +275,9 @@
         self.handle_input(host_index, caught_up_input(FeedKind::Catalog, self.catalog.0));
         let orders = self.rollout.iter().cloned().collect();
         self.handle_input(host_index, rollout_list(orders));
-        self.handle_input(host_index, caught_up_input(FeedKind::Rollouts, self.endpoints_revision));
+        let revision = self.endpoints_revision;
+        self.handle_input(host_index, caught_up_input(FeedKind::Rollouts, revision));
+        self.handle_input(host_index, caught_up_input(FeedKind::Evacuations, revision));
     }
 
     /// Advances the clock to `until`, in milliseconds, and calls `observe` for each running host at
@@ -336,7 +340,9 @@
         match kind {
             FeedKind::Catalog => self.known_catalog[host_index],
             FeedKind::Endpoints => self.known_endpoints[host_index],
-            FeedKind::Rollouts => unreachable!("hosts receive roll-outs directly"),
+            FeedKind::Rollouts | FeedKind::Evacuations => {
+                unreachable!("hosts receive orders directly")
+            }
         }
     }
 
@@ -345,7 +351,9 @@
         match kind {
             FeedKind::Catalog => self.catalog.0,
             FeedKind::Endpoints => self.endpoints_revision,
-            FeedKind::Rollouts => unreachable!("hosts receive roll-outs directly"),
+            FeedKind::Rollouts | FeedKind::Evacuations => {
+                unreachable!("hosts receive orders directly")
+            }
         }
     }
 
@@ -366,7 +374,7 @@
         match kind {
             // Only the newest configuration is sent, not the ones between.
             FeedKind::Catalog => self.catalog.1 * u64::from(to > after),
-            FeedKind::Endpoints | FeedKind::Rollouts => {
+            FeedKind::Endpoints | FeedKind::Rollouts | FeedKind::Evacuations => {
                 ENDPOINT_CHANGE_BYTES * to.saturating_sub(after)
             }
         }
@@ -388,7 +396,9 @@
     pub fn record_caught_up(&mut self, host_index: usize, kind: FeedKind, to: u64) {
         let known = match kind {
             FeedKind::Catalog => &mut self.known_catalog[host_index],
-            FeedKind::Endpoints | FeedKind::Rollouts => &mut self.known_endpoints[host_index],
+            FeedKind::Endpoints | FeedKind::Rollouts | FeedKind::Evacuations => {
+                &mut self.known_endpoints[host_index]
+            }
         };
         *known = (*known).max(to);
         let newest_revision = *known;
@@ -504,6 +514,8 @@
                     self.messages_in_transit.extend(messages);
                 }
                 Action::ConfigConfirmed(started_at) => host.freshness.record_proof(started_at),
+                // Hosts receive evacuation orders directly.
+                Action::Fetch(fetch) if fetch.kind == FeedKind::Evacuations => {}
                 Action::Fetch(fetch) => fetches.push(fetch),
                 Action::PublishView(view) => host.view = Some(view),
                 Action::WriteProgress(write) => progress_writes.push(write),
--- a/crates/tidetrack-core/tests/support/mod.rs
+++ b/crates/tidetrack-core/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod links;
 pub mod rollout_simulation;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -141,6 +142,7 @@
     ];
     fleet_state.handle_input(Millis(0), Input::Catalog(Arc::new(catalog(3))), freshness);
     fleet_state.handle_input(Millis(0), Input::EndpointList(endpoints), freshness);
+    fleet_state.handle_input(Millis(0), no_evacuations(), freshness);
     fleet_state
 }
 
@@ -166,6 +168,11 @@
     Input::RolloutList { orders, unreadable: Vec::new() }
 }
 
+/// Returns the input for an empty list of evacuated failure domains.
+pub fn no_evacuations() -> Input {
+    Input::EvacuationList(BTreeSet::new())
+}
+
 /// Returns the same state as `state_with_endpoints`, for a given incarnation of the host.
 pub fn state_with_endpoints_of_incarnation(
     host_number: u32,
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -19,6 +19,10 @@
 /// `Retry-After` in milliseconds of a refusal because no endpoint has capacity.
 pub const RETRY_OVERLOADED_MS: u64 = 300;
 
+/// `Retry-After` in milliseconds of a refusal because all endpoints are evacuated. Evacuations last for seconds at
+/// least.
+const RETRY_EVACUATED_MS: u64 = 2_000;
+
 /// Work in answer tokens that is added to the load of an endpoint in another failure domain, because traffic between
 /// domains has a cost.
 const CROSS_DOMAIN_WORK: u64 = 500;
@@ -77,10 +81,12 @@
 ) -> Result<ChosenEndpoint> {
     traffic.shared.suspects.check(traffic.shared.now(), job.fingerprint)?;
     let view = traffic.shared.view.load();
-    let service = view
-        .services
-        .get(&job.service)
-        .ok_or_else(|| overloaded_error("no endpoint of the service is known"))?;
+    let service = view.services.get(&job.service).ok_or_else(|| {
+        match view.evacuated_services.contains(&job.service) {
+            true => evacuated_error(),
+            false => overloaded_error("no endpoint of the service is known"),
+        }
+    })?;
     let session_hash = job.session_hash();
     let now = traffic.shared.now();
     let hold_for = traffic.shared.settings.bounds.session_timeout + TYPICAL_MAX_ATTEMPT_TIME;
@@ -167,6 +173,12 @@
     Error::new(Code::Overloaded, message).with_retry_after(RETRY_OVERLOADED_MS)
 }
 
+/// Builds the error for a request to a service whose endpoints are all in evacuated failure domains.
+fn evacuated_error() -> Error {
+    let text = "all endpoints of the service are in evacuated failure domains";
+    Error::new(Code::Evacuated, text).with_retry_after(RETRY_EVACUATED_MS)
+}
+
 /// Returns the endpoint that an attempt on `model` would use, on the release track of an earlier attempt, with the
 /// figures for its latency estimate. Records nothing. Returns `None` if no endpoint is available.
 pub fn plan_attempt(
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread. It owns the fleet state, publishes views of it and calls the store.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use flume::Receiver;
@@ -14,6 +15,7 @@
 use tidetrack_core::traffic::canary::ProgressWrite;
 use tidetrack_core::traffic::control::{Action, FleetState, HostRoles, Input};
 use tidetrack_core::traffic::peers::PeerTable;
+use tidetrack_core::traffic::view::FleetView;
 
 use crate::clock::{BootInstant, SuspensionDetector};
 use crate::dialect::{FeedKind, ListAge};
@@ -99,7 +101,7 @@
     fn execute(&self, action: Action) {
         let shared = &self.shared;
         match action {
-            Action::PublishView(view) => shared.view.store(view),
+            Action::PublishView(view) => self.publish_view(view),
             Action::ConfigConfirmed(read_started_at) => {
                 shared.freshness.record_proof(read_started_at)
             }
@@ -119,6 +121,22 @@
     }
 }
 
+impl ActionExecutor {
+    fn publish_view(&self, view: Arc<FleetView>) {
+        let metrics = &self.shared.metrics;
+        let previous = self.shared.view.load();
+        for domain in previous.evacuated_endpoints.keys() {
+            if !view.evacuated_endpoints.contains_key(domain) {
+                metrics.record_evacuated_endpoints(domain.as_str(), 0);
+            }
+        }
+        for (domain, endpoints) in &view.evacuated_endpoints {
+            metrics.record_evacuated_endpoints(domain.as_str(), *endpoints);
+        }
+        self.shared.view.store(view);
+    }
+}
+
 /// Writes the progress of a roll-out. The result is taken from the watch of the store and not from
 /// the reply, since another host may have written first.
 async fn write_progress(shared: SharedRef, store: Rc<StoreClient>, write: ProgressWrite) {
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -11,7 +11,7 @@
 
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
-use tidetrack_core::ids::{EndpointId, ModelId, ServiceId, WorkspaceId};
+use tidetrack_core::ids::{EndpointId, FailureDomain, ModelId, ServiceId, WorkspaceId};
 use tidetrack_core::traffic::canary::{ProgressWrite, RolloutOrder};
 use tidetrack_core::traffic::cascade::GenerationSize;
 use tidetrack_core::traffic::catalog::Catalog;
@@ -120,6 +120,8 @@
     Endpoint(EndpointRecord),
     /// The order and progress of a roll-out.
     Rollout(RolloutOrder),
+    /// The order to evacuate a failure domain.
+    Evacuation(FailureDomain),
 }
 
 /// Maximum number of characters kept of a name or an error message. Valid names are shorter.
@@ -179,6 +181,8 @@
     EndpointRemoved(EndpointId),
     /// A roll-out was removed.
     RolloutRemoved(ServiceId),
+    /// The order to evacuate a failure domain was removed.
+    EvacuationRemoved(FailureDomain),
     /// The new state of an object could not be decoded.
     Unreadable(UnreadableObject),
 }
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry::KeyValue;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -56,6 +56,7 @@
     second_runs: Counter<u64>,
     version_sends: Counter<u64>,
     version_attempts: Counter<u64>,
+    evacuated_endpoints: Gauge<u64>,
     first_byte: Histogram<f64>,
 }
 
@@ -83,6 +84,7 @@
             second_runs: meter.u64_counter("tidetrack_second_runs").build(),
             version_sends: meter.u64_counter("tidetrack_version_sends").build(),
             version_attempts: meter.u64_counter("tidetrack_version_attempts").build(),
+            evacuated_endpoints: meter.u64_gauge("tidetrack_evacuated_endpoints").build(),
             first_byte: histogram.with_boundaries(HISTOGRAM_BOUNDS_MS.to_vec()).build(),
             registry,
             _meter_provider: provider,
@@ -205,6 +207,13 @@
         self.version_attempts.add(1, &labels);
     }
 
+    /// Records the number of endpoints that are passed over because their failure domain is
+    /// evacuated.
+    pub fn record_evacuated_endpoints(&self, domain: &str, endpoints: usize) {
+        let labels = [KeyValue::new("domain", domain.to_string())];
+        self.evacuated_endpoints.record(endpoints as u64, &labels);
+    }
+
     /// Counts messages sent to other hosts.
     pub fn record_sent_peer_messages(&self, n: usize) {
         self.peer_messages.add(n as u64, &[KeyValue::new("result", "sent")]);
--- a/crates/tidetrack-plane/src/watch/apply.rs
+++ b/crates/tidetrack-plane/src/watch/apply.rs
@@ -1,5 +1,6 @@
 //! Applies received changes and keeps them for other hosts.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -69,10 +70,16 @@
                     self.shared.send_input(Input::Endpoint(r))
                 }
                 Change::Put(DecodedObject::Rollout(o)) => self.shared.send_input(Input::Rollout(o)),
+                Change::Put(DecodedObject::Evacuation(domain)) => {
+                    self.shared.send_input(Input::EvacuationStarted(domain))
+                }
                 Change::EndpointRemoved(id) => self.shared.send_input(Input::EndpointRemoved(id)),
                 Change::RolloutRemoved(service) => {
                     self.shared.send_input(Input::RolloutRemoved(service))
                 }
+                Change::EvacuationRemoved(domain) => {
+                    self.shared.send_input(Input::EvacuationEnded(domain))
+                }
                 Change::Unreadable(object) => self.report_unreadable(kind, object),
             }
         }
@@ -100,6 +107,7 @@
         self.newest_changes.borrow_mut().raise(kind, newest);
         let mut endpoints = Vec::new();
         let mut rollouts = Vec::new();
+        let mut evacuated_domains = BTreeSet::new();
         for object in objects {
             match object {
                 DecodedObject::Catalog(catalog) => {
@@ -107,6 +115,7 @@
                 }
                 DecodedObject::Endpoint(record) => endpoints.push(record),
                 DecodedObject::Rollout(order) => rollouts.push(order),
+                DecodedObject::Evacuation(domain) => drop(evacuated_domains.insert(domain)),
             }
         }
         match kind {
@@ -116,6 +125,9 @@
                 let unreadable = unreadable.iter().filter_map(|name| name.parse().ok()).collect();
                 self.shared.send_input(Input::RolloutList { orders: rollouts, unreadable });
             }
+            FeedKind::Evacuations => {
+                self.shared.send_input(Input::EvacuationList(evacuated_domains))
+            }
         }
         self.report_position(kind, None);
         true
@@ -130,6 +142,8 @@
             // The previous state of the object does not tell anything about the new one.
             FeedKind::Endpoints => object.name.parse().ok().map(Input::EndpointUnreadable),
             FeedKind::Rollouts => object.name.parse().ok().map(Input::RolloutUnreadable),
+            // An order consists of nothing but the name of the domain.
+            FeedKind::Evacuations => None,
         };
         // An invalid name cannot belong to a known object.
         input.into_iter().for_each(|input| self.shared.send_input(input));
--- a/crates/tidetrack-plane/src/watch/follow.rs
+++ b/crates/tidetrack-plane/src/watch/follow.rs
@@ -144,7 +144,7 @@
 fn settle_time(kind: FeedKind) -> Duration {
     match kind {
         FeedKind::Endpoints => ENDPOINTS_SETTLE_TIME,
-        FeedKind::Catalog | FeedKind::Rollouts => Duration::ZERO,
+        FeedKind::Catalog | FeedKind::Rollouts | FeedKind::Evacuations => Duration::ZERO,
     }
 }
 
--- a/crates/tidetrack-plane/src/watch/mod.rs
+++ b/crates/tidetrack-plane/src/watch/mod.rs
@@ -43,15 +43,15 @@
     /// Pooled connections to other hosts.
     host_pool: Pool,
     /// The latest changes, by kind.
-    logs: RefCell<[FeedLog; 3]>,
+    logs: RefCell<[FeedLog; FeedKind::COUNT]>,
     /// Revision of the newest known change, by kind.
     newest_changes: RefCell<Revisions>,
     /// Serializes the large replies of each kind.
-    large_replies: [LargeReplyLimiter; 3],
+    large_replies: [LargeReplyLimiter; FeedKind::COUNT],
     /// By kind, whether a fetch is waiting for a large reply to finish.
-    has_waiting_fetch: RefCell<[bool; 3]>,
+    has_waiting_fetch: RefCell<[bool; FeedKind::COUNT]>,
     /// By kind, whether a starting host is reading the first list from the store.
-    is_listing: RefCell<[bool; 3]>,
+    is_listing: RefCell<[bool; FeedKind::COUNT]>,
     /// Notified whenever a kind has been brought to a state of the store.
     sync_events: watch::Sender<()>,
     /// Number of times that the store became reachable again. A change makes the other kinds
@@ -59,7 +59,7 @@
     store_recoveries: watch::Sender<u64>,
     roles: watch::Receiver<HostRoles>,
     /// By kind, whether the last read of the store failed.
-    is_unreachable: RefCell<[bool; 3]>,
+    is_unreachable: RefCell<[bool; FeedKind::COUNT]>,
     started_at: Instant,
 }
 
@@ -147,7 +147,7 @@
         self.is_unreachable.borrow_mut()[kind as usize] = true;
         let kind_name = format!("{kind:?}");
         self.shared.journal.log(Event::PlatformLost, &[("kind", &kind_name), ("why", e)]);
-        if unreachable_before == [false; 3] {
+        if unreachable_before == [false; FeedKind::COUNT] {
             self.shared.send_input(Input::StoreUnreachable);
         }
         true
@@ -159,7 +159,7 @@
             return;
         }
         self.shared.journal.log(Event::PlatformBack, &[("kind", &format!("{kind:?}"))]);
-        if *self.is_unreachable.borrow() == [false; 3] {
+        if *self.is_unreachable.borrow() == [false; FeedKind::COUNT] {
             self.shared.send_input(Input::StoreReachable);
         }
         if kind == FeedKind::Catalog {
