Cold endpoints: all hosts together keep to the rate that they can process

Cause: nothing read cold-left-ms, cold-start-s or cold-per-s. Ruled out: lack of endpoints; a mean of 3.4 requests a second against 8.8 that a cold one can process. Change: the rate of a cold endpoint is shared out as a limit that an endpoint declares: as many hosts as it takes requests a second hold a share, those of its domain first. Known from the entry; assumed without newer word after a loss and after the evacuation of its domain. A host that hears less than half of the fleet, or has just started, sends nothing.

--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -262,6 +262,11 @@
         self.avoided_until.fetch_max(until.0, Ordering::Relaxed);
     }
 
+    /// Returns the end of the endpoint's ejection; in the past if it is not ejected.
+    pub fn ejected_until(&self) -> Millis {
+        Millis(self.ejected_until.load(Ordering::Relaxed))
+    }
+
     /// Reports whether the endpoint is ejected after failures or avoided as an outlier.
     pub fn is_ejected(&self, now: Millis) -> bool {
         let value_of = |at: &AtomicU64| at.load(Ordering::Relaxed);
--- a/crates/tidetrack-core/src/traffic/catalog.rs
+++ b/crates/tidetrack-core/src/traffic/catalog.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::ids::{ModelId, RouteId, ServiceId, WorkspaceId};
+use crate::traffic::cold_endpoints::ColdStart;
 use crate::units::{Millis, Tokens};
 
 /// Smallest weight of a model in an engine's work; the smallest models take about a tenth of the
@@ -95,6 +96,8 @@
     pub memory: Option<Tokens>,
     /// Models that the engines serve; empty if the endpoints are not model engines.
     pub models: Vec<PricedModel>,
+    /// How endpoints behave after their start; `None` if they have their full capacity at once.
+    pub cold_start: Option<ColdStart>,
 }
 
 impl Service {
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -23,6 +23,7 @@
 use crate::traffic::bootstrap::{BootstrapInfo, DISCOVERY_ROUND_INTERVAL, DISCOVERY_TIME};
 use crate::traffic::canary::{Canary, ProgressWrite, RolloutOrder, DEFAULT_EXPOSURE_BOUND};
 use crate::traffic::catalog::Catalog;
+use crate::traffic::cold_endpoints::{ColdEndpoints, ColdStart};
 use crate::traffic::endpoint_limits::EndpointLimits;
 use crate::traffic::endpoints::{EndpointRecord, EndpointTable};
 use crate::traffic::evacuations::{EvacuationChange, Evacuations};
@@ -143,6 +144,9 @@
     /// An endpoint reported a different limit on its requests from all hosts, or reports none any
     /// more (`None`).
     LimitReported(EndpointId, Option<Rate>),
+    /// An endpoint closed or refused a connection, or did not respond for too long, so it may have
+    /// been restarted since.
+    EndpointLost(EndpointId),
     /// A message from another host arrived.
     PeerMessageReceived(Box<PeerMessage>),
     /// Time has passed without any other input.
@@ -174,6 +178,7 @@
     table: EndpointTable,
     has_listed_endpoints: bool,
     evacuations: Evacuations,
+    cold_endpoints: ColdEndpoints,
     /// Whether any service has had a usable endpoint since the host started.
     was_ever_routable: bool,
     canaries: BTreeMap<ServiceId, Canary>,
@@ -236,6 +241,7 @@
             table: EndpointTable::default(),
             has_listed_endpoints: false,
             evacuations: Evacuations::default(),
+            cold_endpoints: ColdEndpoints::default(),
             was_ever_routable: false,
             canaries: BTreeMap::new(),
             versions: Versions::default(),
@@ -382,7 +388,12 @@
                 records.iter().for_each(|r| self.reset_if_restarted(r));
                 // At start both lists are read, in either order.
                 self.canaries.keys().for_each(|service| self.versions.release_for_order(service));
+                let cold: Vec<(EndpointId, Millis)> =
+                    records.iter().map(|r| (r.id.clone(), r.cold_for)).collect();
                 self.table.replace(now, records);
+                for (id, cold_for) in cold {
+                    self.record_cold_entry(now, &id, cold_for, actions);
+                }
                 self.release_versions(now);
                 let n = self.table.records().count();
                 actions.push(Action::Log(Event::EndpointsListed, format!("endpoints={n}")));
@@ -401,7 +412,9 @@
                     state.set_leaving(record.is_leaving);
                 }
                 self.versions.add_endpoint(now, &record);
+                let (id, cold_for) = (record.id.clone(), record.cold_for);
                 self.table.upsert(record);
+                self.record_cold_entry(now, &id, cold_for, actions);
                 ViewUpdate::Deferred
             }
             Input::EndpointRemoved(id) => {
@@ -450,15 +463,15 @@
             Input::EvacuationList(domains) => {
                 let was_known = self.evacuations.is_known();
                 let change = self.evacuations.replace(domains);
-                ViewUpdate::immediate_if(self.apply_evacuations(change, actions) || !was_known)
+                ViewUpdate::immediate_if(self.apply_evacuations(now, change, actions) || !was_known)
             }
             Input::EvacuationStarted(domain) => {
                 let change = self.evacuations.start(domain);
-                ViewUpdate::immediate_if(self.apply_evacuations(change, actions))
+                ViewUpdate::immediate_if(self.apply_evacuations(now, change, actions))
             }
             Input::EvacuationEnded(domain) => {
                 let change = self.evacuations.end(domain);
-                ViewUpdate::immediate_if(self.apply_evacuations(change, actions))
+                ViewUpdate::immediate_if(self.apply_evacuations(now, change, actions))
             }
             Input::CaughtUp { kind, complete, changed } => {
                 let is_first = self.feeds.complete(kind) == 0;
@@ -510,6 +523,10 @@
                 self.allocate_send_limits(now, actions);
                 ViewUpdate::None
             }
+            Input::EndpointLost(id) => {
+                self.record_endpoint_loss(now, &id, actions);
+                ViewUpdate::None
+            }
             Input::PeerMessageReceived(msg) => self.handle_peer_message(now, *msg, actions),
             Input::Tick => ViewUpdate::None,
         }
@@ -606,8 +623,13 @@
         true
     }
 
-    /// Logs a change of the evacuated failure domains. Returns whether there is one.
-    fn apply_evacuations(&mut self, change: EvacuationChange, actions: &mut Vec<Action>) -> bool {
+    /// Applies a change of the evacuated failure domains. Returns whether there is one.
+    fn apply_evacuations(
+        &mut self,
+        now: Millis,
+        change: EvacuationChange,
+        actions: &mut Vec<Action>,
+    ) -> bool {
         for domain in &change.started {
             let n = self.table.records().filter(|r| r.failure_domain == *domain).count();
             let text = format!("domain={domain} endpoints={n}");
@@ -615,6 +637,11 @@
         }
         for domain in &change.ended {
             actions.push(Action::Log(Event::EvacuationEnded, format!("domain={domain}")));
+            let endpoints = self.table.records().filter(|r| r.failure_domain == *domain);
+            let endpoints: Vec<EndpointId> = endpoints.map(|r| r.id.clone()).collect();
+            for id in endpoints {
+                self.record_possible_restart(now, &id, actions);
+            }
         }
         !change.is_empty()
     }
--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -45,6 +45,8 @@
     pub started: Option<Millis>,
     /// Whether the endpoint accepts no new requests.
     pub is_leaving: bool,
+    /// How long the endpoint stays cold after it wrote the entry; 0 if it is warm.
+    pub cold_for: Millis,
 }
 
 impl EndpointRecord {
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 pub mod canary;
 pub mod cascade;
 pub mod catalog;
+pub mod cold_endpoints;
 mod compact_count;
 pub mod control;
 pub mod cutover_counts;
--- a/crates/tidetrack-core/tests/support/mod.rs
+++ b/crates/tidetrack-core/tests/support/mod.rs
@@ -81,6 +81,7 @@
         slots: 8,
         started: None,
         is_leaving: false,
+        cold_for: Millis(0),
     }
 }
 
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -55,6 +55,7 @@
                 report_attempt(traffic, job, chosen, model, &observation);
             } else {
                 chosen.state.record_silence(shared.now());
+                shared.send_input(Input::EndpointLost(chosen.id.clone()));
             }
         }
         Code::EndpointUnreachable if e.disconnect_cause == Some(DisconnectCause::TimedOut) => {
@@ -62,11 +63,13 @@
         }
         Code::EndpointUnreachable | Code::EndpointMoved => {
             chosen.state.record_unreachable(shared.now());
+            shared.send_input(Input::EndpointLost(chosen.id.clone()));
             traffic.pool.close_idle(chosen.id.as_str());
         }
         // The endpoint ended or the network failed; neither says anything about its version.
         _ => {
             chosen.state.record_outcome(shared.now(), false);
+            shared.send_input(Input::EndpointLost(chosen.id.clone()));
             traffic.pool.close_idle(chosen.id.as_str());
         }
     }
@@ -92,6 +95,7 @@
     let cause = traffic.reachability.borrow_mut().record_failed_connect(connect, last_prompt_at);
     traffic.shared.metrics.record_silent_connect(cause.as_str());
     if cause == FailureCause::Endpoint {
+        traffic.shared.send_input(Input::EndpointLost(chosen.id.clone()));
         traffic.pool.close_idle(chosen.id.as_str());
     }
 }
