Crashes are dated to the interruption, not to their detection

Cause: where a crashed endpoint still listened for a moment, its crash was detected by the second probe, 30 ms after the next attempt had been sent. Ruled out: slow news between hosts alone. Change: crashes are dated to the interruption; a request that was interrupted before waits for the second probe; one with two crashes waits 0.3 s, until other hosts can know.

--- a/crates/tidetrack-core/src/traffic/suspects/mod.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/mod.rs
@@ -39,6 +39,9 @@
 /// running.
 const EXCLUSIVE_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Time after a crash in which most other hosts learn of it.
+const CRASH_REPORT_TIME: Millis = Millis(300);
+
 /// Crashes of one endpoint within this time count as one crash that several hosts observed.
 /// Reported ages do not include the transmission delay, so hosts date the same crash differently.
 const DUPLICATE_CRASH_WINDOW: Millis = Millis(2_000);
@@ -280,6 +283,23 @@
         Err(Error::new(Code::CrashesEndpoints, message))
     }
 
+    /// Returns how long a request that endpoints crashed on waits before its next attempt. From the
+    /// second crash on, the other hosts have to know of the last crash first. Otherwise copies of
+    /// the request on several hosts would crash all endpoints of a small service before any of the
+    /// hosts counted enough crashes to bar it.
+    pub fn attempt_delay(&self, now: Millis, fingerprint: Fingerprint) -> Millis {
+        let state = self.state();
+        let crashes = self.count_crashes(&state, now, fingerprint);
+        match state.suspects.get(&fingerprint) {
+            Some(suspect)
+                if (EXCLUSIVE_FROM_CRASHES..self.opts.bar_threshold).contains(&crashes) =>
+            {
+                suspect.last_crash_at() + CRASH_REPORT_TIME - now
+            }
+            _ => Millis(0),
+        }
+    }
+
     /// Records that an endpoint crashed while running a request that was sent to it at `sent_at`.
     /// Returns the number of crashes that count against the request. The crash is ignored if an
     /// execution of the request completed recently.
--- a/crates/tidetrack-core/tests/suspects.rs
+++ b/crates/tidetrack-core/tests/suspects.rs
@@ -327,3 +327,22 @@
         .map(|h| admission_error_code(h.fleet_state.suspects(), fleet.now, fingerprint));
     assert_eq!(codes.flatten().count(), 0);
 }
+
+/// Guards against copies of a request on several hosts that crash all endpoints of a small service
+/// before any host has counted enough crashes to bar it.
+#[test]
+fn a_request_waits_after_its_second_crash_until_other_hosts_know_of_it() {
+    let suspects = Suspects::default();
+    let fingerprint = fingerprint_of("north", "deadly");
+    let delay_at = |at: u64| suspects.attempt_delay(Millis(at), fingerprint).0;
+
+    let unknown = delay_at(1_000);
+    record_crash_at(&suspects, 1_000, fingerprint, "e1", "hall-1");
+    let after_one = delay_at(1_000);
+    record_crash_at(&suspects, 1_100, fingerprint, "e2", "hall-2");
+    let after_two = [delay_at(1_100), delay_at(1_250), delay_at(1_400)];
+    record_crash_at(&suspects, 1_450, fingerprint, "e3", "hall-3");
+    let barred = delay_at(1_450);
+
+    assert_eq!((unknown, after_one, after_two, barred), (0, 0, [300, 150, 0], 0));
+}
--- a/crates/tidetrack-plane/src/crash.rs
+++ b/crates/tidetrack-plane/src/crash.rs
@@ -4,8 +4,9 @@
 //! closed by an endpoint that keeps running. A new connection does. If it is refused, the
 //! endpoint's process has ended; otherwise the established connection is kept for the next request.
 //! A process that is ending may still accept connections for a moment after its own were closed, so
-//! an endpoint that accepted is probed once more a little later. No request waits for the second
-//! probe.
+//! an endpoint that accepted is probed once more a little later. Only a request that was interrupted
+//! before waits for the second probe: it may be the cause, and would run at the next endpoint
+//! already when the crash is detected.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -72,11 +73,12 @@
     fingerprint: Fingerprint,
     chosen: ChosenEndpoint,
     sent_at: Instant,
+    interrupted_at: Millis,
 }
 
 /// Checks whether a failed attempt was interrupted by the end of its endpoint, and records a crash
-/// if so. Waits only for the first probe; the rest continues in a task, even if the caller
-/// disconnects.
+/// if so. Waits for the first probe, and for the second one if the request was interrupted before;
+/// the rest continues in a task, even if the caller disconnects.
 pub async fn detect_crash(
     traffic: &Rc<Traffic>,
     job: &Job,
@@ -95,26 +97,48 @@
         return;
     }
     let (request, fingerprint) = (job.id.clone(), job.fingerprint);
-    let attempt = InterruptedAttempt { request, fingerprint, chosen: chosen.clone(), sent_at };
+    let interrupted_at = traffic.shared.now();
+    let attempt = InterruptedAttempt {
+        request,
+        fingerprint,
+        chosen: chosen.clone(),
+        sent_at,
+        interrupted_at,
+    };
     let (tx, rx) = oneshot::channel();
-    tokio::task::spawn_local(attempt.probe(traffic.clone(), probe, tx));
-    // The sender is dropped without a value when the first probe is done.
+    let waits_for_both = job.was_interrupted.replace(true);
+    tokio::task::spawn_local(attempt.probe(traffic.clone(), probe, waits_for_both, tx));
+    // The sender is dropped without a value when the probes to wait for are done.
     let _ = rx.await;
 }
 
+/// Waits before an attempt of a request that several endpoints crashed on, until other hosts know of
+/// the last crash. Returns at once for all other requests.
+pub async fn wait_for_crash_reports(traffic: &Traffic, job: &Job) {
+    let shared = &traffic.shared;
+    let delay = shared.suspects.attempt_delay(shared.now(), job.fingerprint);
+    if delay > Millis(0) {
+        tokio::time::sleep(Duration::from_millis(delay.0)).await;
+    }
+}
+
 impl InterruptedAttempt {
-    /// Probes the endpoint. `first_done` is dropped once the first probe is finished and a
-    /// crash that it detected is recorded.
+    /// Probes the endpoint. `done` is dropped once the first probe, or both if `waits_for_both`, are
+    /// finished and a crash that they detected is recorded.
     async fn probe(
         self,
         traffic: Rc<Traffic>,
         probe: Rc<EndpointProbe>,
-        first_done: oneshot::Sender<()>,
+        waits_for_both: bool,
+        done: oneshot::Sender<()>,
     ) {
+        let mut done = Some(done);
         let has_ended = |max_idle| refuses_connections(&traffic, &self.chosen, max_idle);
         let mut is_ended = *probe.first_result.get_or_init(|| has_ended(Duration::ZERO)).await;
         if !is_ended {
-            drop(first_done);
+            if !waits_for_both {
+                done = None;
+            }
             tokio::time::sleep(SECOND_PROBE_DELAY).await;
             is_ended = *probe.second_result.get_or_init(|| has_ended(Duration::MAX)).await;
         }
@@ -123,6 +147,7 @@
             probe.end_detected_at.set(probe.end_detected_at.get().or_else(|| Some(Instant::now())));
             self.record_crash(&traffic);
         }
+        drop(done);
     }
 
     /// Records that the endpoint crashed.
@@ -132,8 +157,12 @@
         let ChosenEndpoint { id, failure_domain, state, .. } = &self.chosen;
         state.record_unreachable(now);
         let sent_at = Millis(now.0.saturating_sub(self.sent_at.elapsed().as_millis() as u64));
+        // The crash is dated back to the interruption. At the time of its detection, the next
+        // attempt may have been sent already, so that the two crashes would appear to overlap and
+        // count as one.
+        let crashed_at = self.interrupted_at;
         let crashes =
-            shared.suspects.record_crash(now, self.fingerprint, id, failure_domain, sent_at);
+            shared.suspects.record_crash(crashed_at, self.fingerprint, id, failure_domain, sent_at);
         // Makes the control thread report the crash to other hosts, within 100 ms.
         shared.send_input(Input::Tick);
         shared.journal.log(
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -31,7 +31,7 @@
     check_before_send, choose, model_weight, overloaded_error, RETRY_OVERLOADED_MS,
 };
 use crate::clock::BootInstant;
-use crate::crash::detect_crash;
+use crate::crash::{detect_crash, wait_for_crash_reports};
 use crate::dialect::RequestFacts;
 use crate::job::{AttemptHistory, ChosenEndpoint, InFlight, Job, PendingWork, Traffic};
 use crate::relay;
@@ -205,6 +205,7 @@
         fingerprint,
         running_request,
         has_failed: Cell::new(false),
+        was_interrupted: Cell::new(false),
         method: head.method,
         uri: head.uri,
         headers: head.headers,
@@ -336,6 +337,7 @@
     attempts: &mut AttemptHistory,
     model: Option<&ModelId>,
 ) -> std::result::Result<AttemptResponse, AttemptError> {
+    wait_for_crash_reports(traffic, job).await;
     let chosen = match choose(traffic, job, attempts, model) {
         Ok(chosen) => chosen,
         Err(e) => return Err(AttemptError::Final(final_error(job, attempts, e))),
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -127,6 +127,8 @@
     pub method: Method,
     /// Whether an endpoint has failed while serving the request.
     pub has_failed: Cell<bool>,
+    /// Whether an attempt's connection was lost while its endpoint may have been executing it.
+    pub was_interrupted: Cell<bool>,
     /// Path and query, unchanged from the caller's request.
     pub uri: Uri,
     /// Fingerprint that is the same when the caller sends the request again.
--- a/crates/tidetrack-plane/src/relay.rs
+++ b/crates/tidetrack-plane/src/relay.rs
@@ -31,7 +31,7 @@
 use crate::attempt::EndpointResponse;
 use crate::body::{BodyChunk, ResponseAborted, ResponseBody};
 use crate::choose::choose_resume_endpoint;
-use crate::crash::detect_crash;
+use crate::crash::{detect_crash, wait_for_crash_reports};
 use crate::events::{EventSplitter, StreamEvent};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, PendingWork, SilentEndpoint, Traffic};
 use crate::pool::{disconnect_cause, Lease};
@@ -445,6 +445,7 @@
 ) -> Result<(http::response::Parts, Source)> {
     tries.connect_failures = 0;
     loop {
+        wait_for_crash_reports(traffic, job).await;
         let (chosen, work_share) = choose_resume_endpoint(traffic, job, tries, model)?;
         let sent_at = Instant::now();
         let error = match send(traffic, job, tries, &chosen, model, last_event_id).await {
