The product's own interface has evacuations: an object and tidetrackctl evacuate

Cause: only the users' platform had them; an operator of the routers could withdraw versions and endpoints, not a failure domain.

--- a/crates/tidetrack-core/src/config.rs
+++ b/crates/tidetrack-core/src/config.rs
@@ -66,6 +66,7 @@
     Objective, "objective", true;
     KeyRing, "keyring", true;
     Withdrawal, "withdrawal", false;
+    Evacuation, "evacuation", false;
     RolloutState, "rollout-state", false;
 }
 
@@ -394,6 +395,16 @@
     pub reason: String,
 }
 
+/// An order to send nothing further to the endpoints of the failure domain that it is named after. It
+/// is in force until it is deleted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Evacuation {
+    /// Reason, for readers.
+    #[serde(default)]
+    pub reason: String,
+}
+
 /// The phase of a roll-out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/tidetrack-core/src/declare.rs
+++ b/crates/tidetrack-core/src/declare.rs
@@ -228,7 +228,10 @@
                     ));
                 }
             }
-            Object::Pool(_) | Object::Withdrawal(_) | Object::RolloutState(_) => {}
+            Object::Pool(_)
+            | Object::Withdrawal(_)
+            | Object::RolloutState(_)
+            | Object::Evacuation(_) => {}
         }
     }
     faults
--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -40,6 +40,7 @@
     consecutive_failures: AtomicU32,
     ejected_until: AtomicU64,
     is_leaving: AtomicBool,
+    is_evacuated: AtomicBool,
     /// Recent pace in microseconds per token of work; 0 before the first response.
     pace_us: AtomicU64,
     /// When the endpoint last sent anything, in milliseconds.
@@ -329,6 +330,22 @@
         self.is_leaving.store(is_leaving, Ordering::Release);
     }
 
+    /// Sets whether the endpoint's failure domain is evacuated.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.store(is_evacuated, Ordering::Release);
+    }
+
+    /// Reports whether the endpoint's failure domain is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated.load(Ordering::Acquire)
+    }
+
+    /// Reports whether new requests may be sent to the endpoint: it is not leaving, and its failure
+    /// domain is not evacuated.
+    pub fn is_open(&self) -> bool {
+        !self.is_leaving() && !self.is_evacuated()
+    }
+
     /// Reports whether the endpoint is leaving.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Acquire)
--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -28,6 +28,10 @@
 
 pub use endpoint_state::{EndpointState, Outcomes, SendAllowance};
 
+/// `Retry-After` in milliseconds of a refusal because all endpoints are evacuated. Evacuations last for
+/// seconds at least.
+const RETRY_EVACUATED_MS: u64 = 2_000;
+
 /// Number of points on the ring per endpoint.
 const RING_POINTS_PER_ENDPOINT: u64 = 16;
 
@@ -380,7 +384,7 @@
         if ejected * EJECTED_DIVISOR < self.endpoints.len() as u32 {
             return None;
         }
-        let can_accept = |e: &&PoolEndpoint| can_serve(e, request) && !e.state.is_leaving();
+        let can_accept = |e: &&PoolEndpoint| can_serve(e, request) && e.state.is_open();
         self.walk_ring(request).find(|e| can_accept(e) && e.state.can_send(now))
     }
 
@@ -393,8 +397,11 @@
     }
 
     fn no_endpoint_error(&self, now: Millis, request: &PlacementRequest<'_>) -> Error {
+        if !self.endpoints.is_empty() && self.endpoints.iter().all(|e| e.state.is_evacuated()) {
+            return evacuated_error();
+        }
         let next_send = |e: &PoolEndpoint| {
-            let is_healthy = !e.state.is_leaving() && !e.state.is_ejected(now);
+            let is_healthy = e.state.is_open() && !e.state.is_ejected(now);
             e.state.next_send_at(now).filter(|from| is_healthy && *from > now)
         };
         if let Some(from) = self.endpoints.iter().filter_map(next_send).min() {
@@ -417,6 +424,12 @@
     }
 }
 
+/// Builds the error for a request whose possible endpoints are all in evacuated failure domains.
+pub fn evacuated_error() -> Error {
+    let text = "all endpoints of the service are in evacuated failure domains";
+    Error::new(Code::Evacuated, text).with_retry_after(RETRY_EVACUATED_MS)
+}
+
 /// Returns the `i`-th random index of a request into a list of length `len`.
 fn random_index(salt: u64, i: u64, len: usize) -> usize {
     (xxh3_64_with_seed(&salt.to_le_bytes(), i) % len.max(1) as u64) as usize
@@ -441,8 +454,5 @@
 }
 
 fn is_usable(e: &PoolEndpoint, now: Millis, request: &PlacementRequest<'_>) -> bool {
-    can_serve(e, request)
-        && !e.state.is_leaving()
-        && !e.state.is_ejected(now)
-        && e.state.can_send(now)
+    can_serve(e, request) && e.state.is_open() && !e.state.is_ejected(now) && e.state.can_send(now)
 }
--- a/crates/tidetrack-core/src/view.rs
+++ b/crates/tidetrack-core/src/view.rs
@@ -5,7 +5,7 @@
 //! State that must outlive a view (endpoint load, credits, compiled programs) is shared between
 //! successive views.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::codes::Code;
@@ -16,8 +16,8 @@
 use crate::errors::{unknown_name, Error, Result};
 use crate::facts::{Fact, Facts, Subject};
 use crate::ids::{
-    EndpointId, Incarnation, ModelId, PoolId, RolloutId, RouteId, ServiceId, VersionRef,
-    WorkspaceId,
+    EndpointId, FailureDomain, Incarnation, ModelId, PoolId, RolloutId, RouteId, ServiceId,
+    VersionRef, WorkspaceId,
 };
 use crate::message_auth::KeyRing;
 use crate::placement::{EndpointState, PoolEndpoint, PoolView};
@@ -125,6 +125,8 @@
     pub policies: HashMap<RouteId, Arc<PolicyView>>,
     /// Declared roll-outs, whether started or not.
     pub rollouts: Vec<RolloutView>,
+    /// Evacuated failure domains.
+    pub evacuated_domains: BTreeSet<FailureDomain>,
     /// Service-level objectives.
     pub objectives: Vec<Objective>,
 }
@@ -158,7 +160,13 @@
         facts: &Facts,
     ) -> (View, Vec<(ObjectKey, String)>) {
         let (objects, invalid) = store.objects();
-        let mut view = View { revision: store.complete_to(), ..View::default() };
+        // An order without a valid name is not that of any domain.
+        let evacuated_domain = |(key, _, object): &(ObjectKey, u64, Object)| match object {
+            Object::Evacuation(_) => key.name.parse().ok(),
+            _ => None,
+        };
+        let evacuated_domains = objects.iter().filter_map(evacuated_domain).collect();
+        let mut view = View { revision: store.complete_to(), evacuated_domains, ..View::default() };
         let mut states: BTreeMap<String, (u64, RolloutState)> = BTreeMap::new();
         let mut withdrawn: HashMap<String, u64> = HashMap::new();
         for (key, revision, object) in objects {
@@ -221,11 +229,11 @@
                 view.versions.insert(name!(), v);
             }
             Object::Pool(p) => {
-                let pool = self.build_pool(&p.endpoints, p.slots, facts, revision);
+                let pool = self.build_pool(view, &p.endpoints, p.slots, facts, revision);
                 view.pools.insert(name!(), Arc::new(pool));
             }
             Object::Service(spec) => {
-                let pool = self.build_pool(&spec.endpoints, UNLIMITED_SLOTS, facts, revision);
+                let pool = self.build_pool(view, &spec.endpoints, UNLIMITED_SLOTS, facts, revision);
                 view.services.insert(name!(), Arc::new(ServiceView { spec, pool }));
             }
             Object::Policy(spec) => {
@@ -239,13 +247,14 @@
             }
             Object::Objective(o) => view.objectives.push(o),
             Object::KeyRing(key_ring) => view.key_ring = Some(key_ring),
-            Object::Withdrawal(_) | Object::RolloutState(_) => {}
+            Object::Withdrawal(_) | Object::RolloutState(_) | Object::Evacuation(_) => {}
         }
     }
 
     /// Builds the view of a pool that was declared at revision `declared_at`.
     fn build_pool(
         &mut self,
+        view: &View,
         endpoints: &BTreeMap<EndpointId, Endpoint>,
         slots: u32,
         facts: &Facts,
@@ -255,6 +264,7 @@
             let state =
                 self.endpoint_states.entry((id.clone(), e.address.clone())).or_default().clone();
             state.set_leaving(facts.is_leaving(id, declared_at));
+            state.set_evacuated(view.evacuated_domains.contains(&e.failure_domain));
             PoolEndpoint {
                 id: id.clone(),
                 address: e.address.clone(),
@@ -483,6 +493,19 @@
         }
     }
 
+    /// Returns the outstanding work of this host in each evacuated failure domain, in answer tokens.
+    pub fn evacuated_work(&self) -> BTreeMap<FailureDomain, u64> {
+        let mut work: BTreeMap<FailureDomain, u64> =
+            self.evacuated_domains.iter().map(|domain| (domain.clone(), 0)).collect();
+        let services = self.services.values().flat_map(|s| s.pool.endpoints().iter());
+        for endpoint in self.pool_endpoints().chain(services) {
+            if let Some(work) = work.get_mut(&endpoint.failure_domain) {
+                *work += endpoint.state.own_work();
+            }
+        }
+        work
+    }
+
     /// Iterates over the endpoints of all pools, so that their loads can be read.
     pub fn pool_endpoints(&self) -> impl Iterator<Item = &PoolEndpoint> {
         self.pools.values().flat_map(|p| p.endpoints().iter())
--- a/crates/tidetrack-ctl/src/lib.rs
+++ b/crates/tidetrack-ctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bill;
 pub mod calls;
 pub mod dry_run;
+pub mod evacuation;
 pub mod explain;
 pub mod folder;
 pub mod rollout;
--- a/crates/tidetrack-ctl/src/main.rs
+++ b/crates/tidetrack-ctl/src/main.rs
@@ -13,8 +13,8 @@
 use tidetrack_core::errors::Error;
 use tidetrack_core::events::events_table;
 use tidetrack_core::facts::{Fact, Subject};
-use tidetrack_core::ids::{RolloutId, RouteId, VersionRef};
-use tidetrack_ctl::{apply, bill, calls, dry_run, explain, folder, rollout, status};
+use tidetrack_core::ids::{FailureDomain, RolloutId, RouteId, VersionRef};
+use tidetrack_ctl::{apply, bill, calls, dry_run, evacuation, explain, folder, rollout, status};
 use tidetrack_wire::platform::{config_object_name, PlatformClient};
 
 const USAGE: &str = "tidetrackctl COMMAND [options]
@@ -26,6 +26,8 @@
   get KIND/NAME               show an object as stored
   withdraw MODEL@VERSION      stop sending new work to a version
   rollout VERB NAME           start, pause, resume, advance or abort a roll-out
+  evacuate start|end DOMAIN   send nothing further to the endpoints of a failure domain, or end that
+  evacuate list               show the evacuated domains; with --host, the work left there
   status                      show the state and applied configuration of hosts
   calls                       sum up hosts' calls to the store, from their metrics
   bill                        sum up the ledger
@@ -50,11 +52,11 @@
     options.optmulti(
         "",
         "host",
-        "address of a router, for status and withdraw --via; of its metrics, for calls",
+        "address of a router, for status, evacuate list and withdraw --via; of its metrics, for calls",
         "IP:PORT",
     );
     options.optopt("", "key", "the operators' key (or TIDETRACK_OPERATOR_KEY)", "KEY");
-    options.optopt("", "reason", "reason for the withdrawal, as text for people", "TEXT");
+    options.optopt("", "reason", "reason for a withdrawal or evacuation, for people", "TEXT");
     options.optflag("", "via", "send the withdrawal to --host; works while the object API is down");
     options.optopt("", "generation", "generation to withdraw with --via (default 1)", "N");
     options.optflag("", "prune", "delete objects of declared kinds that are not in the folder");
@@ -101,6 +103,9 @@
         ["get", key] => get(&matches, key),
         ["withdraw", version] => withdraw(&matches, version),
         ["rollout", verb, name] => run_rollout(&matches, verb, name),
+        ["evacuate", "start", domain] => start_evacuation(&matches, domain),
+        ["evacuate", "end", domain] => end_evacuation(&matches, domain),
+        ["evacuate", "list"] => list_evacuations(&matches),
         ["status"] => show_status(&matches),
         ["calls"] => show_calls(&matches),
         ["bill"] => show_bill(&matches),
@@ -228,6 +233,28 @@
     }
 }
 
+fn start_evacuation(matches: &Matches, domain: &str) -> Result<()> {
+    let domain: FailureDomain = domain.parse()?;
+    let reason = matches.opt_str("reason").unwrap_or_default();
+    let revision = evacuation::start(&platform_client(matches)?, &domain, &reason)?;
+    print(&format!("{domain} is evacuated at revision {revision}\n"))
+}
+
+fn end_evacuation(matches: &Matches, domain: &str) -> Result<()> {
+    let domain: FailureDomain = domain.parse()?;
+    evacuation::end(&platform_client(matches)?, &domain)?;
+    print(&format!("the evacuation of {domain} is ended\n"))
+}
+
+fn list_evacuations(matches: &Matches) -> Result<()> {
+    let evacuated = evacuation::list(&platform_client(matches)?)?;
+    let key = operator_key(matches);
+    let hosts = matches.opt_strs("host").into_iter();
+    let statuses: Vec<_> =
+        hosts.map(|h| status::fetch_status(&h, &key)).collect::<std::result::Result<_, _>>()?;
+    print(&evacuation::render(&evacuated, &statuses))
+}
+
 fn show_status(matches: &Matches) -> Result<()> {
     let hosts = matches.opt_strs("host");
     if hosts.is_empty() {
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -4,7 +4,7 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::ids::{EndpointId, EndpointKey, ModelId};
 use tidetrack_core::placement::{
-    ring_position_of, Locality, PlacementRequest, PoolEndpoint, PoolView,
+    evacuated_error, ring_position_of, Locality, PlacementRequest, PoolEndpoint, PoolView,
 };
 use tidetrack_core::traffic::admission;
 use tidetrack_core::traffic::budget::FurtherAttempt;
@@ -19,10 +19,6 @@
 /// `Retry-After` in milliseconds of a refusal because no endpoint has capacity.
 pub const RETRY_OVERLOADED_MS: u64 = 300;
 
-/// `Retry-After` in milliseconds of a refusal because all endpoints are evacuated. Evacuations last for seconds at
-/// least.
-const RETRY_EVACUATED_MS: u64 = 2_000;
-
 /// Work in answer tokens that is added to the load of an endpoint in another failure domain, because traffic between
 /// domains has a cost.
 const CROSS_DOMAIN_WORK: u64 = 500;
@@ -173,12 +169,6 @@
     Error::new(Code::Overloaded, message).with_retry_after(RETRY_OVERLOADED_MS)
 }
 
-/// Builds the error for a request to a service whose endpoints are all in evacuated failure domains.
-fn evacuated_error() -> Error {
-    let text = "all endpoints of the service are in evacuated failure domains";
-    Error::new(Code::Evacuated, text).with_retry_after(RETRY_EVACUATED_MS)
-}
-
 /// Returns the endpoint that an attempt on `model` would use, on the release track of an earlier attempt, with the
 /// figures for its latency estimate. Records nothing. Returns `None` if no endpoint is available.
 pub fn plan_attempt(
--- a/crates/tidetrack-router/src/control.rs
+++ b/crates/tidetrack-router/src/control.rs
@@ -14,7 +14,7 @@
 use tidetrack_core::events::Event;
 use tidetrack_core::evidence::VersionCounts;
 use tidetrack_core::facts::{Fact, Subject};
-use tidetrack_core::ids::{HostId, Incarnation, RolloutId, VersionRef};
+use tidetrack_core::ids::{FailureDomain, HostId, Incarnation, RolloutId, VersionRef};
 use tidetrack_core::membership::{Member, MemberState};
 use tidetrack_core::node::{Action, Exchange, Node};
 use tidetrack_core::store::{Delta, Entry};
@@ -156,6 +156,9 @@
     pub facts: Vec<Fact>,
     /// State of each roll-out.
     pub rollouts: Vec<RolloutStatus>,
+    /// Outstanding work of this host in each evacuated failure domain, in answer tokens.
+    #[serde(rename = "evacuated", default)]
+    pub evacuated_work: BTreeMap<FailureDomain, u64>,
     /// Request rate per second that this host may use, by workspace.
     #[serde(rename = "shares")]
     pub workspace_rates: BTreeMap<String, f64>,
@@ -493,6 +496,7 @@
                 .collect(),
             facts: self.node.facts.iter().collect(),
             rollouts: rollouts.collect(),
+            evacuated_work: view.evacuated_work(),
             workspace_rates: shares.into_iter().map(|(w, r)| (w.to_string(), r)).collect(),
             in_flight: self.shared.in_flight.load(std::sync::atomic::Ordering::Relaxed),
             pending_bills: self.shared.billing.pending(),
--- a/crates/tidetrack-router/tests/path.rs
+++ b/crates/tidetrack-router/tests/path.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 use tidetrack_core::codes::Executed;
+use tidetrack_ctl::evacuation;
+use tidetrack_router::control::Status;
 use tidetrack_standin::engine::EngineFaults;
 use tidetrack_testkit::caller::send;
 use tidetrack_testkit::fleet::{Fleet, FleetOptions, KEY};
@@ -230,3 +232,27 @@
         (send(caller.chat_request("chat", "x", false, 3)).status == 200).then_some(())
     });
 }
+
+/// The only endpoint of the stable version is in the domain `d0`.
+#[test]
+fn requests_are_refused_while_the_domain_of_all_their_endpoints_is_evacuated() {
+    let fleet = fleet(1);
+    let caller = fleet.hosts[0].caller();
+    let domain = "d0".parse().expect("the name parses");
+    let has_orders = |count: usize| move |s: &Status| s.evacuated_work.len() == count;
+
+    let before = send(caller.chat_request("chat", "before", false, 3));
+    evacuation::start(&fleet.platform_client, &domain, "").expect("the order is accepted");
+    fleet.wait_for_hosts("the evacuation", has_orders(1));
+    let finished = fleet.stable_engine.counts().finished;
+    let during = send(caller.chat_request("chat", "during", false, 3));
+    let finished_during = fleet.stable_engine.counts().finished - finished;
+    evacuation::end(&fleet.platform_client, &domain).expect("the order is ended");
+    fleet.wait_for_hosts("the end of the evacuation", has_orders(0));
+    let after = send(caller.chat_request("chat", "after", false, 3));
+
+    assert!(before.text().contains("before"), "{before:?}");
+    assert_eq!((during.status, during.code().as_str()), (503, "TT-2010"), "{during:?}");
+    assert_eq!((during.executed(), finished_during), (Some(Executed::No), 0));
+    assert!(after.text().contains("after"), "{after:?}");
+}
