--- a/deploy/write-days.sh
+++ b/deploy/write-days.sh
@@ -186,3 +186,27 @@
 day verdict-and-all-killed 'kind = "rollout_bad", how = "errors", share = 0.5, at = 2.0, service = "@s0", for_s = 22.0' 'kind = "herd_kill", on = "core", at = 4.5, for_s = 0.7'
 day move-and-all-killed 'kind = "rollout_good", at = 2.0, service = "@s0", for_s = 22.0' 'kind = "herd_kill", on = "core", at = 22.3, for_s = 0.7'
 day move-and-store-down 'kind = "rollout_good", at = 2.0, service = "@s0", for_s = 22.0' 'kind = "platform_down", how = "reset", at = 21.0, for_s = 4.0'
+
+# Failure domains that are evacuated and taken back, and endpoints that return cold, alone and beside what makes a
+# fleet late, small or loaded.
+for how in "" warm; do
+    evacuation="kind = \"evacuate\", zone = \"@z0\", how = \"$how\", for_s = 9.0, at = 5.0"
+    name="evacuation${how:+-$how}"
+    day "$name" "$evacuation" ""
+    day "$name-and-burst" "$evacuation" 'kind = "burst", x = 2.0, at = 13.0, for_s = 3.0'
+    day "$name-and-hosts-cut" "$evacuation" 'kind = "node_cut", how = "all", share = 0.2, at = 4.0, for_s = 6.0'
+    day "$name-and-store-down-nodes" "$evacuation" 'kind = "platform_down", how = "nodes", share = 0.35, at = 4.0, for_s = 7.0'
+    day "$name-and-hosts-killed" "$evacuation" 'kind = "herd_kill", share = 0.6, at = 7.0, for_s = 1.5'
+    day "$name-and-hosts-restarting" "$evacuation; kind = \"roll_term\", at = 6.0, share = 1.0, x = 4.0, gap_s = 0.6" ""
+done
+day evacuation-of-two "kind = \"evacuate\", zone = \"@z0\", how = \"\", for_s = 9.0, at = 5.0; kind = \"evacuate\", zone = \"@z1\", how = \"\", for_s = 6.0, at = 7.0" ""
+for how in "" dark; do
+    cold_return="kind = \"cold_return\", zone = \"@z0\", how = \"$how\", for_s = 4.0, at = 5.0"
+    name="cold-return${how:+-$how}"
+    day "$name" "" "$cold_return"
+    day "$name-and-burst" "" "$cold_return; kind = \"burst\", x = 2.0, at = 9.0, for_s = 3.0"
+    day "$name-and-hosts-cut" "" "$cold_return; kind = \"node_cut\", how = \"all\", share = 0.2, at = 8.0, for_s = 5.0"
+    day "$name-and-hosts-killed" "" "$cold_return; kind = \"herd_kill\", share = 0.6, at = 7.5, for_s = 1.5"
+done
+# The users' day of a request that crashes its endpoints.
+day deadly "" 'kind = "poison", how = "deadly", class = "@c0", share = 0.03, for_s = 20.0, at = 5.0'
