A cold endpoint that returns with a new state is limited at once

Cause: limit_cold_endpoint skipped endpoints that counted as cold already. One that was lost counts as cold for seconds; when its entry was removed and came back meanwhile, the next view gave it a new state, without a limit until shares were computed again (up to 2 s). Ruled out: a matter of one host; in virtual time all 20 hosts could send, 9 may. Change: an endpoint is skipped only if its state is limited as a cold one, and an entry that tells of no cold start is looked at too. Test: an_endpoint_that_returns_while_it_counts_as_cold_is_limited_at_once, 20 senders before, 9 after.

--- a/crates/tidetrack-core/src/traffic/control/limits.rs
+++ b/crates/tidetrack-core/src/traffic/control/limits.rs
@@ -17,7 +17,8 @@
 const MAX_ALLOTMENT_AGE: Millis = Millis(2_000);
 
 impl FleetState {
-    /// Records for how long an endpoint stays cold according to its entry.
+    /// Records for how long an endpoint stays cold according to its entry. An endpoint that counts as
+    /// cold already may have returned with a new state, which has no limit yet.
     pub(super) fn record_cold_entry(
         &mut self,
         now: Millis,
@@ -25,12 +26,13 @@
         cold_for: Millis,
         actions: &mut Vec<Action>,
     ) {
-        if cold_for == Millis(0) || self.cold_start_of(id).is_none() {
+        if self.cold_start_of(id).is_none() {
             return;
         }
-        let was_cold = self.cold_endpoints.is_cold(now, id);
         self.cold_endpoints.record_entry(now, id, cold_for);
-        self.limit_cold_endpoint(now, id, was_cold, actions);
+        if self.cold_endpoints.is_cold(now, id) {
+            self.limit_cold_endpoint(now, id, actions);
+        }
     }
 
     /// Records that an endpoint may have been restarted unnoticed.
@@ -41,9 +43,8 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(cold_start) = self.cold_start_of(id) else { return };
-        let was_cold = self.cold_endpoints.is_cold(now, id);
         self.cold_endpoints.record_possible_restart(now, id, &cold_start);
-        self.limit_cold_endpoint(now, id, was_cold, actions);
+        self.limit_cold_endpoint(now, id, actions);
     }
 
     /// Records that an endpoint was lost, so that it may be restarted from now on.
@@ -55,9 +56,8 @@
     ) {
         let Some(cold_start) = self.cold_start_of(id) else { return };
         let Some(state) = self.endpoint_states.get(id) else { return };
-        let was_cold = self.cold_endpoints.is_cold(now, id);
         self.cold_endpoints.record_loss(now, id, state.ejected_until(), &cold_start);
-        self.limit_cold_endpoint(now, id, was_cold, actions);
+        self.limit_cold_endpoint(now, id, actions);
     }
 
     /// Returns how an endpoint behaves after its start.
@@ -66,20 +66,15 @@
         self.catalog.as_ref()?.services.get(&record.service)?.cold_start
     }
 
-    /// Limits what this host sends to an endpoint that has become cold. Takes effect at once, also
-    /// for requests that use the current view.
-    fn limit_cold_endpoint(
-        &mut self,
-        now: Millis,
-        id: &EndpointId,
-        was_cold: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        if was_cold {
+    /// Limits what this host sends to a cold endpoint, unless it is limited as such already. Takes
+    /// effect at once, also for requests that use the current view.
+    fn limit_cold_endpoint(&mut self, now: Millis, id: &EndpointId, actions: &mut Vec<Action>) {
+        let has_reported_limit = self.limits.limit_of(EndpointKey::from(id)).flatten().is_some();
+        // The next view uses this state.
+        let state = self.endpoint_states.entry(id.clone()).or_default();
+        if state.is_limited() && !has_reported_limit {
             return;
         }
-        // The next view uses this state.
-        self.endpoint_states.entry(id.clone()).or_default();
         let is_isolated = self.is_isolated(now);
         let Some(record) = self.table.get(id) else { return };
         if let Some(allowance) = self.allocate(now, record, is_isolated, true) {
--- a/crates/tidetrack-core/tests/cold_endpoints.rs
+++ b/crates/tidetrack-core/tests/cold_endpoints.rs
@@ -277,3 +277,23 @@
     assert!(!senders.contains(&0) && !senders.contains(&1), "{senders:?}");
     assert_eq!(senders.len(), 9, "{senders:?}");
 }
+
+/// Guards against an endpoint that is not limited when it returns, because it counted as cold already
+/// when its entry was removed.
+#[test]
+fn an_endpoint_that_returns_while_it_counts_as_cold_is_limited_at_once() {
+    let mut fleet = start_fleet(20, Some(COLD_START), 7);
+    fleet.run(2_000, |_, _| {});
+    for host in 0..20 {
+        fleet.handle_input(host, Input::EndpointLost(id("e3")));
+        fleet.handle_input(host, Input::EndpointRemoved(id("e3")));
+    }
+    fleet.run(2_500, |_, _| {});
+
+    for host in 0..20 {
+        fleet.handle_input(host, Input::Endpoint(record(3, Millis(3_000))));
+    }
+
+    let senders = (0..20).filter(|host| next_send(&fleet, *host, "e3").is_some()).count();
+    assert_eq!(senders, 9);
+}
