Logs name the parts of prompts, and how many endpoints left probes unanswered

E307 and E316 have the parts of the request's prompt, so that requests of which no two are alike can be compared by what they share, and a fingerprint that covers different prompts shows. E238 says how many endpoints left a probe unanswered, beside the size of the pool.

--- a/crates/tidetrack-core/src/ids.rs
+++ b/crates/tidetrack-core/src/ids.rs
@@ -123,6 +123,11 @@
     FailureDomain,
     "failure domain"
 );
+name_id!(
+    /// The id that callers give to a part of a prompt. Prompts that begin with the same parts name the same ids.
+    PartId,
+    "prompt part"
+);
 
 /// A 32-bit hash of an endpoint's name, used in its place in messages and tables that must stay small.
 #[derive(
--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -128,6 +128,11 @@
         true
     }
 
+    /// Returns the number of endpoints that left a probe unanswered since the suspicion began.
+    pub fn unanswered_probes(&self, service: &ServiceId) -> usize {
+        self.services.get(service).map_or(0, |paths| paths.unanswered.len())
+    }
+
     /// Forgets a service that has no endpoints any more.
     pub fn remove(&mut self, service: &ServiceId) {
         self.services.remove(service);
--- a/crates/tidetrack-plane/src/crash.rs
+++ b/crates/tidetrack-plane/src/crash.rs
@@ -73,6 +73,8 @@
     request: String,
     service: ServiceId,
     fingerprint: Fingerprint,
+    /// The parts of the request's prompt, for the log.
+    parts: String,
     chosen: ChosenEndpoint,
     sent_at: Instant,
     interrupted_at: Millis,
@@ -107,6 +109,7 @@
         request,
         service: job.service.clone(),
         fingerprint,
+        parts: job.facts.logged_parts(),
         chosen: chosen.clone(),
         sent_at,
         interrupted_at,
@@ -183,6 +186,7 @@
             &[
                 ("request", &self.request),
                 ("fingerprint", &self.fingerprint),
+                ("parts", &self.parts),
                 ("endpoint", id),
                 ("domain", failure_domain),
                 ("crashes", &crashes),
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -11,7 +11,7 @@
 
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
-use tidetrack_core::ids::{EndpointId, FailureDomain, ModelId, ServiceId, WorkspaceId};
+use tidetrack_core::ids::{EndpointId, FailureDomain, ModelId, PartId, ServiceId, WorkspaceId};
 use tidetrack_core::traffic::canary::{ProgressWrite, RolloutOrder};
 use tidetrack_core::traffic::cascade::GenerationSize;
 use tidetrack_core::traffic::catalog::Catalog;
@@ -36,12 +36,32 @@
     pub shared_prefix: Option<String>,
     /// Number of prompt tokens up to the end of the shared prefix.
     pub shared_tokens: Option<Tokens>,
+    /// The parts of the prompt in order, which other requests may share except for the last one. Empty if the
+    /// request names none.
+    pub prompt_parts: Vec<PartId>,
     /// The model requested by the caller.
     pub model: Option<String>,
     /// Id of the last event that the caller received of an interrupted stream.
     pub last_event: Option<u64>,
 }
 
+/// Maximum number of parts that are listed for a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
+
+impl RequestFacts {
+    /// Returns the ids of the prompt's parts for the log, separated by commas; `-` if there are none.
+    pub fn logged_parts(&self) -> String {
+        match self.prompt_parts.as_slice() {
+            [] => "-".to_string(),
+            parts => {
+                let names: Vec<&str> =
+                    parts.iter().take(MAX_LOGGED_PARTS).map(PartId::as_str).collect();
+                names.join(",")
+            }
+        }
+    }
+}
+
 /// Values passed to an endpoint in the head of a request.
 #[derive(Clone, Debug)]
 pub struct EndpointRequestInfo<'a> {
--- a/crates/tidetrack-plane/src/paths.rs
+++ b/crates/tidetrack-plane/src/paths.rs
@@ -251,6 +251,7 @@
             &[
                 ("service", service),
                 ("endpoints", &endpoints.len()),
+                ("unanswered", &self.paths.borrow().unanswered_probes(service)),
                 ("established_usable", &are_established_usable),
             ],
         );
--- a/crates/tidetrack-plane/src/prepare.rs
+++ b/crates/tidetrack-plane/src/prepare.rs
@@ -122,6 +122,7 @@
             ("route", &route.name),
             ("service", &service),
             ("fingerprint", &fingerprint),
+            ("parts", &facts.logged_parts()),
             ("session", &facts.session.as_deref().unwrap_or("-")),
             ("config", &config),
             ("config_age_ms", &config_age_ms),
