Up to six endpoints of a pool have to leave a probe unanswered before its paths count as lost

Cause: of a pool of more than four endpoints two unanswered probes decided. With half of a pool ended at once and still listed, two probed ones have both ended one time in four. Class: a sample of fixed size decides about a pool that may have lost any part of its endpoints. One round still decides, with as many probes side by side.

--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -20,13 +20,13 @@
 /// after which an unacknowledged request fails.
 const CORRELATION_WINDOW: Millis = Millis(1_500);
 
-/// Number of endpoints that have to fail, and then to leave a probe unanswered, before the paths to
-/// a service count as lost. The failure of an only endpoint says nothing about the paths.
-const MIN_ENDPOINTS: usize = 2;
+/// Number of endpoints that have to fail before the paths to a service are suspected. The failure of
+/// an only endpoint says nothing about the paths.
+const MIN_FAILED_ENDPOINTS: usize = 2;
 
-/// Largest pool of which all endpoints have to leave a probe unanswered: several of them may have ended
-/// while the only one left responds.
-const MAX_SMALL_POOL: usize = 4;
+/// Maximum number of endpoints that have to leave a probe unanswered. Half of a pool may have ended at
+/// once, and that all of this many probed ones have is unlikely even then.
+const MAX_DECIDING_PROBES: usize = 6;
 
 /// Longest time from the first failure to the end of an interruption that is not a partition: endpoints or
 /// links may stand still for a second and a half, and the next probe may be due a moment later.
@@ -47,11 +47,7 @@
 /// Returns the number of endpoints that have to leave a probe unanswered before the paths to a service with
 /// `pool_size` endpoints count as lost. They are probed together, so that one round decides.
 pub fn deciding_probes(pool_size: usize) -> usize {
-    if pool_size <= MAX_SMALL_POOL {
-        pool_size
-    } else {
-        MIN_ENDPOINTS
-    }
+    pool_size.min(MAX_DECIDING_PROBES)
 }
 
 #[derive(Debug, Default)]
@@ -83,7 +79,7 @@
         let paths = self.services.entry(service.clone()).or_default();
         paths.failures.retain(|(key, at)| *key != endpoint && now < *at + CORRELATION_WINDOW);
         paths.failures.push((endpoint, now));
-        let is_suspicious = paths.failures.len() >= MIN_ENDPOINTS;
+        let is_suspicious = paths.failures.len() >= MIN_FAILED_ENDPOINTS;
         is_suspicious && paths.suspect(now)
     }
 
--- a/crates/tidetrack-core/tests/endpoint_paths.rs
+++ b/crates/tidetrack-core/tests/endpoint_paths.rs
@@ -85,26 +85,44 @@
     assert_eq!((ended, paths.state(&service())), (PathState::Suspected, PathState::Up));
 }
 
+/// Records unanswered probes of all endpoints of the pool, and returns for each whether it decided.
+fn leave_all_probes_unanswered(paths: &mut EndpointPaths) -> Vec<bool> {
+    let mut probe = |n: usize| paths.record_unanswered_probe(&service(), endpoint(n), POOL);
+    (0..POOL).map(&mut probe).collect()
+}
+
 #[test]
-fn paths_are_lost_after_probes_of_two_endpoints_and_restored_by_a_response() {
+fn paths_are_lost_after_probes_of_all_endpoints_and_restored_by_a_response() {
     let mut paths = suspected_paths();
 
-    let first = paths.record_unanswered_probe(&service(), endpoint(2), POOL);
-    let second = paths.record_unanswered_probe(&service(), endpoint(3), POOL);
+    let decided = leave_all_probes_unanswered(&mut paths);
     let lost = paths.lost_services();
     let ended = paths.record_contact(&service());
 
-    assert_eq!((first, second, lost), (false, true, vec![service()]));
+    assert_eq!((decided, lost), (vec![false, false, false, false, false, true], vec![service()]));
     assert_eq!((ended, paths.lost_services()), (PathState::Lost, vec![]));
 }
 
+/// Guards against taking paths for lost because many endpoints of a large pool have ended.
+#[test]
+fn probes_of_a_few_endpoints_that_ended_do_not_decide_about_a_large_pool() {
+    const LARGE_POOL: usize = 18;
+    const ENDED: usize = 5;
+    let mut paths = suspected_paths();
+
+    let mut probe = |n: usize| paths.record_unanswered_probe(&service(), endpoint(n), LARGE_POOL);
+    let decided: Vec<bool> = (0..ENDED).map(&mut probe).collect();
+
+    assert_eq!(decided, [false; ENDED]);
+    assert_eq!(paths.state(&service()), PathState::Suspected);
+}
+
 /// Guards against refusals for want of a path while endpoints stand still for a moment.
 #[test]
 fn a_loss_counts_as_a_short_interruption_for_a_while_from_the_first_failure() {
     let mut paths = suspected_paths();
     let while_suspected = paths.interruption_end(&service());
-    paths.record_unanswered_probe(&service(), endpoint(2), POOL);
-    paths.record_unanswered_probe(&service(), endpoint(3), POOL);
+    leave_all_probes_unanswered(&mut paths);
 
     let while_lost = paths.interruption_end(&service());
     paths.record_contact(&service());
