--- a/crates/tidetrack-core/src/traffic/fingerprint.rs
+++ b/crates/tidetrack-core/src/traffic/fingerprint.rs
@@ -1,7 +1,8 @@
 //! Fingerprints by which requests, and the prompt parts that they share, are recognized again.
 //!
 //! Attempt ids are new for each try, so a request is recognized by its contents: workspace, host
-//! name, method, path and body. Callers choose the bodies, so the hash must be collision-resistant.
+//! name, method, path, prompt parts and body. Requests with different prompts may have the same body.
+//! Callers choose these, so the hash must be collision-resistant.
 //! It includes the workspace, so that no workspace can send a request that is taken for one of
 //! another workspace.
 //!
@@ -48,6 +49,9 @@
     pub method: &'a str,
     /// Path and query.
     pub path: &'a str,
+    /// Parts of the prompt in order, the last of which belongs to the request itself or its session.
+    /// Empty if the request names none.
+    pub prompt_parts: &'a [PartId],
     /// Complete body.
     pub body: &'a [u8],
 }
@@ -57,10 +61,12 @@
     pub fn of(req: &RequestIdentity<'_>) -> Fingerprint {
         let workspace = req.workspace.map_or("", WorkspaceId::as_str);
         let mut hash = Sha256::new();
-        for part in [workspace, req.hostname, req.method, req.path] {
-            // The length prefix makes the boundaries between the parts unambiguous.
-            hash.update((part.len() as u64).to_le_bytes());
-            hash.update(part.as_bytes());
+        let prompt_parts = req.prompt_parts.iter().map(PartId::as_str);
+        let fields = [workspace, req.hostname, req.method, req.path].into_iter();
+        for field in fields.chain(prompt_parts) {
+            // The length prefix makes the boundaries between the fields unambiguous.
+            hash.update((field.len() as u64).to_le_bytes());
+            hash.update(field.as_bytes());
         }
         hash.update(req.body);
         Fingerprint { caller: caller_hash(req.workspace), hash: truncate(&hash.finalize()) }
@@ -120,10 +126,9 @@
 pub struct RequestFingerprints(Vec<Fingerprint>);
 
 impl RequestFingerprints {
-    /// Calculates the fingerprints of a request. `prompt_parts` are the parts of its prompt in order, the
-    /// last of which belongs to the request itself or its session.
-    pub fn of(req: &RequestIdentity<'_>, prompt_parts: &[PartId]) -> RequestFingerprints {
-        let shared = &prompt_parts[..prompt_parts.len().saturating_sub(1)];
+    /// Calculates the fingerprints of a request.
+    pub fn of(req: &RequestIdentity<'_>) -> RequestFingerprints {
+        let shared = &req.prompt_parts[..req.prompt_parts.len().saturating_sub(1)];
         let parts = shared.iter().take(MAX_PARTS);
         let mut fingerprints = vec![Fingerprint::of(req)];
         fingerprints.extend(parts.map(|part| Fingerprint::of_part(req.workspace, part)));
@@ -175,6 +180,7 @@
             hostname: "shop.example",
             method: "POST",
             path,
+            prompt_parts: &[],
             body: body.as_bytes(),
         })
     }
--- a/crates/tidetrack-core/tests/crashing_parts.rs
+++ b/crates/tidetrack-core/tests/crashing_parts.rs
@@ -36,9 +36,10 @@
         hostname: "shop.example",
         method: "POST",
         path: "/a/x",
-        body: own.as_bytes(),
+        prompt_parts: &prompt_parts,
+        body: b"{}",
     };
-    RequestFingerprints::of(&identity, &prompt_parts)
+    RequestFingerprints::of(&identity)
 }
 
 fn record_crash(suspects: &Suspects, at: u64, requests: &[&RequestFingerprints], endpoint: &str) {
@@ -80,6 +81,15 @@
     }
 }
 
+/// Guards against barring requests for crashes of others that have the same body and another prompt.
+#[test]
+fn requests_with_the_same_body_and_different_prompts_are_told_apart() {
+    let [first, second, again] = [1, 2, 1].map(|n| request("north", &["first"], n));
+
+    assert_eq!(first.request(), again.request());
+    assert_ne!(first.request(), second.request());
+}
+
 /// Guards against barring a part that nearly all requests of a service begin with.
 #[test]
 fn a_shared_first_part_that_also_completes_is_not_barred() {
--- a/crates/tidetrack-core/tests/suspects.rs
+++ b/crates/tidetrack-core/tests/suspects.rs
@@ -34,6 +34,7 @@
         hostname: "shop.example",
         method: "POST",
         path: "/a/x",
+        prompt_parts: &[],
         body: body.as_bytes(),
     })
 }
--- a/crates/tidetrack-plane/src/prepare.rs
+++ b/crates/tidetrack-plane/src/prepare.rs
@@ -96,9 +96,10 @@
         hostname: admission_request.hostname,
         method: head.method.as_str(),
         path: head.uri.path_and_query().map_or(admission_request.path, |path| path.as_str()),
+        prompt_parts: &facts.prompt_parts,
         body: &body,
     };
-    let fingerprints = RequestFingerprints::of(&identity, &facts.prompt_parts);
+    let fingerprints = RequestFingerprints::of(&identity);
     let is_forwarded = envelope.is_some();
     let lost_for = envelope.as_ref().map(|e| Duration::from_millis(e.lost_for_ms));
     let (forwarded_id, resumed_model) =
--- a/crates/tidetrack-plane/tests/report_sizes.rs
+++ b/crates/tidetrack-plane/tests/report_sizes.rs
@@ -19,6 +19,7 @@
         hostname: "shop.example",
         method: "POST",
         path: "/a/x",
+        prompt_parts: &[],
         body: n.to_string().as_bytes(),
     })
 }
--- a/crates/tidetrack-router/src/chat/mod.rs
+++ b/crates/tidetrack-router/src/chat/mod.rs
@@ -176,6 +176,7 @@
                 hostname: "",
                 method: request.method().as_str(),
                 path: request.url(),
+                prompt_parts: &[],
                 body,
             }),
             context,
--- a/crates/tidetrack-router/src/services.rs
+++ b/crates/tidetrack-router/src/services.rs
@@ -98,6 +98,7 @@
             hostname: "",
             method: request.method().as_str(),
             path: request.url(),
+            prompt_parts: &[],
             body: &body,
         });
         let mut call = Call {
