Requests that find this host's shares of the limits used up are forwarded to hosts with idle ones

Callers got 503 at once while most connections went to one host: the limits that endpoints name are divided among hosts, which takes no account of where callers connect, so the shares of the other hosts lay idle.

Cause: a share is fixed by rank, demand is not. Class: what host_count divides. Weighed: shares that follow demand (reports of each host's demand, slow to move, and the focus moves on after seconds), closing connections (a connection for each caller, perhaps to the same host): module head of idle_shares. The sum stays under the limit, as nobody takes another's share.

--- a/crates/tidetrack-core/src/traffic/forwarding.rs
+++ b/crates/tidetrack-core/src/traffic/forwarding.rs
@@ -1,11 +1,12 @@
 //! Forwarding of requests between hosts.
 //!
 //! A host that has lost its paths to the endpoints of a service forwards the service's requests to a
-//! host that still has them. The other host runs the request as if it came from a caller: with its
-//! own admission, limits and priorities. It also decides about attempts, release track and model, so
-//! that each decision is made once; the attempts that the first host made before count against the
-//! route's maximum, and the next one is charged to that host's retry budget as far as it can pay.
-//! A forwarded request is never forwarded again. A host that cannot run it says at
+//! host that still has them, and one that has used up its share of the endpoints' limits to a host
+//! that may have some left (`idle_shares`). The other host runs the request as if it came from a
+//! caller: with its own admission, limits and priorities. It also decides about attempts, release
+//! track and model, so that each decision is made once; the attempts that the first host made before
+//! count against the route's maximum, and the next one is charged to that host's retry budget as far
+//! as it can pay. A forwarded request is never forwarded again. A host that cannot run it says at
 //! once that it has not, and the first host tries another one.
 
 use std::net::SocketAddr;
@@ -25,6 +26,10 @@
 /// domain without all going to the few hosts that may be left there.
 const COMPARED_HOSTS: usize = 2;
 
+/// Value of `lost_for_ms` in a request that is forwarded although the paths work. Any contact of the
+/// receiver with the endpoints is recent enough.
+pub const NO_LOSS_MS: u64 = u64::MAX;
+
 /// What a host tells another one with a forwarded request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ForwardedRequest {
@@ -36,7 +41,7 @@
     pub time_left_ms: u64,
     /// Version of the configuration by which the request was admitted.
     pub config: u64,
-    /// Time since the first failure that showed the loss of the sender's paths.
+    /// Time since the first failure that showed the loss of the sender's paths; `NO_LOSS_MS` if they work.
     pub lost_for_ms: u64,
     /// Attempts at endpoints that count against the route's maximum.
     pub attempts: u32,
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -26,6 +26,7 @@
 pub mod forwarding;
 pub mod freshness;
 mod gossip;
+pub mod idle_shares;
 mod isolation;
 pub mod judge;
 pub mod latency_estimate;
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -14,7 +14,7 @@
 use tidetrack_core::traffic::view::{PickedEndpoint, ServiceView};
 use tidetrack_core::units::{Millis, Tokens};
 
-use crate::forward::choose_host;
+use crate::forward::{choose_host, choose_host_with_share};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, PendingWork, PrefixLocation, Traffic};
 
 /// `Retry-After` in milliseconds of a refusal because no endpoint has capacity.
@@ -84,7 +84,8 @@
 /// Chooses the endpoint of the next attempt, or the host that the request is forwarded to. Fails if the request
 /// is a barred suspect or no endpoint can be used.
 ///
-/// Without network paths to the service, an endpoint is chosen only if an established connection to it is idle.
+/// Without network paths to the service, an endpoint is chosen only if an established connection to it is idle. If
+/// this host has used up its shares of the endpoints' limits, another host may have some left.
 pub fn choose(
     traffic: &Traffic,
     job: &Job,
@@ -92,7 +93,12 @@
     model: Option<&ModelId>,
 ) -> Result<ChosenEndpoint> {
     if !traffic.paths.is_lost(&job.service) {
-        return choose_endpoint(traffic, job, attempts, model, &[]);
+        return choose_endpoint(traffic, job, attempts, model, &[]).or_else(|e| {
+            match e.code == Code::Overloaded && has_used_up_shares(traffic, job) {
+                true => choose_host_with_share(traffic, job, attempts).ok_or(e),
+                false => Err(e),
+            }
+        });
     }
     let unconnected = unconnected_endpoints(traffic, job);
     match choose_endpoint(traffic, job, attempts, model, &unconnected) {
@@ -112,6 +118,22 @@
     unconnected.map(|e| e.id.clone()).collect()
 }
 
+/// Reports whether an endpoint of a request's service would be usable but for this host's share of its limit.
+/// Limits of endpoints that fall over from refusing requests are estimates, and the shares of them that lie idle
+/// are kept as a reserve.
+fn has_used_up_shares(traffic: &Traffic, job: &Job) -> bool {
+    let view = traffic.shared.view.load();
+    let Some(service) = view.services.get(&job.service) else { return false };
+    let now = traffic.shared.now();
+    service.stable_pool.endpoints().iter().any(|PoolEndpoint { state, .. }| {
+        state.is_open()
+            && !state.is_ejected(now)
+            && !state.is_resting(now)
+            && !state.is_mean_limited()
+            && !state.can_send(now)
+    })
+}
+
 /// Chooses an endpoint that is not among `excluded`, and records the choice for the prefix index and the exposure
 /// bound.
 fn choose_endpoint(
--- a/crates/tidetrack-plane/src/forward.rs
+++ b/crates/tidetrack-plane/src/forward.rs
@@ -33,7 +33,9 @@
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::{HostId, ModelId};
 use tidetrack_core::traffic::budget::{AttemptBudget, FurtherAttempt};
-use tidetrack_core::traffic::forwarding::{pick_host, ForwardResult, ForwardedRequest};
+use tidetrack_core::traffic::forwarding::{
+    pick_host, ForwardResult, ForwardedRequest, MAX_HOSTS_PER_REQUEST, NO_LOSS_MS,
+};
 use tidetrack_core::units::Millis;
 
 use crate::attempt::{self, Attempt, EndpointResponse, IdEcho};
@@ -82,17 +84,46 @@
         Error::new(Code::NoPath, "no network path to the service's endpoints at any known host")
             .with_retry_after(RETRY_OVERLOADED_MS)
     };
+    choose_untried_host(traffic, job, attempts, |_| false).ok_or_else(no_path)
+}
+
+/// Chooses another host that may have some of its shares of the endpoints' limits left; `None` if none is
+/// known.
+pub fn choose_host_with_share(
+    traffic: &Traffic,
+    job: &Job,
+    attempts: &AttemptHistory,
+) -> Option<ChosenEndpoint> {
+    let now = traffic.shared.now();
+    let shares = traffic.idle_shares.borrow();
+    if !shares.may_ask(now, &job.service) || attempts.forward_count >= MAX_HOSTS_PER_REQUEST {
+        return None;
+    }
+    let has_declined = |host: &HostId| shares.has_declined(now, &job.service, host);
+    choose_untried_host(traffic, job, attempts, has_declined)
+}
+
+/// Chooses a host that this request was not forwarded to before; `None` if it may not be forwarded or no
+/// host is known that can take it.
+fn choose_untried_host(
+    traffic: &Traffic,
+    job: &Job,
+    attempts: &AttemptHistory,
+    is_excluded: impl Fn(&HostId) -> bool,
+) -> Option<ChosenEndpoint> {
     if job.is_forwarded {
-        return Err(no_path());
+        return None;
     }
     let targets = traffic.shared.forward_targets.load();
     let outstanding = traffic.outstanding_forwards.borrow();
-    let is_tried = |host: &HostId| attempts.tried.iter().any(|id| id.as_str() == host.as_str());
+    let is_tried = |host: &HostId| {
+        is_excluded(host) || attempts.tried.iter().any(|id| id.as_str() == host.as_str())
+    };
     let outstanding = |host: &HostId| outstanding.get(host).copied().unwrap_or(0);
-    let target = pick_host(&targets, &job.service, &job.id, is_tried, outstanding);
-    let target = target.ok_or_else(no_path)?;
-    Ok(ChosenEndpoint {
-        id: target.host.as_str().parse()?,
+    let target = pick_host(&targets, &job.service, &job.id, is_tried, outstanding)?;
+    Some(ChosenEndpoint {
+        // Names of hosts and endpoints have the same form.
+        id: target.host.as_str().parse().ok()?,
         address: target.address.to_string(),
         failure_domain: traffic.shared.settings.failure_domain.clone(),
         state: Arc::default(),
@@ -145,10 +176,12 @@
     let charge = ForwardCharge::acquire(traffic, job, attempts);
     attempts.is_next_charged = false;
     let started_at = Instant::now();
+    let reason = if traffic.paths.is_lost(&job.service) { "path" } else { "share" };
     let log = |event, outcome: &dyn std::fmt::Display, endpoint: &dyn std::fmt::Display| {
-        let fields: [(&'static str, &dyn std::fmt::Display); 6] = [
+        let fields: [(&'static str, &dyn std::fmt::Display); 7] = [
             ("request", &job.id),
             ("service", &job.service),
+            ("for", &reason),
             ("to", host),
             ("outcome", outcome),
             ("endpoint", endpoint),
@@ -202,6 +235,10 @@
     }
     attempts.sent_count = attempts.sent_count.max(result.attempts);
     if let Some(e) = result.error {
+        if e.code == Code::Overloaded {
+            let now = traffic.shared.now();
+            traffic.idle_shares.borrow_mut().record_decline(now, &job.service, host);
+        }
         if let Ok((_, lease)) = attempt::collect(body, lease).await {
             traffic.host_pool.release(chosen.id.as_str(), lease, None);
         }
@@ -246,13 +283,16 @@
     model: Option<&ModelId>,
     resume_after: Option<u64>,
 ) -> ForwardedRequest {
-    let lost_for = traffic.paths.lost_for(traffic, &job.service);
+    let lost_for_ms = match traffic.paths.is_lost(&job.service) {
+        true => traffic.paths.lost_for(traffic, &job.service).as_millis() as u64,
+        false => NO_LOSS_MS,
+    };
     ForwardedRequest {
         from: traffic.shared.settings.host.clone(),
         request: job.id.clone(),
         time_left_ms: job.time_left().as_millis() as u64,
         config: job.config,
-        lost_for_ms: lost_for.as_millis() as u64,
+        lost_for_ms,
         attempts: attempts.sent_count,
         executed: attempts.executed,
         is_next_charged: false,
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -20,6 +20,7 @@
 use tidetrack_core::traffic::exposure::SessionHash;
 use tidetrack_core::traffic::fingerprint::RequestFingerprints;
 use tidetrack_core::traffic::forwarding::ForwardedRequest;
+use tidetrack_core::traffic::idle_shares::IdleShares;
 use tidetrack_core::traffic::latency_estimate::LatencyEstimator;
 use tidetrack_core::traffic::prefix_index::PrefixKey;
 use tidetrack_core::traffic::reachability::ReachabilityTracker;
@@ -62,6 +63,8 @@
     pub host_pool: Pool,
     /// Requests that were forwarded and are not finished.
     pub outstanding_forwards: RefCell<OutstandingForwards>,
+    /// Hosts that have no share of the endpoints' limits left.
+    pub idle_shares: RefCell<IdleShares>,
     /// Requests that wait for an endpoint with a limited rate.
     pub waiting: WaitingRequests,
     /// Checks whether endpoints whose connections broke have crashed.
@@ -85,6 +88,7 @@
             paths: PathMonitor::default(),
             host_pool: Pool::for_forwarding(),
             outstanding_forwards: RefCell::default(),
+            idle_shares: RefCell::default(),
             waiting: WaitingRequests::default(),
             budgets: RefCell::default(),
             latency_estimator: RefCell::default(),
