--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -72,6 +72,7 @@
     DomainEvacuated, 240, "a failure domain is evacuated: its endpoints receive no new requests";
     EvacuationEnded, 241, "the evacuation of a failure domain has ended";
     RestIgnored, 242, "an endpoint asked for rest with a value that is not a number of seconds from 0 on; it is ignored";
+    StoreRestored, 243, "the object API was restored from an older copy; its revisions are counted in a new era";
     RequestDone, 300, "a request succeeded";
     RequestRefused, 301, "a request was refused or failed";
     AttemptFailed, 302, "an attempt at an endpoint failed";
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::sync::{Semaphore, SemaphorePermit};
@@ -181,6 +181,8 @@
 pub struct Reply {
     /// HTTP status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
     /// Time from the head of the reply to the end of its body; long if the network path is
@@ -218,7 +220,12 @@
     let head_received_at = Instant::now();
     let body = collect(body, timeouts.part, control).await?;
     pool.release(name, lease, None);
-    Ok(Reply { status: head.status, body, body_time: head_received_at.elapsed() })
+    Ok(Reply {
+        status: head.status,
+        headers: head.headers,
+        body,
+        body_time: head_received_at.elapsed(),
+    })
 }
 
 /// Reads a body whose parts arrive within `part_timeout` of each other. A large body waits for a
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -239,6 +239,8 @@
 /// Encoding of calls to the store and of its replies.
 #[derive(Clone, Copy)]
 pub struct StoreDialect {
+    /// Decodes the era of the store from the head of a reply; 0 if the store does not report one.
+    pub read_era: fn(&HeaderMap) -> u64,
     /// Builds the call that lists a kind, starting after a name if one is given. A list that may be
     /// slightly old is cheaper for the store than the newest one.
     pub list: fn(FeedKind, Option<&str>, ListAge) -> StoreCall,
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -4,6 +4,7 @@
 //! unknown. Whether a write with a lost reply was executed becomes known with the next read of the
 //! object. Writes are conditional on a revision, so a repeated write has no further effect.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -80,6 +81,8 @@
     shared: SharedRef,
     pool: Pool,
     address: String,
+    /// Latest era that the store has reported; `None` before its first reply.
+    era: Cell<Option<u64>>,
 }
 
 /// All objects of a kind at one revision.
@@ -118,7 +121,7 @@
     /// Creates a client for the store address of the settings.
     pub fn new(shared: SharedRef) -> StoreClient {
         let address = shared.settings.store_address.to_string();
-        StoreClient { shared, pool: Pool::default(), address }
+        StoreClient { shared, pool: Pool::default(), address, era: Cell::new(None) }
     }
 
     /// Calls the store and counts the result. `wait` is the time for which the store may hold back
@@ -159,6 +162,7 @@
             req.headers_mut().insert(http::header::CONTENT_TYPE, json_type);
         }
         let reply = call::call(&self.pool, POOL_KEY, &self.address, req, patience, gate).await?;
+        self.record_era((self.shared.dialect.store.read_era)(&reply.headers));
         match reply.status {
             StatusCode::OK | StatusCode::CREATED => Ok(reply),
             StatusCode::NOT_FOUND => {
@@ -178,6 +182,19 @@
         }
     }
 
+    /// Records the era that a reply reports, also one that refuses the call.
+    fn record_era(&self, era: u64) {
+        let known = self.era.get();
+        if known.is_none_or(|known| era > known) {
+            self.era.set(Some(era));
+        }
+        if let Some(known) = known.filter(|known| era > *known) {
+            let fields: [(&'static str, &dyn std::fmt::Display); 2] =
+                [("era", &era), ("previous", &known)];
+            self.shared.journal.log(Event::StoreRestored, &fields);
+        }
+    }
+
     /// Lists all objects of a kind, page by page.
     pub async fn list(
         &self,
