Positions in the store's history are ordered by era before revision

Cause: a position was a bare revision everywhere. Lists and changes of a restored store were taken for old ones; a watcher got 410, listed, ignored the list and watched again from the old revision, every 22 ms (160 E212 in one log). Class: an order that holds only while its source keeps its history.

A position is the pair of era and revision now (store_position), packed into one number, so feeds, announcements and fetches between hosts keep their form, and a store without eras keeps its revisions. A watch from an era before is answered by a list, whatever revision it names. Progress of roll-outs is not written with a revision of another era. Weighed: a reset of all positions when the era changes (a host that hears of it late pushes the old ones back), and eras beside revisions in each message (more bytes, and two orders to keep).

What the copy holds does not undo what was in force: an older configuration is neither applied nor given to hosts that start; an endpoint that leaves or ended stays so, and one that the copy lacks is kept for 2.3 s, in which it writes its entry again.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -439,6 +439,12 @@
                 }
                 ViewUpdate::None
             }
+            Input::StoreRestored(kind) => {
+                if kind == FeedKind::Endpoints {
+                    self.table.mark_restored(now);
+                }
+                ViewUpdate::None
+            }
             Input::StoreUnreachable => {
                 self.table.mark_store_unreachable();
                 ViewUpdate::None
--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -1,4 +1,4 @@
-//! The endpoints listed in the store, retained through outages of the store.
+//! The endpoints listed in the store, retained through outages and restorations of the store.
 //!
 //! An endpoint renews its entry in the store periodically, so entries lapse during an outage of the
 //! store although the endpoints are running. These endpoints are listed again soon after the store
@@ -8,6 +8,10 @@
 //! A host may lose its own connection to the store while other hosts still reach it. The proofs of
 //! the configuration that other hosts pass on show that the store is up: while such reads continue,
 //! no entry lapses, and an entry that disappears belongs to an endpoint that ended.
+//!
+//! A store that was restored from an older copy lists endpoints that have ended since, and lacks what
+//! endpoints wrote since: that they started, or that they leave. Running endpoints write it again
+//! within a short time. Until then what was known stays in force.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -24,6 +28,12 @@
 /// which an entry lapses is 2.4 s.
 const MAX_READ_INTERVAL: Millis = Millis(2_300);
 
+/// How long an ended endpoint is remembered, in case that a restored store lists it again.
+const ENDED_RETENTION: Millis = Millis(60_000);
+
+/// Maximum number of ended endpoints that are remembered.
+const MAX_ENDED: usize = 1_024;
+
 /// An endpoint's entry in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointRecord {
@@ -76,6 +86,10 @@
     entries: BTreeMap<EndpointId, Entry>,
     is_store_unreachable: bool,
     store_reachable_since: Option<Millis>,
+    /// When the store was last found to be restored from a copy.
+    restored_at: Option<Millis>,
+    /// Endpoints whose entries were removed: when, and the start of their last incarnation.
+    ended: BTreeMap<EndpointId, (Millis, Option<Millis>)>,
     recent_reads: Option<RecentReads>,
 }
 
@@ -103,21 +117,51 @@
         };
     }
 
+    /// Records that the store was restored from an older copy, whose list follows.
+    pub fn mark_restored(&mut self, now: Millis) {
+        self.restored_at = Some(now);
+    }
+
     /// Replaces all entries by a complete list.
     pub fn replace(&mut self, now: Millis, records: Vec<EndpointRecord>) {
-        let retains_missing = self.retains_lapsed(now);
+        let is_restored = self.is_restored(now);
+        let retains_missing = is_restored || self.retains_lapsed(now);
         let mut previous = std::mem::take(&mut self.entries);
-        for record in records {
-            previous.remove(&record.id);
+        for mut record in records {
+            match previous.remove(&record.id) {
+                Some(Entry { record: known, .. }) if is_restored => {
+                    let is_same = !record.is_later_incarnation_than(&known);
+                    record.is_leaving |= known.is_leaving && is_same;
+                }
+                None if is_restored && self.has_ended(&record) => continue,
+                _ => {}
+            }
             self.upsert(record);
         }
         for (id, entry) in previous {
             if retains_missing && !entry.record.is_leaving {
                 self.entries.insert(id, Entry { is_lapsed: true, ..entry });
+            } else {
+                self.record_end(now, &entry.record);
             }
         }
     }
 
+    /// Remembers that the entry of an endpoint was removed.
+    fn record_end(&mut self, now: Millis, record: &EndpointRecord) {
+        self.ended.retain(|_, (at, _)| now < *at + ENDED_RETENTION);
+        if self.ended.len() < MAX_ENDED {
+            self.ended.insert(record.id.clone(), (now, record.started));
+        }
+    }
+
+    /// Reports whether a record is of an incarnation whose entry was removed.
+    fn has_ended(&self, record: &EndpointRecord) -> bool {
+        self.ended.get(&record.id).is_some_and(|(_, started)| {
+            record.started.zip(*started).is_none_or(|(this, ended)| this <= ended)
+        })
+    }
+
     /// Reports whether a record is from an earlier incarnation than the known one, so that it
     /// arrived late.
     pub fn is_outdated(&self, record: &EndpointRecord) -> bool {
@@ -131,6 +175,7 @@
 
     /// Inserts or replaces an entry.
     pub fn upsert(&mut self, record: EndpointRecord) {
+        self.ended.remove(&record.id);
         self.entries.insert(record.id.clone(), Entry { record, is_lapsed: false });
     }
 
@@ -141,7 +186,8 @@
         match self.entries.get_mut(id) {
             Some(entry) if retains && !entry.record.is_leaving => entry.is_lapsed = true,
             _ => {
-                self.entries.remove(id);
+                let removed = self.entries.remove(id);
+                removed.into_iter().for_each(|entry| self.record_end(now, &entry.record));
             }
         }
     }
@@ -153,7 +199,7 @@
 
     /// Drops lapsed entries that were not listed again in time. Returns whether any was dropped.
     pub fn sweep(&mut self, now: Millis) -> bool {
-        if self.retains_lapsed(now) {
+        if self.is_restored(now) || self.retains_lapsed(now) {
             return false;
         }
         let before = self.entries.len();
@@ -181,6 +227,12 @@
         self.entries.values().map(|e| &e.record)
     }
 
+    /// Reports whether the store was restored so recently that endpoints may not have written their
+    /// entries again.
+    fn is_restored(&self, now: Millis) -> bool {
+        self.restored_at.is_some_and(|at| now < at + LAPSED_RETENTION)
+    }
+
     /// Reports whether an entry that disappears now may have lapsed. If only this host cannot reach
     /// the store, an entry that disappears belongs to an endpoint that ended.
     fn retains_lapsed(&self, now: Millis) -> bool {
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -38,6 +38,7 @@
 pub mod retired_keys;
 pub mod samples;
 pub mod stagger;
+pub mod store_position;
 pub mod suspects;
 pub mod verdict_basis;
 pub mod view;
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -15,6 +15,7 @@
 use tidetrack_core::traffic::canary::ProgressWrite;
 use tidetrack_core::traffic::control::{Action, FleetState, HostRoles, Input};
 use tidetrack_core::traffic::peers::PeerTable;
+use tidetrack_core::traffic::store_position::StorePosition;
 use tidetrack_core::traffic::view::FleetView;
 
 use crate::clock::{BootInstant, SuspensionDetector};
@@ -143,6 +144,12 @@
 /// Writes the progress of a roll-out. The result is taken from the watch of the store and not from
 /// the reply, since another host may have written first.
 async fn write_progress(shared: SharedRef, store: Rc<StoreClient>, write: ProgressWrite) {
+    let position = StorePosition::from_packed(write.revision);
+    // In a later era the revision may stand for another state of the order. The order is read again.
+    if position.era != store.era() {
+        return;
+    }
+    let write = ProgressWrite { revision: position.revision, ..write };
     let call = (shared.dialect.store.write_progress)(&write);
     let purpose =
         CallPurpose { kind: FeedKind::Rollouts, reason: CallReason::Write, age: ListAge::Newest };
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -17,6 +17,7 @@
 use tidetrack_core::traffic::catalog::Catalog;
 use tidetrack_core::traffic::endpoints::EndpointRecord;
 pub use tidetrack_core::traffic::feeds::FeedKind;
+use tidetrack_core::traffic::store_position::StorePosition;
 use tidetrack_core::units::{Millis, Rate, Tokens};
 
 /// Contents of the head of a request.
@@ -199,6 +200,30 @@
     pub newest_change: u64,
 }
 
+impl Page {
+    /// Returns the page of a store that reports an era, with the revisions as packed positions.
+    pub fn in_era(self, era: u64) -> Page {
+        Page {
+            objects: self.objects.into_iter().map(|object| object.in_era(era)).collect(),
+            revision: StorePosition { era, revision: self.revision }.packed(),
+            newest_change: StorePosition { era, revision: self.newest_change }.packed(),
+            ..self
+        }
+    }
+}
+
+impl DecodedObject {
+    fn in_era(self, era: u64) -> DecodedObject {
+        match self {
+            DecodedObject::Rollout(order) => {
+                let revision = StorePosition { era, revision: order.revision }.packed();
+                DecodedObject::Rollout(RolloutOrder { revision, ..order })
+            }
+            object => object,
+        }
+    }
+}
+
 /// One change of a watched kind.
 #[derive(Debug)]
 pub enum Change {
@@ -225,6 +250,22 @@
     pub newest_change: Option<u64>,
 }
 
+impl ChangeSet {
+    /// Returns the changes of a store that reports an era, with the revisions as packed positions.
+    pub fn in_era(self, era: u64) -> ChangeSet {
+        let packed = |revision| StorePosition { era, revision }.packed();
+        let in_era = |change| match change {
+            Change::Put(object) => Change::Put(object.in_era(era)),
+            change => change,
+        };
+        ChangeSet {
+            changes: self.changes.into_iter().map(in_era).collect(),
+            revision: packed(self.revision),
+            newest_change: self.newest_change.map(packed),
+        }
+    }
+}
+
 /// A call to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreCall {
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -14,6 +14,7 @@
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
+use tidetrack_core::traffic::store_position::era_of;
 use tidetrack_core::units::Millis;
 
 use crate::call::{self, unavailable_error, CallTimeouts, LargeReplyControl, Reply};
@@ -93,7 +94,7 @@
     pub unreadable: Vec<String>,
     /// The encoded replies of the store, one per page.
     pub pages: Vec<Bytes>,
-    /// Revision of the first page, from which a watch continues.
+    /// Position of the first page, from which a watch continues.
     pub revision: u64,
     /// Revision of the newest change among the listed objects.
     pub newest_change: u64,
@@ -182,6 +183,11 @@
         }
     }
 
+    /// Returns the latest era that the store has reported; 0 if none.
+    pub fn era(&self) -> u64 {
+        self.era.get().unwrap_or(0)
+    }
+
     /// Records the era that a reply reports, also one that refuses the call.
     fn record_era(&self, era: u64) {
         let known = self.era.get();
@@ -209,7 +215,11 @@
         loop {
             let call = (dialect.list)(kind, after.as_deref(), age);
             let reply = self.call(&call, purpose, Duration::ZERO, Some(gate)).await?;
-            let page: Page = (dialect.read_page)(kind, &reply.body)?;
+            let era = (dialect.read_era)(&reply.headers);
+            if after.is_some() && era != era_of(listing.revision) {
+                return Err(unavailable_error("the store was restored while it was listed"));
+            }
+            let page: Page = (dialect.read_page)(kind, &reply.body)?.in_era(era);
             self.log_unreadable(&page.unreadable);
             listing.objects.extend(page.objects);
             listing.unreadable.extend(page.unreadable.into_iter().map(|object| object.name));
--- a/crates/tidetrack-plane/src/watch/apply.rs
+++ b/crates/tidetrack-plane/src/watch/apply.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use tidetrack_core::events::Event;
+use tidetrack_core::traffic::catalog::Catalog;
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::feeds::LARGE_REPLY_BYTES;
+use tidetrack_core::traffic::store_position::era_of;
 
 use crate::dialect::{Change, ChangeSet, DecodedObject, FeedKind, UnreadableObject};
 use crate::feed::{ChangeBatch, ListSnapshot};
@@ -53,7 +55,16 @@
         let newest = changes.newest_change.unwrap_or(batch.newest_revision);
         // A reply may have a later store revision than the known state and still contain only known
         // changes.
-        if newest <= self.position(kind) || !self.with_log(kind, |log| log.push(batch)) {
+        if newest <= self.position(kind) {
+            return;
+        }
+        let last = changes.changes.last();
+        if last.is_some_and(|change| matches!(change, Change::Put(o) if self.is_superseded(o))) {
+            self.with_log(kind, |log| log.advance(batch.newest_revision));
+            return self.report_position(kind, changes.newest_change);
+        }
+        self.announce_era(kind, batch.newest_revision);
+        if !self.with_log(kind, |log| log.push(batch)) {
             return;
         }
         self.newest_changes.borrow_mut().raise(kind, newest);
@@ -63,9 +74,7 @@
         let skipped = if kind.is_single_object() { last } else { 0 };
         for change in changes.changes.into_iter().skip(skipped) {
             match change {
-                Change::Put(DecodedObject::Catalog(c)) => {
-                    self.shared.send_input(Input::Catalog(Arc::new(c)))
-                }
+                Change::Put(DecodedObject::Catalog(c)) => self.apply_catalog(c),
                 Change::Put(DecodedObject::Endpoint(r)) => {
                     self.shared.send_input(Input::Endpoint(r))
                 }
@@ -101,6 +110,15 @@
         // kind with a single object it only counts as new if the object changed; otherwise each
         // host would fetch another copy of a configuration that it already has.
         let newest = if kind.is_single_object() { newest } else { list.revision };
+        if list.revision < self.position(kind) {
+            return false;
+        }
+        if objects.iter().any(|object| self.is_superseded(object)) {
+            self.with_log(kind, |log| log.advance(list.revision));
+            self.report_position(kind, None);
+            return true;
+        }
+        self.announce_era(kind, list.revision);
         if !self.with_log(kind, |log| log.reset_to_list(list)) {
             return false;
         }
@@ -110,9 +128,7 @@
         let mut evacuated_domains = BTreeSet::new();
         for object in objects {
             match object {
-                DecodedObject::Catalog(catalog) => {
-                    self.shared.send_input(Input::Catalog(Arc::new(catalog)))
-                }
+                DecodedObject::Catalog(catalog) => self.apply_catalog(catalog),
                 DecodedObject::Endpoint(record) => endpoints.push(record),
                 DecodedObject::Rollout(order) => rollouts.push(order),
                 DecodedObject::Evacuation(domain) => drop(evacuated_domains.insert(domain)),
@@ -133,6 +149,25 @@
         true
     }
 
+    fn apply_catalog(&self, catalog: Catalog) {
+        self.catalog_version.set(self.catalog_version.get().max(catalog.version));
+        self.shared.send_input(Input::Catalog(Arc::new(catalog)));
+    }
+
+    /// Reports whether a restored store holds an older configuration than the one in force, which is
+    /// then kept, also for other hosts.
+    fn is_superseded(&self, object: &DecodedObject) -> bool {
+        matches!(object, DecodedObject::Catalog(c) if c.version < self.catalog_version.get())
+    }
+
+    /// Tells the control thread if a position is the first known one of a restored store.
+    fn announce_era(&self, kind: FeedKind, position: u64) {
+        let known = self.position(kind);
+        if known > 0 && era_of(position) > era_of(known) {
+            self.shared.send_input(Input::StoreRestored(kind));
+        }
+    }
+
     /// Reports a change to a state that could not be decoded.
     fn report_unreadable(&self, kind: FeedKind, object: UnreadableObject) {
         self.store.log_unreadable(std::slice::from_ref(&object));
--- a/crates/tidetrack-plane/src/watch/fetch.rs
+++ b/crates/tidetrack-plane/src/watch/fetch.rs
@@ -8,6 +8,7 @@
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::feeds::{Fetch, FetchSource};
+use tidetrack_core::traffic::store_position::{era_of, StorePosition};
 use tidetrack_core::units::Millis;
 
 use crate::call::not_needed_error;
@@ -78,7 +79,12 @@
             let kind_name = format!("{kind:?}");
             self.shared.journal.log_routine(
                 Event::ChangesNotGot,
-                &[("kind", &kind_name), ("after", &after), ("source", &source), ("why", &e)],
+                &[
+                    ("kind", &kind_name),
+                    ("after", &StorePosition::from_packed(after)),
+                    ("source", &source),
+                    ("why", &e),
+                ],
             );
             self.shared.send_input(Input::FetchFailed(fetch));
             if after == 0 && fetch.source == FetchSource::Store {
@@ -97,6 +103,7 @@
             let (mut objects, mut unreadable, mut newest) = (Vec::new(), Vec::new(), 0);
             for page in &list.pages {
                 let page = (self.shared.dialect.store.read_page)(kind, page)?;
+                let page = page.in_era(era_of(list.revision));
                 self.store.log_unreadable(&page.unreadable);
                 newest = page.newest_change.max(newest);
                 objects.extend(page.objects);
@@ -106,6 +113,7 @@
         }
         for batch in feed_reply.batches {
             let changes = (self.shared.dialect.store.read_changes)(kind, &batch.bytes)?;
+            let changes = changes.in_era(era_of(batch.newest_revision));
             self.apply_changes(kind, changes, batch);
         }
         let is_new = self.newest_change(kind) > before;
--- a/crates/tidetrack-plane/src/watch/mod.rs
+++ b/crates/tidetrack-plane/src/watch/mod.rs
@@ -12,7 +12,7 @@
 //! proof of the configuration recent, `fetch` gets changes reported by other hosts, `read` makes
 //! the calls to the store, and `apply` applies received changes and keeps them for other hosts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -46,6 +46,8 @@
     logs: RefCell<[FeedLog; FeedKind::COUNT]>,
     /// Revision of the newest known change, by kind.
     newest_changes: RefCell<Revisions>,
+    /// Version of the newest configuration that was applied; 0 if there is none.
+    catalog_version: Cell<u64>,
     /// Serializes the large replies of each kind.
     large_replies: [LargeReplyLimiter; FeedKind::COUNT],
     /// By kind, whether a fetch is waiting for a large reply to finish.
@@ -78,6 +80,7 @@
             host_pool: Pool::default(),
             logs: RefCell::new(FeedKind::ALL.map(FeedLog::new)),
             newest_changes: RefCell::default(),
+            catalog_version: Cell::default(),
             large_replies: Default::default(),
             has_waiting_fetch: RefCell::default(),
             is_listing: RefCell::default(),
--- a/crates/tidetrack-plane/src/watch/read.rs
+++ b/crates/tidetrack-plane/src/watch/read.rs
@@ -5,6 +5,7 @@
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
+use tidetrack_core::traffic::store_position::StorePosition;
 use tidetrack_core::units::Millis;
 
 use crate::dialect::{FeedKind, ListAge};
@@ -93,12 +94,19 @@
     ) -> Result<()> {
         let dialect = &self.shared.dialect.store;
         let started_at = self.shared.now();
-        let call = (dialect.watch)(kind, after, wait);
+        let position = StorePosition::from_packed(after);
+        let call = (dialect.watch)(kind, position.revision, wait);
         let gate = self.reply_gate(kind, Some(after));
         let purpose = CallPurpose { kind, reason, age: ListAge::Newest };
         let wait = Duration::from_millis(wait.0);
         let reply = self.store.call(&call, purpose, wait, Some(&gate)).await?;
-        let changes = (dialect.read_changes)(kind, &reply.body)?;
+        let era = (dialect.read_era)(&reply.headers);
+        // The revision after which the changes were requested stands for another state in this era.
+        if era != position.era {
+            let text = "the store was restored from a copy, and counts its revisions anew";
+            return Err(Error::new(Code::HistoryGone, text));
+        }
+        let changes = (dialect.read_changes)(kind, &reply.body)?.in_era(era);
         let newest_revision = changes.revision;
         // The store's revision also rises with changes of other kinds, so it does not show whether
         // this kind changed.
