A verdict on a version that a restored store lacks stays in force and is written again

The order of the copy says that the roll-out is in progress, so its version would get requests again, or its stable one after the completion. The canary keeps the verdict it knew, and hosts write it under the revision of the new era, in the usual turn.

restored_store of the core, failed before: the phase was Sample for both.

--- a/crates/tidetrack-core/src/traffic/canary/mod.rs
+++ b/crates/tidetrack-core/src/traffic/canary/mod.rs
@@ -19,6 +19,7 @@
     full_sample_share, initial_sample_share, ExposureBound, MAX_SAMPLE_SHARE,
 };
 use crate::traffic::judge::{BarReason, Judge, Tally};
+use crate::traffic::store_position::era_of;
 use crate::traffic::verdict_basis::VerdictBasis;
 use crate::units::{Millis, Share};
 
@@ -192,6 +193,8 @@
     published_start: Millis,
     /// Time at which this host barred the version; `None` if it has not.
     barred_at: Option<Millis>,
+    /// Time at which the store turned out to have lost the completion; `None` if it has not.
+    completed_at: Option<Millis>,
     /// Whether the version was barred on this host's own evaluation of the counts and not on
     /// another host's report.
     is_own_verdict: bool,
@@ -215,6 +218,7 @@
             started_at: now,
             published_start: now,
             barred_at: None,
+            completed_at: None,
             is_own_verdict: false,
             bound,
             judge: Judge::default(),
@@ -236,9 +240,19 @@
             *self = Canary::new(now, order, self.bound);
             return;
         }
+        let is_restored = era_of(order.revision) > era_of(self.order.revision);
+        let phase = self.phase();
         self.order = order;
         self.write_retry_at = None;
         self.update_start_from_progress(now);
+        // A restored store has lost a verdict that was written after its copy was made.
+        if is_restored && self.phase() != phase {
+            match phase {
+                Phase::Barred => self.barred_at = Some(now),
+                Phase::Done => self.completed_at = Some(now),
+                Phase::Sample | Phase::Moved => {}
+            }
+        }
     }
 
     fn update_start_from_progress(&mut self, now: Millis) {
@@ -343,6 +357,7 @@
         match self.progress() {
             Some(p) if p.state == RolloutState::RolledBack => Phase::Barred,
             Some(p) if p.state == RolloutState::Completed => Phase::Done,
+            _ if self.completed_at.is_some() => Phase::Done,
             _ if self.barred_at.is_some() => Phase::Barred,
             _ => Phase::Sample,
         }
@@ -462,6 +477,9 @@
         if let Some(RolloutState::Completed | RolloutState::RolledBack) = stored.map(|p| p.state) {
             return None;
         }
+        if let Some(since) = self.completed_at {
+            return (now >= since + write_delay).then(|| with_state(RolloutState::Completed));
+        }
         if let Some(since) = self.barred_at {
             let is_write_due = now >= since + write_delay;
             return is_write_due.then(|| with_state(RolloutState::RolledBack));
