Simultaneous crashes of endpoints in any failure domains count once against a prompt part

A part in wide use runs at nearly all endpoints, so crashes within 100 ms whose runs overlapped have a common cause wherever they are.

--- a/crates/tidetrack-core/src/traffic/suspects/crashes.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/crashes.rs
@@ -13,6 +13,10 @@
 /// Endpoints of one failure domain that crash within this time are assumed to have a common cause.
 const COMMON_CAUSE_WINDOW: Millis = Millis(300);
 
+/// Endpoints in any failure domains that crash within this time are assumed to have a common cause
+/// if the suspect is a prompt part: one in wide use runs at nearly all of them.
+const SIMULTANEOUS_WINDOW: Millis = Millis(100);
+
 /// Maximum number of crashes stored per suspect.
 const MAX_CRASHES_PER_SUSPECT: usize = 16;
 
@@ -34,15 +38,17 @@
             && time_between(self.crashed_at, other.crashed_at) <= DUPLICATE_CRASH_WINDOW
     }
 
-    /// Reports whether both crashes may have a common cause other than the request: the endpoints
-    /// are in one failure domain, crashed almost together, and ran the request at the same time. If
-    /// the request was sent to one endpoint only after the other had crashed, both crashes count
-    /// against it.
-    pub(super) fn has_common_cause(&self, other: &Crash) -> bool {
+    /// Reports whether both crashes may have a common cause other than the suspect: the endpoints
+    /// crashed almost together, ran the suspect at the same time, and are in one failure domain, or
+    /// the suspect is a part. If it was sent to one endpoint only after the other had crashed, both
+    /// crashes count against it.
+    pub(super) fn has_common_cause(&self, other: &Crash, is_part: bool) -> bool {
         let has_overlap = self.sent_at < other.crashed_at && other.sent_at < self.crashed_at;
+        let time = time_between(self.crashed_at, other.crashed_at);
+        let is_same_domain = self.domain_hash == other.domain_hash;
         has_overlap
-            && self.domain_hash == other.domain_hash
-            && time_between(self.crashed_at, other.crashed_at) <= COMMON_CAUSE_WINDOW
+            && (is_same_domain && time <= COMMON_CAUSE_WINDOW
+                || is_part && time <= SIMULTANEOUS_WINDOW)
     }
 }
 
--- a/crates/tidetrack-core/src/traffic/suspects/mod.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/mod.rs
@@ -10,7 +10,7 @@
 //! What merely ran beside the cause must not be barred, and endpoints also crash for other reasons.
 //! An execution that completes therefore clears a request and its parts on all hosts; crashes that a
 //! barred suspect explains do not count against others (`verdicts`); and simultaneous crashes of
-//! endpoints in one failure domain count as one.
+//! endpoints in one failure domain count as one, against parts those in all domains.
 //!
 //! A completed request is cleared for a while, since identical requests are sent by the thousand. A
 //! completed part is cleared of the earlier crashes only: a part in wide use completes again and
--- a/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
@@ -65,7 +65,8 @@
     for (n, candidate) in candidates.iter().enumerate() {
         let explains = |m: usize| is_barred[m] && has_precedence(&candidates[m], candidate);
         let is_unexplained = |crash: &&Crash| !index.candidates_at(crash).any(explains);
-        let counted = merge_common_causes(candidate.crashes.iter().filter(is_unexplained));
+        let unexplained = candidate.crashes.iter().filter(is_unexplained);
+        let counted = merge_common_causes(unexplained, candidate.is_part);
         is_barred[n] = counted.len() >= opts.bar_threshold
             && (!candidate.is_part
                 || counted.len() >= MAX_UNDECIDED_CRASHES
@@ -127,10 +128,13 @@
     barred > other
 }
 
-fn merge_common_causes<'a>(crashes: impl Iterator<Item = &'a Crash>) -> Vec<&'a Crash> {
+fn merge_common_causes<'a>(
+    crashes: impl Iterator<Item = &'a Crash>,
+    is_part: bool,
+) -> Vec<&'a Crash> {
     let mut merged: Vec<&Crash> = Vec::new();
     for crash in crashes {
-        if !merged.iter().any(|c| c.has_common_cause(crash)) {
+        if !merged.iter().any(|c| c.has_common_cause(crash, is_part)) {
             merged.push(crash);
         }
     }
--- a/crates/tidetrack-core/tests/crashing_parts.rs
+++ b/crates/tidetrack-core/tests/crashing_parts.rs
@@ -109,6 +109,21 @@
     assert_eq!(error_code(&suspects, 3_500, &crashing), Some(Code::CrashesEndpoints));
 }
 
+/// Guards against barring a part that ran at most endpoints when many of them ended at the same moment.
+#[test]
+fn a_part_in_wide_use_is_not_barred_when_many_endpoints_end_at_once() {
+    let suspects = Suspects::default();
+
+    for n in 0..9 {
+        let (at, req) = (1_000 + n as u64 * 5, request("north", &["first", &format!("s{n}")], n));
+        let (endpoint, domain) = (id(&format!("e{n}")), id(&format!("hall-{}", n % 4)));
+        suspects.record_crash(Millis(at), &req, &endpoint, &domain, Millis(at - 300));
+    }
+
+    let sound = request("north", &["first", "s20"], 20);
+    assert_eq!(error_code(&suspects, 1_100, &sound), None);
+}
+
 /// Guards against barring a rare part whose requests happened to run beside the cause.
 #[test]
 fn a_rare_part_that_ran_beside_three_crashes_is_not_barred() {
