--- a/crates/tidetrack-testkit/src/crashing_endpoint.rs
+++ b/crates/tidetrack-testkit/src/crashing_endpoint.rs
@@ -10,6 +10,9 @@
 /// Body of a request that crashes each endpoint that runs it.
 pub const CRASHING_BODY: &str = "deadly";
 
+/// Id of a prompt part that crashes each endpoint that runs a request with it.
+pub const CRASHING_PART: &str = "dead01";
+
 /// Time from the arrival of a crashing request to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 
@@ -118,6 +121,12 @@
         self.state().crashes.clone()
     }
 
+    /// Returns the current incarnation, or `None` while the endpoint is down.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        let state = self.state();
+        state.is_up.then_some(state.incarnation)
+    }
+
     fn start_incarnation(&self) {
         let listener = bind_with_retry(&self.address);
         listener.set_nonblocking(true).expect("the socket accepts the option");
@@ -192,7 +201,9 @@
             if !self.is_current_incarnation(incarnation) {
                 return;
             }
-            let is_crashing = request.body == CRASHING_BODY;
+            let prompt_parts = request.header("tidetrack-prompt-prefix");
+            let is_crashing = request.body == CRASHING_BODY
+                || prompt_parts.split(',').any(|part| part.starts_with(CRASHING_PART));
             let attempt_id = request.header("tidetrack-attempt-id").to_string();
             self.state().arrivals.push(Arrival {
                 attempt_id,
