--- a/crates/tidetrack-core/src/codes.rs
+++ b/crates/tidetrack-core/src/codes.rs
@@ -73,7 +73,7 @@
     TicketGone, 1013, 409, Unknown, "The host that issued the ticket is gone; the call is not repeated.";
     TooLong, 1014, 400, No, "The prompt exceeds the context length of every allowed endpoint.";
     CallerLeft, 1015, 499, Yes, "The caller disconnected before the end of the response.";
-    CrashesEndpoints, 1016, 400, No, "Endpoints crashed each time they executed this request; it is not executed again.";
+    CrashesEndpoints, 1016, 400, No, "Endpoints crashed each time they executed this request, or requests with a part of its prompt; it is not executed again.";
     OverLimit, 2001, 429, No, "The workspace's rate or concurrency limit is reached.";
     Overloaded, 2002, 503, No, "No endpoint has capacity for the request.";
     Draining, 2003, 503, No, "The host is shutting down; send the request to another host.";
--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -65,8 +65,8 @@
     ProgressLost, 233, "the progress of a roll-out could not be written";
     RolloutEvidence, 234, "current evidence about a version in a roll-out";
     RolloutsUnknown, 235, "a service runs several versions without a known roll-out that says which one is the canary";
-    RequestBarred, 236, "a request that endpoints crashed on gets no more attempts";
-    RequestCleared, 237, "a request that endpoints crashed on is no longer suspect";
+    RequestBarred, 236, "a request or prompt part that endpoints crashed on gets no more attempts";
+    RequestCleared, 237, "a request or prompt part that endpoints crashed on is no longer suspect";
     PathsLost, 238, "the host has lost its network paths to the endpoints of a service and forwards its requests to other hosts";
     PathsRestored, 239, "the host reaches the endpoints of a service again";
     DomainEvacuated, 240, "a failure domain is evacuated: its endpoints receive no new requests";
--- a/crates/tidetrack-plane/tests/report_sizes.rs
+++ b/crates/tidetrack-plane/tests/report_sizes.rs
@@ -3,7 +3,10 @@
 
 use tidetrack_core::ids::{EndpointId, EndpointKey, WorkspaceId};
 use tidetrack_core::traffic::endpoint_limits::EndpointLimits;
+use tidetrack_core::traffic::feeds::FeedKind;
 use tidetrack_core::traffic::fingerprint::{Fingerprint, RequestIdentity};
+use tidetrack_core::traffic::peers::PeerUpdate;
+use tidetrack_core::traffic::store_position::StorePosition;
 use tidetrack_core::traffic::suspects::Suspects;
 use tidetrack_core::units::{Millis, Rate};
 
@@ -63,3 +66,23 @@
     println!("{} of 4200 limits reported: {size} bytes", report.len());
     assert!(size <= MAX_REPORT_BYTES, "{size} bytes");
 }
+
+/// Guards against positions of a restored store that take much more room in each message.
+#[test]
+fn positions_with_an_era_have_a_bounded_size() {
+    const MAX_ADDED_BYTES: usize = 64;
+    let update_in_era = |era| {
+        let mut update = PeerUpdate::default();
+        for kind in FeedKind::ALL {
+            let position = StorePosition { era, revision: 1_000_000 }.packed();
+            update.newest_changes.raise(kind, position);
+            update.complete_revisions.raise(kind, position);
+        }
+        bytes(&update)
+    };
+
+    let (without, with) = (update_in_era(0), update_in_era(3));
+
+    println!("{without} bytes without an era, {with} with one");
+    assert!(with - without <= MAX_ADDED_BYTES, "{without} and {with} bytes");
+}
