--- a/crates/tidetrack-core/src/traffic/idle_shares.rs
+++ b/crates/tidetrack-core/src/traffic/idle_shares.rs
@@ -1,13 +1,11 @@
 //! The search for hosts with an idle share of the limits of a service's endpoints.
 //!
-//! The limit on an endpoint is divided among hosts, which takes no account of where callers connect.
-//! When most of them connect to one host, its share is used up while the shares of the others lie
-//! idle. Shares that follow demand were weighed: they need reports of each host's demand, take a
-//! while to move, and the callers move on after a few seconds. Instead, a host that has used up its
-//! share forwards requests to hosts that may have some left: the limit holds whatever happens, and it
-//! works from the first request, at the price of one more hop. Closing connections so that callers
-//! come back elsewhere was weighed too: it costs each of them a connection, and they may come back to
-//! the same host.
+//! The limit on an endpoint is divided among hosts without regard to where callers connect. When most
+//! of them connect to one host, its share is used up while the shares of the others lie idle. That
+//! host then forwards requests to hosts that may have some left, at the price of one more hop. The
+//! limit holds whatever happens, as no host takes over the share of another. Shares that followed
+//! demand would take a while to move, and the callers would have moved on by then; connections that
+//! are closed may come back to the same host.
 //!
 //! If all hosts have used up their shares, asking them is of no use. A host that declined is left
 //! alone for a while, and after several declined requests no host is asked for a moment.
--- a/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
@@ -1,13 +1,12 @@
 //! Decides which suspects are barred.
 //!
 //! Everything that ran at an endpoint when it crashed is suspected, so the cause has to be told from
-//! what ran beside it. Three ways were weighed. Counts of crashes against completions alone bar a rare
-//! sound part that ran beside three crashes and has not completed yet. The intersection of all crashes
-//! finds a single cause, but nothing if there are two, or if an endpoint also crashes for another
-//! reason. A likelihood that weighs rare parts against frequent ones needs the frequency of each part
-//! at all hosts. So the suspects are judged as a cover of the crashes, the one with the most crashes
-//! first: what it explains does not count against others. The rare part's crashes are among those of
-//! the cause, which has more as soon as one endpoint crashes without the rare part.
+//! what ran beside it. Counts of crashes against completions alone would bar a rare sound part that
+//! ran beside three crashes and has not completed yet. The intersection of all crashes would be empty
+//! with two causes, or if an endpoint also crashed for another reason. A likelihood would need the
+//! frequency of each part at all hosts. So the suspects are judged as a cover of the crashes, the one
+//! with the most crashes first: what it explains does not count against others. The rare part's
+//! crashes are among those of the cause, which has more as soon as one endpoint crashes without it.
 //!
 //! A part is barred once it is singled out, that is, no other suspect ran at all of its crashes. Parts
 //! that only ever occur together cannot be told apart, and are barred together a little later.
