Orders of roll-outs and evacuations that a restored store lacks stay in force

A roll-out's version was held, and endpoints of an evacuated domain got requests, until the operator had written the order again. The list of the copy takes back nothing now; later lists and changes count as before. orders_that_the_copy_lacks_stay_in_force_and_later_lists_count failed before.

--- a/crates/tidetrack-core/src/traffic/control/messages.rs
+++ b/crates/tidetrack-core/src/traffic/control/messages.rs
@@ -50,7 +50,7 @@
     EvacuationStarted(FailureDomain),
     /// The order to evacuate a failure domain was removed.
     EvacuationEnded(FailureDomain),
-    /// The store was restored from an older copy, and what follows of a kind is the state of the copy.
+    /// The store was restored from an older copy, and the next list of a kind is the state of the copy.
     StoreRestored(FeedKind),
     /// All changes of one kind up to a store revision have been received.
     CaughtUp {
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -111,6 +111,8 @@
     outliers: OutlierDetector,
     /// Requests that may have crashed an endpoint; shared with the traffic threads, which add to it
     /// and query it.
+    /// By kind, whether the next list is the state of a copy from which the store was restored.
+    lists_of_copy: [bool; FeedKind::COUNT],
     suspects: Arc<Suspects>,
     /// Limits that endpoints reported.
     limits: EndpointLimits,
@@ -177,6 +179,7 @@
             endpoint_states: HashMap::new(),
             lapsed_states: HashMap::new(),
             outliers: OutlierDetector::default(),
+            lists_of_copy: Default::default(),
             suspects: Arc::default(),
             limits: EndpointLimits::default(),
             brittle: BrittleEndpoints::default(),
@@ -308,6 +311,11 @@
         Some(Action::PublishView(Arc::new(self.build_view(now))))
     }
 
+    /// Reports, once, whether the list of a kind that is being applied is that of a restored store.
+    fn takes_list_of_copy(&mut self, kind: FeedKind) -> bool {
+        std::mem::take(&mut self.lists_of_copy[kind as usize])
+    }
+
     /// Applies an input and returns how soon the view has to reflect it.
     fn apply(&mut self, now: Millis, input: Input, actions: &mut Vec<Action>) -> ViewUpdate {
         match input {
@@ -373,8 +381,14 @@
                     orders.iter().any(|o| o.service == *s) || unreadable.contains(s)
                 };
                 unreadable.iter().for_each(|s| self.versions.mark_order_unreadable(s.clone()));
-                let gone: Vec<ServiceId> =
-                    self.canaries.keys().filter(|s| !is_in_list(s)).cloned().collect();
+                // Orders that the copy of a restored store lacks are written again.
+                let keeps_missing = self.takes_list_of_copy(FeedKind::Rollouts);
+                let gone: Vec<ServiceId> = self
+                    .canaries
+                    .keys()
+                    .filter(|s| !keeps_missing && !is_in_list(s))
+                    .cloned()
+                    .collect();
                 for service in &gone {
                     self.remove_order(now, service);
                 }
@@ -392,6 +406,13 @@
             Input::RolloutRemoved(service) => {
                 ViewUpdate::immediate_if(self.remove_order(now, &service))
             }
+            Input::EvacuationList(_)
+                if self.evacuations.is_known()
+                    && self.takes_list_of_copy(FeedKind::Evacuations) =>
+            {
+                // What operators ordered since the copy was made is written again.
+                ViewUpdate::None
+            }
             Input::EvacuationList(domains) => {
                 let was_known = self.evacuations.is_known();
                 let change = self.evacuations.replace(domains);
@@ -440,6 +461,7 @@
                 ViewUpdate::None
             }
             Input::StoreRestored(kind) => {
+                self.lists_of_copy[kind as usize] = true;
                 if kind == FeedKind::Endpoints {
                     self.table.mark_restored(now);
                 }
--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -1,14 +1,27 @@
 //! A store that is restored from an older copy: the order of positions, and what stays in force of
 //! endpoints and roll-outs.
 
+mod support;
+
+use std::sync::Arc;
+
 use tidetrack_core::ids::EndpointId;
 use tidetrack_core::traffic::canary::{
     Canary, Phase, RolloutOrder, RolloutProgress, RolloutState, DEFAULT_EXPOSURE_BOUND,
 };
+use tidetrack_core::traffic::control::{FleetState, Input};
 use tidetrack_core::traffic::endpoints::{EndpointRecord, EndpointTable};
+use tidetrack_core::traffic::feeds::FeedKind;
+use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::store_position::StorePosition;
+use tidetrack_core::traffic::view::FleetView;
 use tidetrack_core::units::Millis;
 
+use support::{
+    catalog, caught_up_input, endpoint_record, fleet_state, freshness_confirmed_at, id,
+    last_published_view, rollout_list, rollout_order,
+};
+
 const NOW: Millis = Millis(100_000);
 
 /// Time after which running endpoints have written their entries again.
@@ -111,3 +124,48 @@
         assert_eq!((write.progress.state, write.revision), (state, position(2, 40)));
     }
 }
+
+/// Returns the state of a host that knows one endpoint of either version and a roll-out, while domain `b` is
+/// evacuated.
+fn state_with_orders(freshness: &Freshness) -> FleetState {
+    let mut state = fleet_state(2);
+    let endpoints = vec![endpoint_record("e1", "v1"), endpoint_record("e2", "v2")];
+    for input in [
+        Input::Catalog(Arc::new(catalog(3))),
+        Input::EndpointList(endpoints),
+        caught_up_input(FeedKind::Endpoints, 10),
+        rollout_list(vec![rollout_order(9, None)]),
+        caught_up_input(FeedKind::Rollouts, 10),
+        Input::EvacuationList([id("b")].into()),
+        caught_up_input(FeedKind::Evacuations, 10),
+    ] {
+        state.handle_input(Millis(0), input, freshness);
+    }
+    state
+}
+
+/// Applies inputs and returns the last view that follows from them.
+fn view_after(state: &mut FleetState, inputs: Vec<Input>, freshness: &Freshness) -> Arc<FleetView> {
+    let mut actions = Vec::new();
+    for (n, input) in inputs.into_iter().chain([Input::Tick]).enumerate() {
+        actions.extend(state.handle_input(Millis(2_000 + n as u64 * 2_000), input, freshness));
+    }
+    last_published_view(&actions).expect("a view is published")
+}
+
+/// Guards against taking back orders because the copy was made before they were given.
+#[test]
+fn orders_that_the_copy_lacks_stay_in_force_and_later_lists_count() {
+    let freshness = freshness_confirmed_at(0);
+    let mut state = state_with_orders(&freshness);
+    let lists = || vec![rollout_list(Vec::new()), Input::EvacuationList([].into())];
+    let restored = [FeedKind::Rollouts, FeedKind::Evacuations].map(Input::StoreRestored);
+
+    let view = view_after(&mut state, restored.into_iter().chain(lists()).collect(), &freshness);
+    let is_rolled_out = |view: &FleetView| view.services[&id("llm")].canary.is_some();
+    let after_copy = (is_rolled_out(&view), view.evacuated_endpoints.contains_key(&id("b")));
+    let view = view_after(&mut state, lists(), &freshness);
+    let after_list = (is_rolled_out(&view), view.evacuated_endpoints.contains_key(&id("b")));
+
+    assert_eq!((after_copy, after_list), ((true, true), (false, false)));
+}
--- a/crates/tidetrack-plane/src/watch/apply.rs
+++ b/crates/tidetrack-plane/src/watch/apply.rs
@@ -63,7 +63,6 @@
             self.with_log(kind, |log| log.advance(batch.newest_revision));
             return self.report_position(kind, changes.newest_change);
         }
-        self.announce_era(kind, batch.newest_revision);
         if !self.with_log(kind, |log| log.push(batch)) {
             return;
         }
@@ -160,7 +159,7 @@
         matches!(object, DecodedObject::Catalog(c) if c.version < self.catalog_version.get())
     }
 
-    /// Tells the control thread if a position is the first known one of a restored store.
+    /// Tells the control thread if a list at a position is the first known one of a restored store.
     fn announce_era(&self, kind: FeedKind, position: u64) {
         let known = self.position(kind);
         if known > 0 && era_of(position) > era_of(known) {
