Progress of roll-outs is withheld only if the store has reported a later era

A host that has not called the store since its start, because others told it all, knew of no era and wrote nothing until its first call.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -109,10 +109,10 @@
     /// for rest, with the time at which the entry was missed.
     lapsed_states: HashMap<EndpointId, (Arc<EndpointState>, Millis)>,
     outliers: OutlierDetector,
-    /// Requests that may have crashed an endpoint; shared with the traffic threads, which add to it
-    /// and query it.
     /// By kind, whether the next list is the state of a copy from which the store was restored.
     lists_of_copy: [bool; FeedKind::COUNT],
+    /// Requests that may have crashed an endpoint; shared with the traffic threads, which add to it
+    /// and query it.
     suspects: Arc<Suspects>,
     /// Limits that endpoints reported.
     limits: EndpointLimits,
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -145,22 +145,22 @@
 /// the reply, since another host may have written first.
 async fn write_progress(shared: SharedRef, store: Rc<StoreClient>, write: ProgressWrite) {
     let position = StorePosition::from_packed(write.revision);
-    // In a later era the revision may stand for another state of the order. The order is read again.
-    if position.era != store.era() {
-        return;
-    }
-    let write = ProgressWrite { revision: position.revision, ..write };
-    let call = (shared.dialect.store.write_progress)(&write);
-    let purpose =
-        CallPurpose { kind: FeedKind::Rollouts, reason: CallReason::Write, age: ListAge::Newest };
-    let result = store.call(&call, purpose, Duration::ZERO, None).await;
     let state = format!("{:?}", write.progress.state);
     let fields: [(&'static str, &dyn std::fmt::Display); 4] = [
         ("service", &write.service),
         ("version", &write.progress.version),
         ("state", &state),
-        ("revision", &write.revision),
+        ("revision", &position),
     ];
+    // In a later era the revision may stand for another state of the order, which is read again.
+    if position.era < store.era() {
+        return shared.journal.log_routine(Event::ProgressLost, &fields);
+    }
+    let write = ProgressWrite { revision: position.revision, ..write.clone() };
+    let call = (shared.dialect.store.write_progress)(&write);
+    let purpose =
+        CallPurpose { kind: FeedKind::Rollouts, reason: CallReason::Write, age: ListAge::Newest };
+    let result = store.call(&call, purpose, Duration::ZERO, None).await;
     match result {
         Ok(_) => shared.journal.log(Event::ProgressWritten, &fields),
         Err(e) if e.code == Code::Conflict => {
