A read of the store proves no configuration while another host has proved a newer one

Traced: the revocation was written 0.2 s before the store went away and was not in the copy; three hosts had it, two had not. One of these read the restored store, and confirmed the older configuration to the other one, 1.7 s after the revocation.

Class: a read of the newest state is taken for a proof that nothing newer was accepted, which a restored store breaks. A host that has heard of a newer version lets its proof age until it has that version.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -109,6 +109,8 @@
     /// for rest, with the time at which the entry was missed.
     lapsed_states: HashMap<EndpointId, (Arc<EndpointState>, Millis)>,
     outliers: OutlierDetector,
+    /// Newest version of the configuration that another host has proved.
+    newest_reported_version: u64,
     /// By kind, whether the next list is the state of a copy from which the store was restored.
     lists_of_copy: [bool; FeedKind::COUNT],
     /// Requests that may have crashed an endpoint; shared with the traffic threads, which add to it
@@ -179,6 +181,7 @@
             endpoint_states: HashMap::new(),
             lapsed_states: HashMap::new(),
             outliers: OutlierDetector::default(),
+            newest_reported_version: 0,
             lists_of_copy: Default::default(),
             suspects: Arc::default(),
             limits: EndpointLimits::default(),
@@ -439,7 +442,7 @@
             }
             Input::ConfigConfirmed(began) => {
                 self.table.record_store_read(began);
-                actions.push(Action::ConfigConfirmed(began));
+                self.confirm_config(began, actions);
                 ViewUpdate::None
             }
             Input::StoreRevisionSeen(revision) => {
--- a/crates/tidetrack-core/src/traffic/control/updates.rs
+++ b/crates/tidetrack-core/src/traffic/control/updates.rs
@@ -66,6 +66,8 @@
                 view_update = ViewUpdate::Immediate;
             }
         }
+        let reported_version = msg.update.proof.map_or(0, |proof| proof.version);
+        self.newest_reported_version = self.newest_reported_version.max(reported_version);
         let is_local = self.peers.is_local_domain(&msg.failure_domain);
         let missing =
             self.feeds.receive_revisions(now, &msg.update.newest_changes, msg.address, is_local);
@@ -81,11 +83,20 @@
         }
         let own_version = self.catalog.as_ref().map(|c| c.version);
         if let Some(proof) = proof.filter(|p| Some(p.version) == own_version) {
-            actions.push(Action::ConfigConfirmed(proof.began));
+            self.confirm_config(proof.began, actions);
         }
         view_update
     }
 
+    /// Counts a read of the store that began at `began` as a proof of the configuration, unless another
+    /// host has a newer one: a store that was restored from a copy may have lost it.
+    pub(super) fn confirm_config(&self, began: Millis, actions: &mut Vec<Action>) {
+        let own_version = self.catalog.as_ref().map_or(0, |c| c.version);
+        if own_version >= self.newest_reported_version {
+            actions.push(Action::ConfigConfirmed(began));
+        }
+    }
+
     /// Fetches data that this host has lacked since its start from a host that reported having it.
     fn fetch_missing(&mut self, now: Millis, reported: &Revisions, actions: &mut Vec<Action>) {
         for kind in self.feeds.bootstrap_kinds(reported) {
--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -9,17 +9,18 @@
 use tidetrack_core::traffic::canary::{
     Canary, Phase, RolloutOrder, RolloutProgress, RolloutState, DEFAULT_EXPOSURE_BOUND,
 };
-use tidetrack_core::traffic::control::{FleetState, Input};
+use tidetrack_core::traffic::control::{Action, FleetState, Input};
 use tidetrack_core::traffic::endpoints::{EndpointRecord, EndpointTable};
 use tidetrack_core::traffic::feeds::FeedKind;
 use tidetrack_core::traffic::freshness::Freshness;
+use tidetrack_core::traffic::peers::{PeerUpdate, ProofReport};
 use tidetrack_core::traffic::store_position::StorePosition;
 use tidetrack_core::traffic::view::FleetView;
 use tidetrack_core::units::Millis;
 
 use support::{
     catalog, caught_up_input, endpoint_record, fleet_state, freshness_confirmed_at, id,
-    last_published_view, rollout_list, rollout_order,
+    last_published_view, message_from, rollout_list, rollout_order,
 };
 
 const NOW: Millis = Millis(100_000);
@@ -169,3 +170,26 @@
 
     assert_eq!((after_copy, after_list), ((true, true), (false, false)));
 }
+
+/// Guards against keeping a revoked key in force because the copy, which lacks its removal, confirms the older
+/// configuration.
+#[test]
+fn a_read_proves_no_configuration_while_another_host_has_a_newer_one() {
+    let freshness = freshness_confirmed_at(0);
+    let mut state = state_with_orders(&freshness);
+    let is_confirmed = |state: &mut FleetState, at: u64| {
+        let read = Input::ConfigConfirmed(Millis(at));
+        let actions = state.handle_input(Millis(at), read, &freshness);
+        actions.iter().any(|action| matches!(action, Action::ConfigConfirmed(_)))
+    };
+    let proof = Some(ProofReport { version: 4, age_ms: 0 });
+    let newer = message_from(3, PeerUpdate { proof, ..PeerUpdate::default() });
+
+    let before = is_confirmed(&mut state, 100);
+    state.handle_input(Millis(200), Input::PeerMessageReceived(Box::new(newer)), &freshness);
+    let outdated = is_confirmed(&mut state, 300);
+    state.handle_input(Millis(400), Input::Catalog(Arc::new(catalog(4))), &freshness);
+    let after = is_confirmed(&mut state, 500);
+
+    assert_eq!((before, outdated, after), (true, false, true));
+}
