--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -185,6 +185,18 @@
         &self.endpoints
     }
 
+    /// Reports whether all healthy endpoints could take a request but for this host's shares of their
+    /// limits, so that another host may have shares left. Limits of endpoints that fall over from
+    /// refusing requests are estimates, and the shares of them that lie idle are kept as a reserve.
+    pub fn is_held_back_by_shares(&self, now: Millis) -> bool {
+        let is_healthy = |e: &&PoolEndpoint| e.state.is_open() && !e.state.is_ejected(now);
+        let mut healthy = self.endpoints.iter().filter(is_healthy).peekable();
+        let is_limited = |PoolEndpoint { state, .. }: &PoolEndpoint| {
+            !state.can_send(now) && !state.is_resting(now) && !state.is_mean_limited()
+        };
+        healthy.peek().is_some() && healthy.all(is_limited)
+    }
+
     /// Picks an endpoint for a request.
     ///
     /// Returns an error with a retry delay if no endpoint is usable or the best candidate has too
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -32,7 +32,7 @@
 use crate::traffic::freshness::Freshness;
 use crate::traffic::isolation::IsolationDetector;
 use crate::traffic::outliers::OutlierDetector;
-use crate::traffic::peers::{PeerTable, PeerUpdate, ReplyRequest, ROUND_INTERVAL};
+use crate::traffic::peers::{PeerTable, PeerUpdate, ReplyRequest};
 use crate::traffic::prefix_index::PrefixIndex;
 use crate::traffic::retired_keys::RetiredKeys;
 use crate::traffic::suspects::{Suspects, MAX_REPORTS_IN_FIRST_REPLY};
@@ -45,9 +45,6 @@
 /// thousands of endpoints takes milliseconds.
 const MAX_VIEW_DELAY: Millis = Millis(100);
 
-/// Shortest interval between two rounds of messages.
-const MIN_ROUND_INTERVAL: Millis = Millis(100);
-
 mod limits;
 mod messages;
 mod roles;
@@ -289,31 +286,6 @@
         actions
     }
 
-    /// Reports whether a round of messages is due. The interval is shorter when a session began
-    /// here, an endpoint crashed under a request or reported a limit, or paths were lost or
-    /// restored, and no other host knows about it yet.
-    fn is_round_due(&self, now: Millis) -> bool {
-        let has_unreported_session =
-            self.exposures.values().any(|exposure| exposure.has_unreported());
-        let has_unreported = has_unreported_session
-            || self.suspects.has_unreported()
-            || self.limits.has_unreported()
-            || self.brittle.has_unreported()
-            || self.has_unreported_availability;
-        let interval = if has_unreported { MIN_ROUND_INTERVAL } else { ROUND_INTERVAL };
-        now >= self.last_round + interval
-    }
-
-    /// Rebuilds the view if it is outdated. Call this when no input is queued: changes arrive in
-    /// bursts.
-    pub fn refresh_view(&mut self, now: Millis) -> Option<Action> {
-        if !std::mem::take(&mut self.is_view_outdated) {
-            return None;
-        }
-        self.last_view = Some(now);
-        Some(Action::PublishView(Arc::new(self.build_view(now))))
-    }
-
     /// Reports, once, whether the list of a kind that is being applied is that of a restored store.
     fn takes_list_of_copy(&mut self, kind: FeedKind) -> bool {
         std::mem::take(&mut self.lists_of_copy[kind as usize])
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -27,7 +27,25 @@
 /// Shortest interval between two requests for a proof.
 const MIN_PROOF_REQUEST_INTERVAL: Millis = Millis(300);
 
+/// Shortest interval between two rounds of messages.
+const MIN_ROUND_INTERVAL: Millis = Millis(100);
+
 impl FleetState {
+    /// Reports whether a round of messages is due. The interval is shorter when a session began
+    /// here, an endpoint crashed under a request or reported a limit, or paths were lost or
+    /// restored, and no other host knows about it yet.
+    pub(super) fn is_round_due(&self, now: Millis) -> bool {
+        let has_unreported_session =
+            self.exposures.values().any(|exposure| exposure.has_unreported());
+        let has_unreported = has_unreported_session
+            || self.suspects.has_unreported()
+            || self.limits.has_unreported()
+            || self.brittle.has_unreported()
+            || self.has_unreported_availability;
+        let interval = if has_unreported { MIN_ROUND_INTERVAL } else { ROUND_INTERVAL };
+        now >= self.last_round + interval
+    }
+
     /// Reports this host's state to other hosts and evaluates what they reported. Returns whether
     /// the view changed.
     pub(super) fn run_round(
--- a/crates/tidetrack-core/src/traffic/control/views.rs
+++ b/crates/tidetrack-core/src/traffic/control/views.rs
@@ -9,12 +9,22 @@
 use crate::traffic::view::{FleetView, ServiceView};
 use crate::units::Millis;
 
-use super::FleetState;
+use super::{Action, FleetState};
 
 /// How long the state of an endpoint without an entry is kept.
 const LAPSED_RETENTION: Millis = Millis(600_000);
 
 impl FleetState {
+    /// Rebuilds the view if it is outdated. Call this when no input is queued: changes arrive in
+    /// bursts.
+    pub fn refresh_view(&mut self, now: Millis) -> Option<Action> {
+        if !std::mem::take(&mut self.is_view_outdated) {
+            return None;
+        }
+        self.last_view = Some(now);
+        Some(Action::PublishView(Arc::new(self.build_view(now))))
+    }
+
     /// Keeps what endpoints said of themselves while their entries are missing. Entries lapse with the
     /// store and come back.
     fn keep_lapsed_states(
--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -24,8 +24,8 @@
 /// an only endpoint says nothing about the paths.
 const MIN_FAILED_ENDPOINTS: usize = 2;
 
-/// Maximum number of endpoints that have to leave a probe unanswered. Half of a pool may have ended at
-/// once, and that all of this many probed ones have is unlikely even then.
+/// Maximum number of endpoints that have to leave a probe unanswered. Even if half of a pool has ended
+/// at once, it is unlikely that all of this many probed endpoints have.
 const MAX_DECIDING_PROBES: usize = 6;
 
 /// Longest time from the first failure to the end of an interruption that is not a partition: endpoints or
--- a/crates/tidetrack-core/src/traffic/suspects/mod.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/mod.rs
@@ -9,13 +9,13 @@
 //!
 //! What merely ran beside the cause must not be barred, and endpoints also crash for other reasons.
 //! An execution that completes therefore clears a request and its parts on all hosts; crashes that a
-//! barred suspect explains do not count against others (`verdicts`); and simultaneous crashes of
-//! endpoints in one failure domain count as one, against parts those in all domains.
+//! barred suspect explains do not count against others (`verdicts`); and simultaneous crashes count
+//! as one: against requests those of endpoints in one failure domain, against parts all of them.
 //!
 //! A completed request is cleared for a while, since identical requests are sent by the thousand. A
 //! completed part is cleared of the earlier crashes only: a part in wide use completes again and
-//! again, and one that endpoints begin to crash on never does. Completions for any workspace speak
-//! for a part. A bar holds for the workspaces whose requests crashed endpoints, and for all others
+//! again, and one that endpoints begin to crash on never does. A completion in any workspace clears
+//! a part for all of them. A bar holds for the workspaces whose requests crashed endpoints, and for all others
 //! only if there are two such workspaces, so that no workspace can bar the prompts of others.
 //!
 //! The number of suspects is bounded, in total and per caller, and each suspect expires after a
--- a/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
@@ -9,7 +9,8 @@
 //! crashes are among those of the cause, which has more as soon as one endpoint crashes without it.
 //!
 //! A part is barred once it is singled out, that is, no other suspect ran at all of its crashes. Parts
-//! that only ever occur together cannot be told apart, and are barred together a little later.
+//! that only ever occur together cannot be told apart, and are barred together after a few more
+//! crashes.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -21,7 +22,8 @@
 use super::crashes::Crash;
 use super::{Bar, State, SuspectChange, SuspectOptions, EXCLUSIVE_FROM_CRASHES};
 
-/// Number of crashes from which a part is barred although another suspect ran at all of them.
+/// Number of crashes from which a part is barred although another suspect ran at all of them: by then
+/// a sound one would almost certainly have completed.
 const MAX_UNDECIDED_CRASHES: usize = 5;
 
 /// Suspects with the same contents, which only the workspace tells apart.
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -181,7 +181,7 @@
 pub struct Reply {
     /// HTTP status.
     pub status: StatusCode,
-    /// Headers.
+    /// Headers, by which a store reports its era.
     pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -118,20 +118,12 @@
     unconnected.map(|e| e.id.clone()).collect()
 }
 
-/// Reports whether only this host's shares of the endpoints' limits keep it from sending to a request's service:
-/// endpoints that have work queued for as long as is permitted have no room for other hosts either. Limits of
-/// endpoints that fall over from refusing requests are estimates, and the shares of them that lie idle are kept as
-/// a reserve.
+/// Reports whether this host's shares of the endpoints' limits are all that keeps it from sending to a request's
+/// service.
 fn has_used_up_shares(traffic: &Traffic, job: &Job) -> bool {
     let view = traffic.shared.view.load();
-    let Some(service) = view.services.get(&job.service) else { return false };
-    let now = traffic.shared.now();
-    let is_healthy = |e: &&PoolEndpoint| e.state.is_open() && !e.state.is_ejected(now);
-    let mut healthy = service.stable_pool.endpoints().iter().filter(is_healthy).peekable();
-    let is_limited = |PoolEndpoint { state, .. }: &PoolEndpoint| {
-        !state.can_send(now) && !state.is_resting(now) && !state.is_mean_limited()
-    };
-    healthy.peek().is_some() && healthy.all(is_limited)
+    let service = view.services.get(&job.service);
+    service.is_some_and(|s| s.stable_pool.is_held_back_by_shares(traffic.shared.now()))
 }
 
 /// Chooses an endpoint that is not among `excluded`, and records the choice for the prefix index and the exposure
