Service times by model, and what a second opinion costs others (trial)

Cause: one pace for all models and sizes made large prompts look two to three times as slow as they are, so poor responses were kept for fear of being late. The cost of delaying others was measured against the request's own objective, so that the least urgent kind kept its second opinions in an overload while the most urgent lost them.

Change: where load control is on (contract 'pressure', or endpoints that report their speed), response starts are learned per model as a fixed part plus work and queue, with their spread; the cost of a second opinion is what it costs requests that are at least as urgent. Reports of slots and present speed are parsed.

--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -6,6 +6,7 @@
 use crate::units::{Millis, Rate, Tokens};
 
 use super::refusal_guard::RefusalGuard;
+use super::slowdown::Slowdown;
 
 /// Half-life, in milliseconds, of the weight of an endpoint's load report.
 const REPORT_HALF_LIFE_MS: f64 = 8_000.0;
@@ -150,6 +151,11 @@
         Millis(self.reported_at.load(Ordering::Relaxed))
     }
 
+    /// Returns how long work takes at the endpoint now, as a multiple of the usual time.
+    pub fn slowdown(&self, _now: Millis) -> Slowdown {
+        Slowdown::default()
+    }
+
     /// Estimates the endpoint's total work in answer tokens.
     pub fn load(&self, now: Millis) -> f64 {
         self.own_work() as f64 + self.others_work(now)
--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -27,10 +27,12 @@
 mod endpoint_state;
 mod refusal_guard;
 mod refusal_window;
+mod slowdown;
 
 pub use endpoint_state::{EndpointState, Outcomes, SendAllowance};
 pub use refusal_guard::{EndpointAccess, RefusalGuard};
 pub use refusal_window::{RefusalWindow, WindowTicket};
+pub use slowdown::Slowdown;
 
 /// `Retry-After` in milliseconds of a refusal because all endpoints are evacuated. Evacuations last for
 /// seconds at least.
--- a/crates/tidetrack-core/src/traffic/cascade.rs
+++ b/crates/tidetrack-core/src/traffic/cascade.rs
@@ -114,6 +114,23 @@
     pub wait: f64,
 }
 
+/// What is known about a second attempt while requests compete for room.
+#[derive(Clone, Copy, Debug)]
+pub struct ContendedEstimate {
+    /// Confidence of the model in the present response, from 0 to 100.
+    pub confidence: u8,
+    /// Whether the present response has started within the objective.
+    pub is_present_in_time: bool,
+    /// Probability that the larger model's response starts in time.
+    pub in_time_probability: f64,
+    /// Probability that the larger model's response is complete before the deadline.
+    pub completion_probability: f64,
+    /// Factor by which the values of the request's rank count.
+    pub rank_weight: f64,
+    /// Value that other requests lose because the second attempt delays them.
+    pub delay_cost: f64,
+}
+
 /// Returns the model of a second opinion, or `None` if `model` is already the largest.
 pub fn second_opinion_model<'a>(route: &'a Route, model: &ModelId) -> Option<&'a ModelId> {
     route.models.last().filter(|m| *m != model)
@@ -173,3 +190,31 @@
         cost: size.estimated_price(price_per_1k) * cost_multiplier,
     })
 }
+
+/// Compares the response of `model` with a second opinion by the largest model while requests
+/// compete for room: what the second attempt costs other requests is counted in full, and an
+/// attempt that is likely to miss the deadline is worth little. Returns `None` if `model` is
+/// already the largest.
+pub fn weigh_contended_second_opinion<'a>(
+    route: &'a Route,
+    service: &Service,
+    model: &ModelId,
+    estimate: ContendedEstimate,
+    size: &GenerationSize,
+    opts: &CascadeOptions,
+) -> Option<SecondOpinionTradeoff<'a>> {
+    let larger_model = second_opinion_model(route, model)?;
+    let timely = |in_time: f64| in_time + (1.0 - in_time) * LATE_RESPONSE_VALUE;
+    let correct_probability = correct_probability(estimate.confidence);
+    let present_quality = correct_probability + (1.0 - correct_probability) * WRONG_RESPONSE_VALUE;
+    let present_value = present_quality * timely(f64::from(estimate.is_present_in_time));
+    let second_value = estimate.completion_probability * timely(estimate.in_time_probability);
+    let price_per_1k = service.model_price(larger_model);
+    let value = size.estimated_value(price_per_1k, opts) * estimate.rank_weight;
+    let price = size.estimated_price(price_per_1k) * opts.delay_cost_ratio;
+    Some(SecondOpinionTradeoff {
+        larger_model,
+        gain: (second_value - present_value) * value,
+        cost: price + estimate.delay_cost,
+    })
+}
--- a/crates/tidetrack-core/src/traffic/catalog.rs
+++ b/crates/tidetrack-core/src/traffic/catalog.rs
@@ -104,13 +104,18 @@
     /// Returns a model's weight in an engine's work: its price relative to the most expensive
     /// model. Price stands in for execution time, which is not declared.
     pub fn model_weight(&self, model: &ModelId) -> f64 {
-        let highest_price = self.models.iter().map(|m| m.price).fold(0.0, f64::max);
+        let highest_price = self.highest_price();
         match self.models.iter().find(|m| m.name == *model) {
             Some(m) if highest_price > 0.0 => (m.price / highest_price).max(MIN_MODEL_WEIGHT),
             _ => 1.0,
         }
     }
 
+    /// Returns the price of 1,000 tokens of the most expensive model; 0 without models.
+    pub fn highest_price(&self) -> f64 {
+        self.models.iter().map(|m| m.price).fold(0.0, f64::max)
+    }
+
     /// Returns the price of 1,000 tokens of a model; 0 if the model is not listed.
     pub fn model_price(&self, model: &ModelId) -> f64 {
         self.models.iter().find(|m| m.name == *model).map_or(0.0, |m| m.price)
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -37,6 +37,8 @@
 pub mod reachability;
 pub mod retired_keys;
 pub mod samples;
+pub mod scarcity;
+pub mod service_times;
 pub mod stagger;
 pub mod store_position;
 pub mod suspects;
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -14,6 +14,7 @@
 use tidetrack_core::traffic::canary::ReleaseTrack;
 use tidetrack_core::traffic::latency_estimate::PlannedAttempt;
 use tidetrack_core::traffic::prefix_index::PrefixKey;
+use tidetrack_core::traffic::service_times::AttemptWork;
 use tidetrack_core::traffic::view::{PickedEndpoint, ServiceView};
 use tidetrack_core::units::{Millis, Tokens};
 
@@ -243,6 +244,21 @@
     Error::new(Code::Overloaded, message).with_retry_after(RETRY_OVERLOADED_MS)
 }
 
+/// Returns the work of an attempt at a chosen endpoint, behind the given work.
+pub fn attempt_work(
+    traffic: &Traffic,
+    job: &Job,
+    chosen: &ChosenEndpoint,
+    weight: f64,
+    ahead: f64,
+) -> AttemptWork {
+    AttemptWork {
+        own: job.work(weight, chosen.prefix.is_available()) as f64,
+        ahead,
+        slowdown: chosen.state.slowdown(traffic.shared.now()).multiple(),
+    }
+}
+
 /// Returns the endpoint that an attempt on `model` would use, on the release track of an earlier attempt, with the
 /// figures for its latency estimate. Records nothing. Returns `None` if no endpoint is available.
 pub fn plan_attempt(
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -12,6 +12,7 @@
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::ids::{EndpointId, FailureDomain, ModelId, PartId, ServiceId, WorkspaceId};
+use tidetrack_core::placement::Slowdown;
 use tidetrack_core::traffic::canary::{ProgressWrite, RolloutOrder};
 use tidetrack_core::traffic::cascade::GenerationSize;
 use tidetrack_core::traffic::catalog::Catalog;
@@ -83,12 +84,16 @@
 }
 
 /// Load reported by an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReportedLoad {
     /// Number of requests being executed.
     pub running: u64,
     /// Number of queued requests.
     pub waiting: u64,
+    /// Number of requests that the endpoint executes concurrently, if reported.
+    pub slots: Option<u64>,
+    /// How long work takes at the endpoint now, as a multiple of the usual time, if reported.
+    pub slowdown: Option<Slowdown>,
 }
 
 /// Contents of the head of an endpoint's response.
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -24,7 +24,9 @@
 
 use crate::attempt::{self, EndpointResponse};
 use crate::body::ResponseBody;
-use crate::choose::{check_before_send, model_weight, overloaded_error, RETRY_OVERLOADED_MS};
+use crate::choose::{
+    attempt_work, check_before_send, model_weight, overloaded_error, RETRY_OVERLOADED_MS,
+};
 use crate::crash::{detect_crash, wait_for_crash_reports};
 use crate::forward::{set_result, take_envelope};
 use crate::job::{AttemptHistory, ChosenEndpoint, InFlight, Job, Traffic};
@@ -79,6 +81,7 @@
         }
         Ok(job) => {
             let job = Rc::new(job);
+            record_demand(traffic, &job);
             let result = run_attempts(traffic, &job, &mut attempts).await;
             result.unwrap_or_else(|e| {
                 let route = job.admitted.route.name.as_str();
@@ -100,6 +103,21 @@
     (resp, result)
 }
 
+/// Counts a generation in the demand of its service under load control.
+fn record_demand(traffic: &Traffic, job: &Job) {
+    let Some(size) = job.facts.size.as_ref().filter(|_| traffic.has_load_control(&job.service))
+    else {
+        return;
+    };
+    let view = traffic.shared.view.load();
+    let service = view.catalog.as_ref().and_then(|c| c.services.get(&job.service));
+    let price = service.map_or(0.0, |s| s.highest_price());
+    let value = size.estimated_value(price, &traffic.shared.settings.cascade);
+    let (now, rank) = (traffic.shared.now(), job.admitted.rank());
+    let objective = job.admitted.route.objective;
+    traffic.with_demand(&job.service, |demand| demand.record(now, rank, objective, value));
+}
+
 /// Returns why another holder may send a request to an endpoint that this host was asked for and did not send it to.
 fn holder_decline(traffic: &Traffic, endpoint: &EndpointId) -> Option<HolderDecline> {
     let now = traffic.shared.now();
@@ -267,8 +285,10 @@
     if let Err(e) = check_before_send(traffic, job, attempts, &chosen) {
         return Err(AttemptError::Final(final_error(job, attempts, e)));
     }
-    let mut pending_work =
-        PendingWork::new(traffic, &chosen, job, model_weight(traffic, job, model));
+    let weight = model_weight(traffic, job, model);
+    let ahead = chosen.state.load(traffic.shared.now());
+    let attempt_work = attempt_work(traffic, job, &chosen, weight, ahead);
+    let mut pending_work = PendingWork::new(traffic, &chosen, job, weight);
     let work_ahead = chosen.state.load(traffic.shared.now());
     let started_at = Instant::now();
     match send(traffic, job, attempts, &chosen, &pending_work, model, None).await {
@@ -280,9 +300,17 @@
                     work_ahead,
                     elapsed_us,
                 );
+                if traffic.has_load_control(&job.service) {
+                    traffic.service_times.borrow_mut().record_start(
+                        &job.service,
+                        model,
+                        attempt_work,
+                        started_at.elapsed(),
+                    );
+                }
             }
             pending_work.record_response_start();
-            record_reported_load(traffic, &chosen, &response);
+            record_reported_load(traffic, job, &chosen, &response);
             Ok(AttemptResponse { response, chosen, pending_work, started_at })
         }
         Err(e) => {
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -2,7 +2,7 @@
 //! thread that all requests share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,6 +24,8 @@
 use tidetrack_core::traffic::latency_estimate::LatencyEstimator;
 use tidetrack_core::traffic::prefix_index::PrefixKey;
 use tidetrack_core::traffic::reachability::ReachabilityTracker;
+use tidetrack_core::traffic::scarcity::DemandTracker;
+use tidetrack_core::traffic::service_times::ServiceTimes;
 use tidetrack_core::traffic::suspects::RunningRequest;
 use tidetrack_core::units::{Millis, Tokens};
 
@@ -55,6 +57,11 @@
     budgets: RefCell<HashMap<ServiceId, AttemptBudget>>,
     /// Estimates the latency of attempts, for the decision on another attempt on a larger model.
     pub latency_estimator: RefCell<LatencyEstimator>,
+    /// Response times of services under load control.
+    pub service_times: RefCell<ServiceTimes>,
+    demands: RefCell<HashMap<ServiceId, DemandTracker>>,
+    /// Services whose endpoints report their present speed.
+    services_with_reported_speed: RefCell<HashSet<ServiceId>>,
     /// Recent connection attempts that got no reply, by endpoint and failure domain.
     pub reachability: RefCell<ReachabilityTracker>,
     /// Whether the network paths to the endpoints work.
@@ -92,6 +99,9 @@
             waiting: WaitingRequests::default(),
             budgets: RefCell::default(),
             latency_estimator: RefCell::default(),
+            service_times: RefCell::default(),
+            demands: RefCell::default(),
+            services_with_reported_speed: RefCell::default(),
             crash_checks: EndpointProbes::default(),
             in_flight: Cell::new(0),
             is_refusing: Cell::new(false),
@@ -113,6 +123,30 @@
         self.last_request_number.get()
     }
 
+    /// Reports whether load control applies to a service: the settings call for it, or the service's
+    /// endpoints report their present speed.
+    pub fn has_load_control(&self, service: &ServiceId) -> bool {
+        self.shared.settings.load_control
+            || self.services_with_reported_speed.borrow().contains(service)
+    }
+
+    /// Records that an endpoint of a service has reported its present speed.
+    pub fn record_reported_speed(&self, service: &ServiceId) {
+        let mut services = self.services_with_reported_speed.borrow_mut();
+        if !services.contains(service) {
+            services.insert(service.clone());
+        }
+    }
+
+    /// Calls `f` with the recent demand of a service.
+    pub fn with_demand<T>(
+        &self,
+        service: &ServiceId,
+        f: impl FnOnce(&mut DemandTracker) -> T,
+    ) -> T {
+        f(self.demands.borrow_mut().entry(service.clone()).or_default())
+    }
+
     /// Calls `f` with the retry budget of a service, which is created on first use.
     pub fn with_budget<T>(
         &self,
--- a/crates/tidetrack-plane/src/relay/mod.rs
+++ b/crates/tidetrack-plane/src/relay/mod.rs
@@ -347,12 +347,30 @@
             let shared = &self.traffic.shared;
             shared.suspects.record_completion(shared.now(), &self.job.fingerprints);
         }
+        self.record_generation_time();
         let StreamRelay { traffic, source, .. } = self;
         source.chosen.state.record_outcome(traffic.shared.now(), true);
         let pool = traffic.pool_of(&source.chosen);
         pool.release(source.chosen.peer_name(), source.lease, source.idle_time);
     }
 
+    /// Records how long a whole response took after its first event.
+    fn record_generation_time(&self) {
+        let traffic = &self.traffic;
+        let size = self.job.facts.size.as_ref();
+        let is_whole = self.source.event_count == self.event_count;
+        let first_event_at = self.source.first_event_at.filter(|_| is_whole);
+        let (Some(size), Some(first_event_at)) = (size, first_event_at) else { return };
+        if traffic.has_load_control(&self.job.service) {
+            traffic.service_times.borrow_mut().record_generation(
+                &self.job.service,
+                self.model.as_ref(),
+                size.estimated_generated_tokens(),
+                first_event_at.elapsed(),
+            );
+        }
+    }
+
     /// Reports the response time and pace of the current endpoint: once the pace is known, or else
     /// at the end of its response.
     fn report_progress(&mut self, outcome: AttemptOutcome) {
--- a/crates/tidetrack-plane/src/second_opinion.rs
+++ b/crates/tidetrack-plane/src/second_opinion.rs
@@ -10,10 +10,13 @@
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::ModelId;
 use tidetrack_core::traffic::budget::FurtherAttempt;
-use tidetrack_core::traffic::cascade::{self, SecondOpinionEstimate};
+use tidetrack_core::traffic::cascade::{self, ContendedEstimate, SecondOpinionEstimate};
+use tidetrack_core::traffic::latency_estimate::{LatencyEstimate, PlannedAttempt};
+use tidetrack_core::traffic::scarcity::OptionalWork;
+use tidetrack_core::units::Millis;
 
 use crate::attempt::EndpointResponse;
-use crate::choose::plan_attempt;
+use crate::choose::{attempt_work, model_weight, plan_attempt};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, Traffic};
 use crate::pool::max_idle_time;
 use crate::report::record_failed_attempt;
@@ -40,13 +43,21 @@
     let opts = &traffic.shared.settings.cascade;
     let larger = cascade::second_opinion_model(route, model)?;
     let (candidate, planned) = plan_attempt(traffic, job, tries, larger, chosen)?;
-    let latency = traffic.latency_estimator.borrow().estimate(&job.service, planned);
-    let estimate = SecondOpinionEstimate {
-        confidence,
-        in_time_probability: latency.in_time_probability(),
-        wait: latency.wait,
+    let (latency, tradeoff) = if traffic.has_load_control(&job.service) {
+        let contended = estimate_contended(traffic, job, confidence, larger, &candidate, planned);
+        let (latency, estimate) = contended?;
+        let tradeoff =
+            cascade::weigh_contended_second_opinion(route, service, model, estimate, size, opts)?;
+        (latency, tradeoff)
+    } else {
+        let latency = traffic.latency_estimator.borrow().estimate(&job.service, planned);
+        let estimate = SecondOpinionEstimate {
+            confidence,
+            in_time_probability: latency.in_time_probability(),
+            wait: latency.wait,
+        };
+        (latency, cascade::weigh_second_opinion(route, service, model, estimate, size, opts)?)
     };
-    let tradeoff = cascade::weigh_second_opinion(route, service, model, estimate, size, opts)?;
     let now = traffic.shared.now();
     let can_retry = tries.sent_count < route.max_attempts && route.work.is_repeatable();
     let try_acquire_budget =
@@ -83,6 +94,60 @@
     keep_reason.is_none().then(|| tradeoff.larger_model.clone())
 }
 
+/// Estimates a second attempt under load control, with its latency in fractions of the objective.
+fn estimate_contended(
+    traffic: &Traffic,
+    job: &Job,
+    confidence: u8,
+    larger: &ModelId,
+    candidate: &ChosenEndpoint,
+    planned: PlannedAttempt,
+) -> Option<(LatencyEstimate, ContendedEstimate)> {
+    const US_PER_MS: f64 = 1e3;
+    const US_PER_S: f64 = 1e6;
+    let shared = &traffic.shared;
+    let now = shared.now();
+    let view = shared.view.load();
+    let service = view.services.get(&job.service)?;
+    let weight = model_weight(traffic, job, Some(larger));
+    let work = attempt_work(traffic, job, candidate, weight, planned.work_ahead);
+    let times = traffic.service_times.borrow();
+    let start = times.estimate_start(&job.service, Some(larger), work);
+    let elapsed_us = planned.elapsed.0 as f64 * US_PER_MS;
+    let objective_us = planned.objective.0.max(1) as f64 * US_PER_MS;
+    let expected_tokens = job.facts.size.as_ref()?.estimated_generated_tokens();
+    let time_left = Millis(job.time_left().as_millis() as u64);
+    let optional_work = OptionalWork {
+        rank: job.admitted.rank(),
+        own_s: start.own_us / US_PER_S,
+        wait_s: start.wait_us / US_PER_S,
+        hosts: shared.forward_targets.load().len() + 1,
+        endpoints: service.stable_pool.endpoints().len() + service.canary_pool.endpoints().len(),
+    };
+    let (rank_weight, delay_cost) = traffic.with_demand(&job.service, |demand| {
+        (demand.rank_weight(optional_work.rank), demand.delay_cost(now, optional_work))
+    });
+    let estimate = ContendedEstimate {
+        confidence,
+        is_present_in_time: planned.elapsed <= planned.objective,
+        in_time_probability: start.probability_within(objective_us - elapsed_us),
+        completion_probability: times.completion_probability(
+            &job.service,
+            Some(larger),
+            start,
+            expected_tokens,
+            time_left,
+        ),
+        rank_weight,
+        delay_cost,
+    };
+    let latency = LatencyEstimate {
+        wait: start.wait_us / objective_us,
+        response_start: (elapsed_us + start.start_us) / objective_us,
+    };
+    Some((latency, estimate))
+}
+
 /// Reports whether a connection to the endpoint of a second attempt is available or is established
 /// in time.
 async fn is_reachable(
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -334,10 +334,14 @@
 /// Records the load that an endpoint reports in the head of a response.
 pub fn record_reported_load(
     traffic: &Traffic,
+    job: &Job,
     chosen: &ChosenEndpoint,
     response: &EndpointResponse,
 ) {
     if let Some(load) = response.facts.load {
+        if load.slowdown.is_some() {
+            traffic.record_reported_speed(&job.service);
+        }
         let work =
             load.running * WORK_PER_RUNNING_REQUEST + load.waiting * WORK_PER_WAITING_REQUEST;
         chosen.state.record_load_report(traffic.shared.now(), work, Tokens(0));
--- a/crates/tidetrack-plane/src/settings.rs
+++ b/crates/tidetrack-plane/src/settings.rs
@@ -33,6 +33,9 @@
     pub link: Bandwidth,
     /// Limits that apply to the fleet as a whole.
     pub bounds: Bounds,
+    /// Whether load control applies to all services. Otherwise it applies to those whose endpoints
+    /// report their present speed.
+    pub load_control: bool,
     /// Options for choosing the model of a cascade.
     pub cascade: CascadeOptions,
     /// Options for handling requests that may have crashed endpoints.
