Long and short attempts prefer disjoint sets of endpoints (trial)

Cause: an engine reads long prompts between the tokens of other requests, so with all lengths everywhere short requests were delayed by long ones: on the heterogeneous deployment first responses took 0.43 s at p90 beside long second opinions.

Change: under load control attempts that occupy an endpoint for a tenth of the shortest objective prefer one set of endpoints and all others the rest, by a hash that every host computes alike; the shares follow from the work. Placement counts an endpoint's slowdown.

--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -27,11 +27,13 @@
 mod endpoint_state;
 mod refusal_guard;
 mod refusal_window;
+mod separation;
 mod slowdown;
 
 pub use endpoint_state::{EndpointState, Outcomes, SendAllowance};
 pub use refusal_guard::{EndpointAccess, RefusalGuard};
 pub use refusal_window::{RefusalWindow, WindowTicket};
+pub use separation::{AttemptLength, LengthMix, Separation};
 pub use slowdown::Slowdown;
 
 /// `Retry-After` in milliseconds of a refusal because all endpoints are evacuated. Evacuations last for
@@ -44,6 +46,10 @@
 /// Number of ring points examined to find a usable endpoint.
 const MAX_RING_STEPS: usize = 32;
 
+/// Number of ring points examined if long and short attempts are separated, so that an endpoint of
+/// the preferred set in the host's own failure domain is found.
+const MAX_RING_STEPS_SEPARATED: usize = 128;
+
 /// Number of endpoints chosen at random in addition to the home endpoint.
 const RANDOM_CANDIDATES: usize = 4;
 
@@ -127,6 +133,8 @@
     keys: Vec<(EndpointKey, u32)>,
     /// Indexes into `endpoints` by failure domain.
     domains: HashMap<FailureDomain, Vec<u32>>,
+    /// Position of each endpoint in its failure domain, which assigns it to long or short attempts.
+    positions: Vec<f64>,
     max_work: f64,
 }
 
@@ -161,6 +169,17 @@
     pub locality: Option<Locality<'a>>,
     /// Whether another host has forwarded the request, which is then not forwarded again.
     pub is_forwarded: bool,
+    /// How the time that endpoints take counts; `None` if all endpoints count as equally fast.
+    pub timing: Option<PlacementTiming>,
+}
+
+/// How the time that endpoints take counts in the choice between them.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementTiming {
+    /// Work of the request itself, in answer tokens, which a slow endpoint takes longer for.
+    pub own_work: f64,
+    /// Preference for the endpoints of long or short attempts; `None` if they are not separated.
+    pub separation: Option<Separation>,
 }
 
 impl PoolView {
@@ -185,7 +204,8 @@
             0 => f64::INFINITY,
             slots => f64::from(slots) * MAX_WORK_PER_SLOT,
         };
-        PoolView { endpoints, ring, keys, domains, max_work }
+        let positions = separation::domain_positions(&endpoints, &domains);
+        PoolView { endpoints, ring, keys, domains, positions, max_work }
     }
 
     /// Returns all endpoints of the pool.
@@ -326,11 +346,7 @@
         let is_held_locally = holders.iter().any(|e| is_local(e, request));
         let second_home = self.second_home(now, request, home_endpoint);
         let reread_cost = |fraction: f64| request.reread_work as f64 * fraction;
-        let cost = |e: &PoolEndpoint, extra: f64| {
-            let work =
-                e.state.load(now) + BASE_WORK_WITH_PREFIX + extra + crossing_work(e, request);
-            work * e.state.pace()
-        };
+        let cost = |e: &PoolEndpoint, extra: f64| self.finish_cost(now, request, e, extra);
         // A prefix that no local endpoint is known to hold is assumed to be on its home endpoint.
         let (home_share, second_home_share) = match is_held_locally {
             true => (1.0, 1.0),
@@ -347,6 +363,35 @@
         best.map_or(home_endpoint, |(e, _)| e)
     }
 
+    /// Returns the cost of an endpoint that has to do `extra` work: the expected time until it
+    /// finishes the request, and what its place costs beyond that.
+    fn finish_cost(
+        &self,
+        now: Millis,
+        request: &PlacementRequest<'_>,
+        e: &PoolEndpoint,
+        extra: f64,
+    ) -> f64 {
+        let work = e.state.load(now) + BASE_WORK_WITH_PREFIX + extra;
+        let Some(timing) = &request.timing else {
+            return (work + crossing_work(e, request)) * e.state.pace();
+        };
+        let is_preferred = self.is_preferred(request, e);
+        let surcharge = timing.separation.filter(|_| !is_preferred).map_or(0.0, |s| s.surcharge);
+        let slowdown = e.state.slowdown(now).multiple();
+        (work + timing.own_work) * slowdown + crossing_work(e, request) + surcharge
+    }
+
+    /// Reports whether an endpoint is of the set that the request's attempt prefers by its length.
+    fn is_preferred(&self, request: &PlacementRequest<'_>, e: &PoolEndpoint) -> bool {
+        let separation = request.timing.and_then(|timing| timing.separation);
+        separation.is_none_or(|separation| {
+            let key = EndpointKey::from(&e.id);
+            let found = self.keys.binary_search_by_key(&key, |(key, _)| *key);
+            found.is_ok_and(|at| separation.prefers(self.positions[self.keys[at].1 as usize]))
+        })
+    }
+
     /// Returns an endpoint other than `picked` from which the request's prefix can be copied,
     /// preferably one in the host's failure domain.
     pub fn prefix_source(
@@ -382,15 +427,22 @@
         home_endpoint: &PoolEndpoint,
     ) -> Option<&PoolEndpoint> {
         self.walk_ring(request).find(|e| {
-            e.id != home_endpoint.id && is_local(e, request) && is_usable(e, now, request)
+            e.id != home_endpoint.id
+                && is_local(e, request)
+                && self.is_preferred(request, e)
+                && is_usable(e, now, request)
         })
     }
 
     /// Returns the first usable endpoint on the ring from the request's position, preferably one in
     /// the host's failure domain.
     fn home_endpoint(&self, now: Millis, request: &PlacementRequest<'_>) -> Option<&PoolEndpoint> {
-        let local =
-            self.walk_ring(request).find(|e| is_local(e, request) && is_usable(e, now, request));
+        let is_usable_locally =
+            |e: &&PoolEndpoint| is_local(e, request) && is_usable(e, now, request);
+        let preferred = || {
+            self.walk_ring(request).find(|e| self.is_preferred(request, e) && is_usable_locally(e))
+        };
+        let local = preferred().or_else(|| self.walk_ring(request).find(is_usable_locally));
         let anywhere = || self.walk_ring(request).find(|e| is_usable(e, now, request));
         local.or_else(anywhere).or_else(|| self.fallback_to_ejected(now, request))
     }
@@ -402,7 +454,9 @@
     ) -> impl Iterator<Item = &'a PoolEndpoint> {
         let start =
             self.ring.partition_point(|(ring_position, _)| *ring_position < request.ring_position);
-        let steps = self.ring.len().min(MAX_RING_STEPS);
+        let is_separated = request.timing.is_some_and(|timing| timing.separation.is_some());
+        let max_steps = if is_separated { MAX_RING_STEPS_SEPARATED } else { MAX_RING_STEPS };
+        let steps = self.ring.len().min(max_steps);
         let at = move |step: usize| self.ring[(start + step) % self.ring.len()].1 as usize;
         (0..steps).map(move |step| &self.endpoints[at(step)])
     }
--- a/crates/tidetrack-core/src/traffic/scarcity.rs
+++ b/crates/tidetrack-core/src/traffic/scarcity.rs
@@ -77,6 +77,13 @@
         demand.objective_s += objective.0 as f64 / 1e3;
     }
 
+    /// Returns the shortest objective of the ranks; `None` before the first request.
+    pub fn shortest_objective(&self) -> Option<Millis> {
+        let objectives = self.ranks.values().filter(|d| d.count > 0.0);
+        let objectives_s = objectives.map(|d| d.objective_s / d.count);
+        objectives_s.min_by(f64::total_cmp).map(|s| Millis((s * 1e3) as u64))
+    }
+
     /// Returns the factor by which a request's value is weighted for its rank: 1 for the least
     /// urgent rank of the service.
     pub fn rank_weight(&self, rank: u8) -> f64 {
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -6,8 +6,8 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::ids::{EndpointId, EndpointKey, ModelId};
 use tidetrack_core::placement::{
-    evacuated_error, ring_position_of, EndpointAccess, Locality, PlacementRequest, PoolEndpoint,
-    PoolView,
+    evacuated_error, ring_position_of, AttemptLength, EndpointAccess, Locality, PlacementRequest,
+    PlacementTiming, PoolEndpoint, PoolView,
 };
 use tidetrack_core::traffic::admission;
 use tidetrack_core::traffic::budget::FurtherAttempt;
@@ -35,6 +35,10 @@
 /// does not justify the cost of a transfer.
 const MIN_FETCH_WORK: u64 = 1_600;
 
+/// Fraction of the shortest objective of a service from which an attempt counts as long: requests
+/// beside it lose that much of their time.
+const LONG_ATTEMPT_FRACTION: f64 = 0.1;
+
 /// Time within which an attempt normally ends. A session is held on its release track from the start of a
 /// request until its session time after the request's end, so this is added to the session time.
 const TYPICAL_MAX_ATTEMPT_TIME: Millis = Millis(8_000);
@@ -244,6 +248,40 @@
     Error::new(Code::Overloaded, message).with_retry_after(RETRY_OVERLOADED_MS)
 }
 
+/// Returns how the endpoints' times count for an attempt on a model, under load control.
+fn placement_timing(
+    traffic: &Traffic,
+    job: &Job,
+    model: Option<&ModelId>,
+    weight: f64,
+) -> PlacementTiming {
+    let length = attempt_length(traffic, job, model, weight);
+    PlacementTiming {
+        own_work: job.work(weight, true) as f64,
+        separation: length
+            .and_then(|length| traffic.with_lengths(&job.service, |mix| mix.separation(length))),
+    }
+}
+
+/// Returns the length of an attempt on a model relative to the shortest objective of its service;
+/// `None` if the request is not a generation or no objective is known.
+pub fn attempt_length(
+    traffic: &Traffic,
+    job: &Job,
+    model: Option<&ModelId>,
+    weight: f64,
+) -> Option<AttemptLength> {
+    const US_PER_MS: f64 = 1e3;
+    job.facts.size.as_ref()?;
+    let objective = traffic.with_demand(&job.service, |d| d.shortest_objective())?;
+    let whole_prompt =
+        AttemptWork { own: job.work(weight, false) as f64, ahead: 0.0, slowdown: 1.0 };
+    let times = traffic.service_times.borrow();
+    let own_us = times.estimate_start(&job.service, model, whole_prompt).own_us;
+    let is_long = own_us > objective.0 as f64 * US_PER_MS * LONG_ATTEMPT_FRACTION;
+    Some(if is_long { AttemptLength::Long } else { AttemptLength::Short })
+}
+
 /// Returns the work of an attempt at a chosen endpoint, behind the given work.
 pub fn attempt_work(
     traffic: &Traffic,
@@ -295,6 +333,8 @@
     reread_work: u64,
     /// Endpoints that are known to hold the shared prefix.
     prefix_holders: Vec<EndpointKey>,
+    /// How the endpoints' times count, under load control.
+    timing: Option<PlacementTiming>,
 }
 
 impl PromptPlacement {
@@ -307,9 +347,13 @@
         let now = traffic.shared.now();
         let prefix_key = job.prefix_key(model);
         let holders = |prefix_key| service.prefixes.endpoints_with(now, prefix_key);
+        let weight = model_weight(traffic, job, model);
         PromptPlacement {
             prefix_key,
-            reread_work: job.reread_work(model_weight(traffic, job, model)),
+            reread_work: job.reread_work(weight),
+            timing: traffic
+                .has_load_control(&job.service)
+                .then(|| placement_timing(traffic, job, model, weight)),
             prefix_holders: prefix_key.map_or_else(Vec::new, holders),
         }
     }
@@ -371,6 +415,7 @@
             crossing_work: CROSS_DOMAIN_WORK,
         }),
         is_forwarded: job.is_forwarded,
+        timing: prompt.timing,
     };
     let now = traffic.shared.now();
     let pool = service.pool(track);
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -21,11 +21,13 @@
     may_forward_elsewhere, ForwardResult, ForwardedRequest, HolderDecline, MAX_HOSTS_PER_REQUEST,
 };
 use tidetrack_core::traffic::judge::AttemptOutcome;
+use tidetrack_core::traffic::service_times::AttemptWork;
 
 use crate::attempt::{self, EndpointResponse};
 use crate::body::ResponseBody;
 use crate::choose::{
-    attempt_work, check_before_send, model_weight, overloaded_error, RETRY_OVERLOADED_MS,
+    attempt_length, attempt_work, check_before_send, model_weight, overloaded_error,
+    RETRY_OVERLOADED_MS,
 };
 use crate::crash::{detect_crash, wait_for_crash_reports};
 use crate::forward::{set_result, take_envelope};
@@ -118,6 +120,26 @@
     traffic.with_demand(&job.service, |demand| demand.record(now, rank, objective, value));
 }
 
+/// Counts the work of an attempt among that of long or short ones, under load control.
+fn record_length(
+    traffic: &Traffic,
+    job: &Job,
+    model: Option<&ModelId>,
+    weight: f64,
+    work: AttemptWork,
+) {
+    const US_PER_S: f64 = 1e6;
+    if !traffic.has_load_control(&job.service) {
+        return;
+    }
+    let Some(length) = attempt_length(traffic, job, model, weight) else { return };
+    let own_us = traffic.service_times.borrow().estimate_start(&job.service, model, work).own_us;
+    let now = traffic.shared.now();
+    traffic.with_lengths(&job.service, |mix| {
+        mix.record(now, length, own_us / US_PER_S, work.own);
+    });
+}
+
 /// Returns why another holder may send a request to an endpoint that this host was asked for and did not send it to.
 fn holder_decline(traffic: &Traffic, endpoint: &EndpointId) -> Option<HolderDecline> {
     let now = traffic.shared.now();
@@ -288,6 +310,7 @@
     let weight = model_weight(traffic, job, model);
     let ahead = chosen.state.load(traffic.shared.now());
     let attempt_work = attempt_work(traffic, job, &chosen, weight, ahead);
+    record_length(traffic, job, model, weight, attempt_work);
     let mut pending_work = PendingWork::new(traffic, &chosen, job, weight);
     let work_ahead = chosen.state.load(traffic.shared.now());
     let started_at = Instant::now();
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -14,7 +14,7 @@
 
 use tidetrack_core::codes::Executed;
 use tidetrack_core::ids::{EndpointId, FailureDomain, HostId, ModelId, ServiceId, VersionName};
-use tidetrack_core::placement::{request_work, EndpointState};
+use tidetrack_core::placement::{request_work, EndpointState, LengthMix};
 use tidetrack_core::traffic::admission::AdmittedRequest;
 use tidetrack_core::traffic::budget::AttemptBudget;
 use tidetrack_core::traffic::exposure::SessionHash;
@@ -60,6 +60,7 @@
     /// Response times of services under load control.
     pub service_times: RefCell<ServiceTimes>,
     demands: RefCell<HashMap<ServiceId, DemandTracker>>,
+    lengths: RefCell<HashMap<ServiceId, LengthMix>>,
     /// Services whose endpoints report their present speed.
     services_with_reported_speed: RefCell<HashSet<ServiceId>>,
     /// Recent connection attempts that got no reply, by endpoint and failure domain.
@@ -101,6 +102,7 @@
             latency_estimator: RefCell::default(),
             service_times: RefCell::default(),
             demands: RefCell::default(),
+            lengths: RefCell::default(),
             services_with_reported_speed: RefCell::default(),
             crash_checks: EndpointProbes::default(),
             in_flight: Cell::new(0),
@@ -147,6 +149,11 @@
         f(self.demands.borrow_mut().entry(service.clone()).or_default())
     }
 
+    /// Calls `f` with the work that was sent to a service lately, by the length of the attempts.
+    pub fn with_lengths<T>(&self, service: &ServiceId, f: impl FnOnce(&mut LengthMix) -> T) -> T {
+        f(self.lengths.borrow_mut().entry(service.clone()).or_default())
+    }
+
     /// Calls `f` with the retry budget of a service, which is created on first use.
     pub fn with_budget<T>(
         &self,
