Load probes before long attempts

Cause: hosts know most endpoints by reports that are seconds old, while queues and speeds change several times a second; a long attempt at a slow or busy endpoint is late and holds up what runs beside it.

Change: where endpoints report their present speed, the two best candidates of a long attempt are asked on the health path, for 2% of the objective at most, and the one that is then expected to finish first is used. Unanswered probes change nothing; cold endpoints and those that fall over from refusing are not asked.

--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -25,6 +25,7 @@
 use crate::units::{Millis, Tokens};
 
 mod endpoint_state;
+pub mod probing;
 mod refusal_guard;
 mod refusal_window;
 mod separation;
@@ -363,6 +364,26 @@
         best.map_or(home_endpoint, |(e, _)| e)
     }
 
+    /// Returns the cheaper of two endpoints of the pool for a request, by what is known now.
+    pub fn cheaper_of<'a>(
+        &self,
+        now: Millis,
+        request: &PlacementRequest<'_>,
+        first: &'a PoolEndpoint,
+        second: &'a PoolEndpoint,
+    ) -> &'a PoolEndpoint {
+        let cost = |e: &PoolEndpoint| {
+            let is_held = request.prefix_holders.contains(&EndpointKey::from(&e.id));
+            let extra = if is_held { 0.0 } else { request.reread_work as f64 };
+            self.finish_cost(now, request, e, extra)
+        };
+        if cost(second) < cost(first) {
+            second
+        } else {
+            first
+        }
+    }
+
     /// Returns the cost of an endpoint that has to do `extra` work: the expected time until it
     /// finishes the request, and what its place costs beyond that.
     fn finish_cost(
--- a/crates/tidetrack-core/src/traffic/catalog.rs
+++ b/crates/tidetrack-core/src/traffic/catalog.rs
@@ -96,6 +96,8 @@
     pub memory: Option<Tokens>,
     /// Models that the engines serve; empty if the endpoints are not model engines.
     pub models: Vec<PricedModel>,
+    /// Path on which endpoints tell their load at once; `None` if there is none.
+    pub health_path: Option<String>,
     /// How endpoints behave after their start; `None` if they have their full capacity at once.
     pub cold_start: Option<ColdStart>,
 }
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -393,16 +393,75 @@
     chosen: ChosenEndpoint,
 }
 
-fn pick_untried<'a>(
+/// Returns the release track that an endpoint was chosen on.
+fn track_of(chosen: &ChosenEndpoint) -> ReleaseTrack {
+    match chosen.canary_version {
+        Some(_) => ReleaseTrack::Canary,
+        None => ReleaseTrack::Stable,
+    }
+}
+
+/// Returns the endpoint that an attempt would use if the chosen one did not exist, on the same release
+/// track. Records nothing. Returns `None` if there is none that this host sends to itself.
+pub fn plan_alternative(
     traffic: &Traffic,
     job: &Job,
-    avoided: &[EndpointId],
-    service: &'a ServiceView,
-    track: ReleaseTrack,
-    prompt: &PromptPlacement,
-) -> Result<PickedAttempt<'a>> {
+    attempts: &AttemptHistory,
+    model: Option<&ModelId>,
+    chosen: &ChosenEndpoint,
+) -> Option<ChosenEndpoint> {
+    let view = traffic.shared.view.load();
+    let service = view.services.get(&job.service)?;
+    let prompt = PromptPlacement::new(traffic, job, service, model);
+    let avoided = [attempts.tried.as_slice(), std::slice::from_ref(&chosen.id)].concat();
+    let track = track_of(chosen);
+    let planned = pick_endpoint(traffic, job, attempts, &avoided, service, track, &prompt);
+    planned.ok().filter(|e| e.forwarded_to.is_none())
+}
+
+/// Returns the better one of a chosen endpoint and an alternative by what is known now. Records the
+/// use of the shared prefix there if it is the alternative.
+pub fn recheck(
+    traffic: &Traffic,
+    job: &Job,
+    model: Option<&ModelId>,
+    chosen: &ChosenEndpoint,
+    alternative: ChosenEndpoint,
+) -> ChosenEndpoint {
+    let now = traffic.shared.now();
+    let view = traffic.shared.view.load();
+    let Some(service) = view.services.get(&job.service) else { return chosen.clone() };
+    let prompt = PromptPlacement::new(traffic, job, service, model);
+    let request = placement_request(traffic, job, &[], &prompt);
+    let pool = service.pool(track_of(chosen));
+    // An endpoint that cannot be used any more is not found.
+    let first = pool.find_usable(now, &request, &chosen.id);
+    let second = pool.find_usable(now, &request, &alternative.id);
+    let is_alternative_better = match (first, second) {
+        (Some(first), Some(second)) => {
+            pool.cheaper_of(now, &request, first, second).id == alternative.id
+        }
+        (None, Some(_)) => true,
+        _ => false,
+    };
+    if !is_alternative_better {
+        return chosen.clone();
+    }
+    if let Some(prefix_key) = prompt.prefix_key {
+        service.prefixes.record_use(now, prefix_key, EndpointKey::from(&alternative.id));
+    }
+    alternative
+}
+
+/// Builds the request that a pool picks an endpoint for.
+fn placement_request<'a>(
+    traffic: &'a Traffic,
+    job: &Job,
+    avoided: &'a [EndpointId],
+    prompt: &'a PromptPlacement,
+) -> PlacementRequest<'a> {
     let placement_key = job.facts.shared_prefix.as_deref().unwrap_or(&job.id);
-    let request = PlacementRequest {
+    PlacementRequest {
         ring_position: ring_position_of(placement_key.as_bytes()),
         salt: ring_position_of(job.id.as_bytes()).wrapping_add(avoided.len() as u64),
         required_tokens: Tokens(0),
@@ -416,7 +475,18 @@
         }),
         is_forwarded: job.is_forwarded,
         timing: prompt.timing,
-    };
+    }
+}
+
+fn pick_untried<'a>(
+    traffic: &Traffic,
+    job: &Job,
+    avoided: &[EndpointId],
+    service: &'a ServiceView,
+    track: ReleaseTrack,
+    prompt: &PromptPlacement,
+) -> Result<PickedAttempt<'a>> {
+    let request = placement_request(traffic, job, avoided, prompt);
     let now = traffic.shared.now();
     let pool = service.pool(track);
     let asked = job.asked_endpoint.as_ref().and_then(|id| pool.find_usable(now, &request, id));
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -32,6 +32,7 @@
 use crate::crash::{detect_crash, wait_for_crash_reports};
 use crate::forward::{set_result, take_envelope};
 use crate::job::{AttemptHistory, ChosenEndpoint, InFlight, Job, Traffic};
+use crate::load_probe::probe_candidates;
 use crate::pending_work::PendingWork;
 use crate::prepare::prepare;
 use crate::relay;
@@ -304,6 +305,7 @@
         Ok(chosen) => chosen,
         Err(e) => return Err(AttemptError::Final(final_error(job, attempts, e))),
     };
+    let chosen = probe_candidates(traffic, job, attempts, model, chosen).await;
     if let Err(e) = check_before_send(traffic, job, attempts, &chosen) {
         return Err(AttemptError::Final(final_error(job, attempts, e)));
     }
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -128,8 +128,12 @@
     /// Reports whether load control applies to a service: the settings call for it, or the service's
     /// endpoints report their present speed.
     pub fn has_load_control(&self, service: &ServiceId) -> bool {
-        self.shared.settings.load_control
-            || self.services_with_reported_speed.borrow().contains(service)
+        self.shared.settings.load_control || self.has_reported_speed(service)
+    }
+
+    /// Reports whether endpoints of a service report their present speed.
+    pub fn has_reported_speed(&self, service: &ServiceId) -> bool {
+        self.services_with_reported_speed.borrow().contains(service)
     }
 
     /// Records that an endpoint of a service has reported its present speed.
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod host;
 pub mod job;
 pub mod journal;
+mod load_probe;
 pub mod metrics;
 pub mod pages;
 pub mod paths;
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -54,6 +54,7 @@
     feed_reply_bytes: Counter<u64>,
     shared_tokens: Counter<u64>,
     second_runs: Counter<u64>,
+    load_probes: Counter<u64>,
     version_sends: Counter<u64>,
     version_attempts: Counter<u64>,
     evacuated_endpoints: Gauge<u64>,
@@ -86,6 +87,7 @@
             feed_reply_bytes: meter.u64_counter("tidetrack_feed_given_bytes").build(),
             shared_tokens: meter.u64_counter("tidetrack_shared_tokens").build(),
             second_runs: meter.u64_counter("tidetrack_second_runs").build(),
+            load_probes: meter.u64_counter("tidetrack_load_probes").build(),
             version_sends: meter.u64_counter("tidetrack_version_sends").build(),
             version_attempts: meter.u64_counter("tidetrack_version_attempts").build(),
             evacuated_endpoints: meter.u64_gauge("tidetrack_evacuated_endpoints").build(),
@@ -203,6 +205,16 @@
         self.second_runs.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a pair of probes of candidates, by whether they were answered in time and whether the
+    /// alternative was picked.
+    pub fn record_load_probe(&self, is_answered: bool, is_alternative_picked: bool) {
+        let labels = [
+            KeyValue::new("answered", is_answered),
+            KeyValue::new("alternative", is_alternative_picked),
+        ];
+        self.load_probes.add(1, &labels);
+    }
+
     /// Counts an attempt at a service under roll-out, by release track.
     pub fn record_version_send(&self, service: &str, side: &'static str) {
         let labels = [KeyValue::new("service", service.to_string()), KeyValue::new("side", side)];
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -9,13 +9,13 @@
 use tidetrack_core::codes::{Code, Executed};
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
-use tidetrack_core::ids::{ModelId, VersionName};
+use tidetrack_core::ids::{ModelId, ServiceId, VersionName};
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::units::{Millis, Tokens};
 
 use crate::attempt::{self, Attempt, EndpointResponse, IdEcho};
 use crate::choose::reserve_next_attempt;
-use crate::dialect::{EndpointRequestInfo, ResponseFacts};
+use crate::dialect::{EndpointRequestInfo, ReportedLoad, ResponseFacts};
 use crate::forward;
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, SilentEndpoint, Traffic};
 use crate::pending_work::PendingWork;
@@ -339,11 +339,20 @@
     response: &EndpointResponse,
 ) {
     if let Some(load) = response.facts.load {
-        if load.slowdown.is_some() {
-            traffic.record_reported_speed(&job.service);
-        }
-        let work =
-            load.running * WORK_PER_RUNNING_REQUEST + load.waiting * WORK_PER_WAITING_REQUEST;
-        chosen.state.record_load_report(traffic.shared.now(), work, Tokens(0));
+        record_load(traffic, &job.service, chosen, load);
+    }
+}
+
+/// Records the load that an endpoint of a service reports.
+pub fn record_load(
+    traffic: &Traffic,
+    service: &ServiceId,
+    chosen: &ChosenEndpoint,
+    load: ReportedLoad,
+) {
+    if load.slowdown.is_some() {
+        traffic.record_reported_speed(service);
     }
+    let work = load.running * WORK_PER_RUNNING_REQUEST + load.waiting * WORK_PER_WAITING_REQUEST;
+    chosen.state.record_load_report(traffic.shared.now(), work, Tokens(0));
 }
