Endpoint speeds: learned, exchanged between hosts, and used for slowdown and load

Cause: EndpointState::slowdown was a stub, and a host judged an endpoint's load by the hosts heard lately. The plane is not built yet.

--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -6,7 +6,7 @@
 use crate::units::{Millis, Rate, Tokens};
 
 use super::refusal_guard::RefusalGuard;
-use super::slowdown::Slowdown;
+use super::speed::EndpointSpeed;
 
 /// Half-life, in milliseconds, of the weight of an endpoint's load report.
 const REPORT_HALF_LIFE_MS: f64 = 8_000.0;
@@ -14,6 +14,14 @@
 /// How long the work reported by the other hosts is used.
 const PEER_WORK_RETENTION: Millis = Millis(1_000);
 
+/// Age up to which an endpoint's own load report is preferred to the sum of the other hosts' work where
+/// load control applies. An endpoint executes a few requests in this time.
+const FRESH_REPORT_AGE: Millis = Millis(300);
+
+/// Smallest share of the other hosts by which the work of those heard lately is divided. With fewer
+/// heard, the sum says little about the others.
+const MIN_HEARD_SHARE: f64 = 0.25;
+
 /// Weight of the newest sample in the moving average of an endpoint's pace.
 const PACE_WEIGHT: f64 = 0.2;
 
@@ -76,6 +84,12 @@
     guard: RefusalGuard,
     /// End of the time for which the endpoint asked this host to send nothing, in milliseconds.
     rests_until: AtomicU64,
+    /// Measured and reported speed.
+    pub(super) speed: EndpointSpeed,
+    /// Whether a fresh load report is preferred to the sum of the other hosts' work.
+    prefers_reports: AtomicBool,
+    /// Share of the other hosts whose work `peer_work` contains, as the bits of an `f64`.
+    heard_share: AtomicU64,
 }
 
 /// Value of `send_gap_us` if this host has no share of the endpoint's limit.
@@ -151,9 +165,10 @@
         Millis(self.reported_at.load(Ordering::Relaxed))
     }
 
-    /// Returns how long work takes at the endpoint now, as a multiple of the usual time.
-    pub fn slowdown(&self, _now: Millis) -> Slowdown {
-        Slowdown::default()
+    /// Prefers the endpoint's fresh load reports to the other hosts' work from now on. Called where
+    /// load control applies.
+    pub fn prefer_reports(&self) {
+        self.prefers_reports.store(true, Ordering::Relaxed);
     }
 
     /// Estimates the endpoint's total work in answer tokens.
@@ -172,12 +187,26 @@
         self.peer_work_at.store(now.0.max(1), Ordering::Relaxed);
     }
 
+    /// Sets the share of the other hosts that were heard lately. The work at the endpoint of those that
+    /// were not is estimated where load control applies.
+    pub fn set_heard_share(&self, share: f64) {
+        self.heard_share.store(share.clamp(MIN_HEARD_SHARE, 1.0).to_bits(), Ordering::Relaxed);
+    }
+
     /// Estimates the other hosts' work: by their own reports if these are recent, otherwise by the
-    /// endpoint's last load report.
+    /// endpoint's last load report. Where load control applies, a fresh load report comes first, and
+    /// the hosts' reports are scaled up for the hosts that were not heard lately.
     fn others_work(&self, now: Millis) -> f64 {
+        let prefers_reports = self.prefers_reports.load(Ordering::Relaxed);
+        let reported_at = self.reported_at();
+        if prefers_reports && reported_at.0 > 0 && now <= reported_at + FRESH_REPORT_AGE {
+            return self.reported_other_work.load(Ordering::Relaxed) as f64;
+        }
         let received_at = self.peer_work_at.load(Ordering::Relaxed);
         if received_at > 0 && now < Millis(received_at) + PEER_WORK_RETENTION {
-            return self.peer_work.load(Ordering::Relaxed) as f64;
+            let work = self.peer_work.load(Ordering::Relaxed) as f64;
+            let heard_share = f64::from_bits(self.heard_share.load(Ordering::Relaxed));
+            return if prefers_reports && heard_share > 0.0 { work / heard_share } else { work };
         }
         let others = self.reported_other_work.load(Ordering::Relaxed) as f64;
         let age = (now - self.reported_at()).0 as f64;
--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -28,11 +28,13 @@
 mod refusal_guard;
 mod refusal_window;
 mod slowdown;
+mod speed;
 
 pub use endpoint_state::{EndpointState, Outcomes, SendAllowance};
 pub use refusal_guard::{EndpointAccess, RefusalGuard};
 pub use refusal_window::{RefusalWindow, WindowTicket};
 pub use slowdown::Slowdown;
+pub use speed::{RelativeTimes, MAX_RELATIVE_LOG};
 
 /// `Retry-After` in milliseconds of a refusal because all endpoints are evacuated. Evacuations last for
 /// seconds at least.
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -25,6 +25,7 @@
 use crate::traffic::catalog::Catalog;
 use crate::traffic::cold_endpoints::{ColdEndpoints, ColdStart};
 use crate::traffic::endpoint_limits::EndpointLimits;
+use crate::traffic::endpoint_speeds::EndpointSpeeds;
 use crate::traffic::endpoints::EndpointTable;
 use crate::traffic::evacuations::Evacuations;
 use crate::traffic::exposure::{Exposure, ExposureBound};
@@ -107,6 +108,8 @@
     /// for rest, with the time at which the entry was missed.
     lapsed_states: HashMap<EndpointId, (Arc<EndpointState>, Millis)>,
     outliers: OutlierDetector,
+    /// Speeds of endpoints that the other hosts measured.
+    speeds: EndpointSpeeds,
     /// Newest version of the configuration that another host has proved.
     newest_reported_version: u64,
     /// By kind, whether the next list is the state of a copy from which the store was restored.
@@ -179,6 +182,7 @@
             endpoint_states: HashMap::new(),
             lapsed_states: HashMap::new(),
             outliers: OutlierDetector::default(),
+            speeds: EndpointSpeeds::default(),
             newest_reported_version: 0,
             lists_of_copy: Default::default(),
             suspects: Arc::default(),
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -5,9 +5,10 @@
 
 use crate::events::Event;
 use crate::ids::{EndpointId, EndpointKey, ServiceId, VersionName};
-use crate::placement::hash_fraction;
+use crate::placement::{hash_fraction, EndpointState};
 use crate::traffic::baseline::Baseline;
 use crate::traffic::canary::{Canary, Phase, ProgressWriter};
+use crate::traffic::endpoint_speeds::LoadControlReport;
 use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::freshness::Freshness;
 use crate::traffic::peers::{BarredVersion, PeerUpdate, ProofReport, TallyReport, ROUND_INTERVAL};
@@ -80,7 +81,10 @@
         self.has_unreported_availability = false;
         // Also while all paths work: requests are forwarded from the moment in which they are lost.
         actions.push(Action::PublishForwardTargets(self.peers.forward_targets(now)));
-        let mut messages = self.peers.round_messages(now, &self.last_update);
+        // Replies and queries don't contain speeds: a host with a special role would send many.
+        let load_control = self.exchange_speeds(now, actions);
+        let update = PeerUpdate { load_control, ..self.last_update.clone() };
+        let mut messages = self.peers.round_messages(now, &update);
         if self
             .canaries
             .values()
@@ -91,9 +95,11 @@
         actions.push(Action::SendMessages(messages));
         if !self.peers.is_empty() {
             let loads = self.peers.loads(now);
+            let heard_share = self.peers.heard_share(now);
             for (id, state) in &self.endpoint_states {
                 let work = loads.get(&EndpointKey::from(id)).copied().unwrap_or(0);
                 state.set_peer_work(now, work);
+                state.set_heard_share(heard_share);
             }
         }
         for (service, canary) in self.canaries.iter().filter(|(_, canary)| !canary.is_finished()) {
@@ -107,6 +113,19 @@
             .fold(has_view_changed, |a, b| a | b)
     }
 
+    /// Combines the measured speeds of the endpoints with those of the other hosts. Returns this host's
+    /// report for load control.
+    fn exchange_speeds(&mut self, now: Millis, actions: &mut Vec<Action>) -> LoadControlReport {
+        let states = &self.endpoint_states;
+        let records = self.table.records();
+        let endpoints: Vec<(&EndpointRecord, &EndpointState)> =
+            records.filter_map(|r| Some((r, states.get(&r.id)?.as_ref()))).collect();
+        for change in self.speeds.update_states(now, &endpoints) {
+            actions.push(Action::Log(change.event(), change.to_string()));
+        }
+        LoadControlReport { speeds: self.speeds.reports_for_round(now, &self.host, &endpoints) }
+    }
+
     /// Logs requests that were barred or cleared as causes of crashes.
     fn log_suspect_changes(&self, actions: &mut Vec<Action>) {
         for change in self.suspects.take_changes() {
--- a/crates/tidetrack-core/src/traffic/control/updates.rs
+++ b/crates/tidetrack-core/src/traffic/control/updates.rs
@@ -37,6 +37,9 @@
         self.suspects.receive_reports(now, &msg.update.suspects);
         self.limits.receive_reports(now, &msg.update.limits);
         self.brittle.receive_reports(now, &msg.update.brittle);
+        if msg.from != self.host {
+            self.speeds.receive(now, &msg.from, &msg.update.load_control.speeds);
+        }
         for report in &msg.update.tallies {
             match self.canaries.get_mut(&report.service) {
                 Some(canary) if canary.order.version == report.version => {
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 pub mod cutover_counts;
 pub mod endpoint_limits;
 pub mod endpoint_paths;
+pub mod endpoint_speeds;
 pub mod endpoints;
 pub mod evacuations;
 pub mod exposure;
--- a/crates/tidetrack-core/src/traffic/peers/messages.rs
+++ b/crates/tidetrack-core/src/traffic/peers/messages.rs
@@ -7,6 +7,7 @@
 use crate::ids::{EndpointKey, FailureDomain, HostId, ServiceId, VersionName};
 use crate::traffic::baseline::BaselineReport;
 use crate::traffic::endpoint_limits::LimitReport;
+use crate::traffic::endpoint_speeds::LoadControlReport;
 use crate::traffic::exposure::SessionReport;
 use crate::traffic::feeds::Revisions;
 use crate::traffic::judge::Tally;
@@ -76,6 +77,9 @@
     pub lost_services: Vec<ServiceId>,
     /// Whether the sender is stopping.
     pub is_leaving: bool,
+    /// The sender's report for load control. It has to be the last field, since it takes no bytes if it
+    /// is empty.
+    pub load_control: LoadControlReport,
 }
 
 /// A message from one host to another.
--- a/crates/tidetrack-core/src/traffic/peers/mod.rs
+++ b/crates/tidetrack-core/src/traffic/peers/mod.rs
@@ -387,6 +387,16 @@
         heard.map(target).collect()
     }
 
+    /// Returns the share of the other hosts that `loads` contains; 1 if there are none.
+    pub fn heard_share(&self, now: Millis) -> f64 {
+        let heard = self.peers.values().filter(|p| now < p.received_at + MAX_LOAD_AGE).count();
+        if self.is_empty() {
+            1.0
+        } else {
+            heard as f64 / self.len() as f64
+        }
+    }
+
     /// Sums the outstanding work of the other hosts at each endpoint.
     pub fn loads(&self, now: Millis) -> HashMap<EndpointKey, u64> {
         let mut loads = HashMap::new();
--- a/crates/tidetrack-core/src/traffic/service_times.rs
+++ b/crates/tidetrack-core/src/traffic/service_times.rs
@@ -38,6 +38,10 @@
 /// Variance of the logarithm of a generation's length relative to its estimate.
 const LENGTH_VARIANCE: f64 = 0.25;
 
+/// Number of responses after which a model's times tell how fast an endpoint is. Before, they are
+/// mostly the assumed ones, and a deviation from them says nothing about the endpoint.
+const MIN_LEARNED_STARTS: u32 = 32;
+
 /// Slope at which the logistic function approximates the normal distribution.
 const LOGISTIC_SLOPE: f64 = 1.702;
 
@@ -80,6 +84,8 @@
     ahead_pace_us: f64,
     token_us: f64,
     variance: f64,
+    /// Number of response starts that were learned.
+    starts: u32,
 }
 
 impl Default for ModelTimes {
@@ -90,6 +96,7 @@
             ahead_pace_us: ASSUMED_PACE_US,
             token_us: ASSUMED_TOKEN_US,
             variance: ASSUMED_VARIANCE,
+            starts: 0,
         }
     }
 }
@@ -114,6 +121,7 @@
         self.fixed_us *= step(self.fixed_us * work.slowdown);
         self.own_pace_us *= step(estimate.own_us);
         self.ahead_pace_us *= step(estimate.wait_us);
+        self.starts = self.starts.saturating_add(1);
     }
 
     fn learn_generation(&mut self, tokens: f64, measured_us: f64) {
@@ -166,6 +174,23 @@
         self.times(service, model).estimate(work)
     }
 
+    /// Returns the ratio of a measured time to the expected time of an attempt at a usual endpoint;
+    /// `None` while too few responses of the model are known. `present_slowdown` is what the endpoint
+    /// reported, which is not usual for it.
+    pub fn relative_time(
+        &self,
+        service: &ServiceId,
+        model: Option<&ModelId>,
+        work: AttemptWork,
+        present_slowdown: f64,
+        measured: std::time::Duration,
+    ) -> Option<f64> {
+        let times = self.times(service, model);
+        let expected = times.estimate(AttemptWork { slowdown: present_slowdown, ..work });
+        let ratio = measured.as_secs_f64() * 1e6 / expected.start_us;
+        (times.starts >= MIN_LEARNED_STARTS).then_some(ratio)
+    }
+
     /// Returns the probability that a generation ends within a time from the sending of its
     /// attempt.
     pub fn completion_probability(
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -14,13 +14,14 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::{EndpointId, ModelId};
-use tidetrack_core::placement::{EndpointAccess, EndpointState};
+use tidetrack_core::placement::{EndpointAccess, EndpointState, Slowdown};
 use tidetrack_core::retry::{may_retry, FailedAttempt};
 use tidetrack_core::traffic::cascade;
 use tidetrack_core::traffic::forwarding::{
     may_forward_elsewhere, ForwardResult, ForwardedRequest, HolderDecline, MAX_HOSTS_PER_REQUEST,
 };
 use tidetrack_core::traffic::judge::AttemptOutcome;
+use tidetrack_core::traffic::service_times::AttemptWork;
 
 use crate::attempt::{self, EndpointResponse};
 use crate::body::ResponseBody;
@@ -290,6 +291,7 @@
     let attempt_work = attempt_work(traffic, job, &chosen, weight, ahead);
     let mut pending_work = PendingWork::new(traffic, &chosen, job, weight);
     let work_ahead = chosen.state.load(traffic.shared.now());
+    let present_slowdown = chosen.state.present_slowdown(traffic.shared.now());
     let started_at = Instant::now();
     match send(traffic, job, attempts, &chosen, &pending_work, model, None).await {
         Ok(response) => {
@@ -301,11 +303,15 @@
                     elapsed_us,
                 );
                 if traffic.has_load_control(&job.service) {
-                    traffic.service_times.borrow_mut().record_start(
-                        &job.service,
+                    let took = started_at.elapsed();
+                    record_start(
+                        traffic,
+                        job,
+                        &chosen,
                         model,
                         attempt_work,
-                        started_at.elapsed(),
+                        present_slowdown,
+                        took,
                     );
                 }
             }
@@ -332,6 +338,28 @@
     }
 }
 
+/// Records how long a response took to start, for its model and for the speed of its endpoint.
+fn record_start(
+    traffic: &Traffic,
+    job: &Job,
+    chosen: &ChosenEndpoint,
+    model: Option<&ModelId>,
+    work: AttemptWork,
+    present_slowdown: Slowdown,
+    took: Duration,
+) {
+    let mut times = traffic.service_times.borrow_mut();
+    // The slowness of a new version is for its roll-out to judge, by comparison with the stable ones.
+    if chosen.canary_version.is_none() {
+        let present = present_slowdown.multiple();
+        let ratio = times.relative_time(&job.service, model, work, present, took);
+        ratio.into_iter().for_each(|ratio| {
+            chosen.state.record_relative_time(traffic.shared.now(), ratio);
+        });
+    }
+    times.record_start(&job.service, model, work, took);
+}
+
 /// Reports whether another attempt is allowed after a failed one, by attempt count, time and repeatability.
 fn can_attempt_again(job: &Job, attempts: &AttemptHistory) -> bool {
     let route = &job.admitted.route;
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -344,6 +344,15 @@
         }
         let work =
             load.running * WORK_PER_RUNNING_REQUEST + load.waiting * WORK_PER_WAITING_REQUEST;
-        chosen.state.record_load_report(traffic.shared.now(), work, Tokens(0));
+        let now = traffic.shared.now();
+        chosen.state.record_load_report(now, work, Tokens(0));
+        if traffic.has_load_control(&job.service) {
+            if let Some(slowdown) = load.slowdown {
+                chosen.state.record_reported_slowdown(now, slowdown);
+            }
+            if load.slots.is_some() {
+                chosen.state.prefer_reports();
+            }
+        }
     }
 }
--- a/crates/tidetrack-plane/tests/messages.rs
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -1,7 +1,12 @@
 //! Encoded sizes of the messages between hosts.
 
 use tidetrack_core::ids::{EndpointId, EndpointKey};
+use tidetrack_core::placement::RelativeTimes;
 use tidetrack_core::traffic::baseline::Baseline;
+use tidetrack_core::traffic::endpoint_speeds::{
+    IncarnationHash, LoadControlReport, SpeedReport, REPORTS_PER_MESSAGE,
+};
+use tidetrack_core::traffic::endpoints::EndpointRecord;
 use tidetrack_core::traffic::judge::{AttemptOutcome, Judge, ObservedResponse, Tally};
 use tidetrack_core::traffic::peers::{PeerMessage, PeerUpdate, ProofReport, TallyReport};
 use tidetrack_core::traffic::prefix_index::{PrefixIndex, PrefixKey};
@@ -131,3 +136,63 @@
         assert!(postcard::from_bytes::<PeerMessage>(&bytes[..len]).is_err(), "{len} bytes");
     }
 }
+
+/// Maximum encoded size, in bytes, of the measured speeds in a message. 32 messages per second then take
+/// 4.1 KB/s, and load control may add 8 KB/s to a host's control traffic.
+const MAX_SPEED_REPORT_BYTES: usize = 129;
+
+fn message_with_speeds(endpoints: usize) -> PeerMessage {
+    let report = |i| {
+        let record = EndpointRecord {
+            id: format!("i-{i:010}").parse().expect("the endpoint ID parses"),
+            service: "model-service".parse().expect("the service name parses"),
+            address: "10.1.0.40:8229".parse().expect("the address parses"),
+            failure_domain: "some-hall".parse().expect("the failure domain parses"),
+            version: "v1".parse().expect("the version name parses"),
+            slots: 24,
+            started: Some(Millis(604_800_000)),
+            is_leaving: false,
+            cold_for: Millis(0),
+        };
+        let times = RelativeTimes::new(Millis(0), 0.9, 50.0);
+        SpeedReport::new(EndpointKey::from(&record.id), IncarnationHash::of(&record), times)
+    };
+    let mut message = message(20);
+    message.update.load_control =
+        LoadControlReport { speeds: (0..endpoints).map(report).collect() };
+    message
+}
+
+fn encode(message: &PeerMessage) -> Vec<u8> {
+    postcard::to_allocvec(message).expect("the message is serialized")
+}
+
+#[test]
+fn measured_speeds_take_a_bounded_number_of_bytes_and_none_where_nothing_was_measured() {
+    let without = encode(&message(20));
+
+    let none = encode(&message_with_speeds(0));
+    let all = encode(&message_with_speeds(REPORTS_PER_MESSAGE));
+
+    println!("bytes of the speeds in a message: {}", all.len() - without.len());
+    assert_eq!(none, without);
+    assert_eq!(
+        all[..without.len()],
+        without,
+        "a host without load control reads the rest as before"
+    );
+    assert!(all.len() - without.len() <= MAX_SPEED_REPORT_BYTES, "{}", all.len() - without.len());
+}
+
+#[test]
+fn messages_with_speeds_round_trip_and_unreadable_speeds_are_ignored() {
+    let message = message_with_speeds(REPORTS_PER_MESSAGE);
+    let bytes = encode(&message);
+
+    let whole = postcard::from_bytes::<PeerMessage>(&bytes);
+    let truncated = postcard::from_bytes::<PeerMessage>(&bytes[..bytes.len() - 3]);
+
+    assert_eq!(whole.expect("the message is deserialized"), message);
+    let rest = truncated.expect("the rest of the message is deserialized");
+    assert_eq!(rest, message_with_speeds(0));
+}
