--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -30,12 +30,14 @@
 mod refusal_window;
 mod separation;
 mod slowdown;
+mod speed;
 
 pub use endpoint_state::{EndpointState, Outcomes, SendAllowance};
 pub use refusal_guard::{EndpointAccess, RefusalGuard};
 pub use refusal_window::{RefusalWindow, WindowTicket};
 pub use separation::{AttemptLength, LengthMix, Separation};
 pub use slowdown::Slowdown;
+pub use speed::{RelativeTimes, MAX_RELATIVE_LOG};
 
 /// `Retry-After` in milliseconds of a refusal because all endpoints are evacuated. Evacuations last for
 /// seconds at least.
