--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -18,6 +18,10 @@
 /// load control applies. An endpoint executes a few requests in this time.
 const FRESH_REPORT_AGE: Millis = Millis(300);
 
+/// Half-life, in milliseconds, of the reported work where load control applies. Queues of an
+/// overloaded endpoint take about a second to drain.
+const QUEUE_HALF_LIFE_MS: f64 = 1_000.0;
+
 /// Smallest share of the other hosts by which the work of those heard lately is divided. With fewer
 /// heard, the sum says little about the others.
 const MIN_HEARD_SHARE: f64 = 0.25;
@@ -199,14 +203,21 @@
     fn others_work(&self, now: Millis) -> f64 {
         let prefers_reports = self.prefers_reports.load(Ordering::Relaxed);
         let reported_at = self.reported_at();
+        let reported = self.reported_other_work.load(Ordering::Relaxed) as f64;
         if prefers_reports && reported_at.0 > 0 && now <= reported_at + FRESH_REPORT_AGE {
-            return self.reported_other_work.load(Ordering::Relaxed) as f64;
+            return reported;
         }
         let received_at = self.peer_work_at.load(Ordering::Relaxed);
         if received_at > 0 && now < Millis(received_at) + PEER_WORK_RETENTION {
             let work = self.peer_work.load(Ordering::Relaxed) as f64;
             let heard_share = f64::from_bits(self.heard_share.load(Ordering::Relaxed));
-            return if prefers_reports && heard_share > 0.0 { work / heard_share } else { work };
+            if !prefers_reports || heard_share <= 0.0 {
+                return work;
+            }
+            // A long queue outlives the report of it, and other hosts' reports lag behind.
+            let age = (now - reported_at).0 as f64;
+            let remaining = reported * (-age / QUEUE_HALF_LIFE_MS).exp2();
+            return (work / heard_share).max(remaining);
         }
         let others = self.reported_other_work.load(Ordering::Relaxed) as f64;
         let age = (now - self.reported_at()).0 as f64;
--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -35,7 +35,7 @@
 pub use endpoint_state::{EndpointState, Outcomes, SendAllowance};
 pub use refusal_guard::{EndpointAccess, RefusalGuard};
 pub use refusal_window::{RefusalWindow, WindowTicket};
-pub use separation::{AttemptLength, LengthMix, Separation};
+pub use separation::{AttemptLength, LengthMix, SentWork, Separation};
 pub use slowdown::Slowdown;
 pub use speed::{RelativeTimes, MAX_RELATIVE_LOG};
 
--- a/crates/tidetrack-core/src/placement/separation.rs
+++ b/crates/tidetrack-core/src/placement/separation.rs
@@ -62,9 +62,24 @@
 struct KindWork {
     count: f64,
     seconds: f64,
+    /// Seconds, each weighted by the rank of its request.
+    weighted: f64,
     tokens: f64,
 }
 
+/// Work of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct SentWork {
+    /// Length of the attempt.
+    pub length: AttemptLength,
+    /// Time that it occupies its endpoint, in seconds.
+    pub seconds: f64,
+    /// The same in answer tokens.
+    pub tokens: f64,
+    /// How much a wait of its request counts, by its rank.
+    pub weight: f64,
+}
+
 /// Work that a host has sent lately to the endpoints of one service, by length.
 #[derive(Clone, Debug, Default)]
 pub struct LengthMix {
@@ -74,23 +89,25 @@
 }
 
 impl LengthMix {
-    /// Records an attempt with its work, in seconds of an endpoint's time and in answer tokens.
-    pub fn record(&mut self, now: Millis, length: AttemptLength, seconds: f64, tokens: f64) {
+    /// Records an attempt.
+    pub fn record(&mut self, now: Millis, work: SentWork) {
         let age = (now - self.updated_at).0 as f64 / AVERAGING_TIME.0 as f64;
         let factor = (-age).exp();
         for kind in [&mut self.short, &mut self.long] {
             kind.count *= factor;
             kind.seconds *= factor;
+            kind.weighted *= factor;
             kind.tokens *= factor;
         }
         self.updated_at = now;
-        let kind = match length {
+        let kind = match work.length {
             AttemptLength::Short => &mut self.short,
             AttemptLength::Long => &mut self.long,
         };
         kind.count += 1.0;
-        kind.seconds += seconds;
-        kind.tokens += tokens;
+        kind.seconds += work.seconds;
+        kind.weighted += work.seconds * work.weight;
+        kind.tokens += work.tokens;
     }
 
     /// Returns the preference of an attempt; `None` while one of the kinds hardly occurs.
@@ -99,8 +116,8 @@
         if !has_both {
             return None;
         }
-        // Shares in proportion to the square roots of the work minimise the sum of the waits.
-        let (long, short) = (self.long.seconds.sqrt(), self.short.seconds.sqrt());
+        // Shares in proportion to the square roots minimise the weighted sum of the waits.
+        let (long, short) = (self.long.weighted.sqrt(), self.short.weighted.sqrt());
         let long_share = long / (long + short);
         Some(Separation {
             length,
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -14,7 +14,7 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::{EndpointId, ModelId};
-use tidetrack_core::placement::{EndpointAccess, EndpointState, Slowdown};
+use tidetrack_core::placement::{EndpointAccess, EndpointState, SentWork, Slowdown};
 use tidetrack_core::retry::{may_retry, FailedAttempt};
 use tidetrack_core::traffic::cascade;
 use tidetrack_core::traffic::forwarding::{
@@ -136,9 +136,10 @@
     let Some(length) = attempt_length(traffic, job, model, weight) else { return };
     let own_us = traffic.service_times.borrow().estimate_start(&job.service, model, work).own_us;
     let now = traffic.shared.now();
-    traffic.with_lengths(&job.service, |mix| {
-        mix.record(now, length, own_us / US_PER_S, work.own);
-    });
+    let rank = job.admitted.rank();
+    let weight = traffic.with_demand(&job.service, |demand| demand.rank_weight(rank));
+    let sent = SentWork { length, seconds: own_us / US_PER_S, tokens: work.own, weight };
+    traffic.with_lengths(&job.service, |mix| mix.record(now, sent));
 }
 
 /// Returns why another holder may send a request to an endpoint that this host was asked for and did not send it to.
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -114,7 +114,15 @@
         on_head: &|facts| {
             record_announcements(traffic, chosen, facts);
             match facts.has_not_executed {
-                true => record_refusal(traffic, &job.id, chosen, pending_work, facts),
+                true => {
+                    record_refusal(traffic, &job.id, chosen, pending_work, facts);
+                    // A full endpoint would otherwise look like an idle one to this host.
+                    if let Some(load) =
+                        facts.load.filter(|_| traffic.has_load_control(&job.service))
+                    {
+                        record_load(traffic, &job.service, chosen, load);
+                    }
+                }
                 false => pending_work.record_accepted(shared.now()),
             }
             record_reported_limit(traffic, chosen, facts);
