Endpoint speeds: restart test sees the view that the restart publishes

Cause: the test missed the view, which is published with the restart itself. Run: endpoint_speeds (core) 14 passed; messages (plane) 6 passed.

--- a/crates/tidetrack-core/tests/endpoint_speeds.rs
+++ b/crates/tidetrack-core/tests/endpoint_speeds.rs
@@ -9,9 +9,7 @@
 use rand::{RngExt, SeedableRng};
 
 use support::fleet::{Fleet, FleetHost, CLOCK_STEP_MS};
-use support::{
-    endpoint_record, freshness_confirmed_at, host, id, message_from, state_without_rollout,
-};
+use support::{endpoint_record, freshness_confirmed_at, id, message_from, state_without_rollout};
 use tidetrack_core::ids::{EndpointId, EndpointKey, ServiceId};
 use tidetrack_core::placement::{EndpointState, PoolEndpoint, RelativeTimes, Slowdown};
 use tidetrack_core::traffic::control::{Action, FleetState, Input};
@@ -334,12 +332,13 @@
     let before = states[&first.id].slowdown(Millis(0)).multiple();
 
     let restarted = EndpointRecord { started: Some(Millis(2)), ..first.clone() };
-    fleet_state.handle_input(Millis(500), Input::Endpoint(restarted), &freshness);
+    let restart = Input::Endpoint(restarted);
+    let actions = fleet_state.handle_input(Millis(500), restart, &freshness);
+    let mut view = support::last_published_view(&actions);
     for number in 3..=6 {
         let message = Box::new(absurd_message(number, 600, 0..1));
         fleet_state.handle_input(Millis(600), Input::PeerMessageReceived(message), &freshness);
     }
-    let mut view = None;
     for now in (650..1_500).step_by(CLOCK_STEP_MS) {
         let actions = fleet_state.handle_input(Millis(now), Input::Tick, &freshness);
         view = support::last_published_view(&actions).or(view);
