Slow readers: streams are read while their callers are behind, within a bound

Cause: the relay stopped reading from the endpoint while its caller read slowly, so the endpoint held the response and cut it after some seconds. Change: under load control, responses are queued per caller and counted against a bound per stream and per host (limits.memory-mb). Above the host's bound, responses are aborted, fairly by workspace (E322). A caller that reads nothing for as long as its request may take is disconnected.

--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -97,6 +97,7 @@
     RequestForwarded, 317, "a request is forwarded to another host";
     ForwardEnded, 318, "another host answered or declined a forwarded request";
     PathSuspected, 319, "probes decide whether the network paths to the endpoints of a service are lost";
+    StreamShed, 322, "a response was aborted because its caller read too slowly and the host's bound for held bytes was exceeded, or because the caller read nothing for as long as its request may take";
     SegmentWritten, 400, "a segment of the ledger was written to the object API";
     SegmentTaken, 401, "another host had already written the segment; the remaining bills were queued again";
     SegmentFailed, 402, "a segment of the ledger could not be written; the write is retried";
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -35,6 +35,7 @@
 pub mod peers;
 pub mod prefix_index;
 pub mod reachability;
+pub mod reader_backlog;
 pub mod retired_keys;
 pub mod samples;
 pub mod scarcity;
--- a/crates/tidetrack-core/src/units.rs
+++ b/crates/tidetrack-core/src/units.rs
@@ -71,6 +71,12 @@
     f64,
     " Mbit/s"
 );
+number_unit!(
+    /// An amount of memory, in megabytes of 1,048,576 bytes.
+    MemorySize,
+    f64,
+    " MB"
+);
 number_unit!(
     /// A fraction of a total, from 0 to 1.
     Share,
@@ -115,6 +121,13 @@
     }
 }
 
+impl MemorySize {
+    /// Returns the number of bytes.
+    pub fn bytes(self) -> f64 {
+        self.0 * 1_048_576.0
+    }
+}
+
 impl Bandwidth {
     /// Returns the number of bytes that the link transfers in a duration.
     pub fn bytes_in(self, span: Millis) -> u64 {
--- a/crates/tidetrack-plane/src/body.rs
+++ b/crates/tidetrack-plane/src/body.rs
@@ -7,6 +7,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::backlog::BacklogReceiver;
+
 /// Maximum number of body chunks queued for a slow caller; beyond that, reading from the endpoint
 /// pauses.
 pub const MAX_QUEUED_CHUNKS: usize = 16;
@@ -30,6 +32,8 @@
 enum Source {
     Complete(Option<Bytes>),
     Channel(mpsc::Receiver<BodyChunk>),
+    /// A buffer, and the number of bytes that remain if the length is known.
+    Backlog(BacklogReceiver, Option<u64>),
 }
 
 /// Body of a response. The `on_end` callbacks run when the connection has finished with it.
@@ -55,6 +59,18 @@
         ResponseBody { source: Source::Channel(rx), on_end: None }
     }
 
+    /// Creates a body that is read from a buffer; `length` is its length if it is known.
+    pub fn from_backlog(buffer: BacklogReceiver, length: Option<u64>) -> ResponseBody {
+        ResponseBody { source: Source::Backlog(buffer, length), on_end: None }
+    }
+
+    /// Sets the callback that ends the connection when a buffered body is shed.
+    pub fn set_abort_callback(&self, f: impl FnOnce() + 'static) {
+        if let Source::Backlog(buffer, _) = &self.source {
+            buffer.set_abort_callback(f);
+        }
+    }
+
     /// Adds a callback that runs when the connection has finished with the body, after those added
     /// before.
     pub fn on_end(mut self, f: impl FnOnce() + 'static) -> ResponseBody {
@@ -90,14 +106,21 @@
                 Poll::Ready(bytes.take().filter(|b| !b.is_empty()).map(|b| Ok(Frame::data(b))))
             }
             Source::Channel(rx) => rx.poll_recv(cx).map(|chunk| chunk.map(|c| c.map(Frame::data))),
+            Source::Backlog(buffer, remaining) => Pin::new(buffer).poll_next(cx).map(|chunk| {
+                if let (Some(Ok(bytes)), Some(remaining)) = (&chunk, remaining) {
+                    *remaining = remaining.saturating_sub(bytes.len() as u64);
+                }
+                chunk.map(|c| c.map(Frame::data))
+            }),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(
-            &self.source,
-            Source::Complete(bytes) if bytes.as_ref().is_none_or(Bytes::is_empty)
-        )
+        match &self.source {
+            Source::Complete(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Source::Backlog(_, remaining) => *remaining == Some(0),
+            Source::Channel(_) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -105,7 +128,8 @@
             Source::Complete(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Source::Channel(_) => SizeHint::default(),
+            Source::Backlog(_, Some(remaining)) => SizeHint::with_exact(*remaining),
+            Source::Channel(_) | Source::Backlog(_, None) => SizeHint::default(),
         }
     }
 }
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -428,7 +428,11 @@
         traffic.shared.suspects.record_completion(traffic.shared.now(), &job.fingerprints);
     }
     record_response(traffic, job, chosen, model, head.status.as_u16());
-    let mut resp = Response::new(ResponseBody::from_bytes(body));
+    let body = match traffic.has_load_control(&job.service) {
+        true => traffic.backlog.whole_response(job, body),
+        false => ResponseBody::from_bytes(body),
+    };
+    let mut resp = Response::new(body);
     *resp.status_mut() = head.status;
     *resp.headers_mut() = (traffic.shared.dialect.build_caller_head)(head.headers);
     Ok(resp)
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -29,6 +29,7 @@
 use tidetrack_core::traffic::suspects::RunningRequest;
 use tidetrack_core::units::{Millis, Tokens};
 
+use crate::backlog::{HeldBody, HostBacklog};
 use crate::clock::BootInstant;
 use crate::crash::EndpointProbes;
 use crate::dialect::RequestFacts;
@@ -59,6 +60,8 @@
     pub latency_estimator: RefCell<LatencyEstimator>,
     /// Response times of services under load control.
     pub service_times: RefCell<ServiceTimes>,
+    /// Bytes held for callers under load control.
+    pub backlog: Rc<HostBacklog>,
     demands: RefCell<HashMap<ServiceId, DemandTracker>>,
     /// Services whose endpoints report their present speed.
     services_with_reported_speed: RefCell<HashSet<ServiceId>>,
@@ -90,6 +93,7 @@
             RefCell::new(ReachabilityTracker::new(shared.settings.failure_domain.clone()));
         Traffic {
             reachability,
+            backlog: HostBacklog::new(&shared),
             shared,
             pool: Pool::for_endpoints(),
             paths: PathMonitor::default(),
@@ -212,6 +216,8 @@
     pub headers: HeaderMap,
     /// Complete request body.
     pub body: Bytes,
+    /// Guard that counts the body against the memory bound of the host, under load control.
+    pub held_body: Option<HeldBody>,
     /// When the request head had been read.
     pub started_at: Instant,
     /// When the request times out, on the clock of the timers, which stops while the machine is suspended.
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -61,6 +61,8 @@
     path_probes: Counter<u64>,
     forwards: Counter<u64>,
     refusals: Counter<u64>,
+    held_bytes: Gauge<u64>,
+    shed_streams: Counter<u64>,
     first_byte: Histogram<f64>,
 }
 
@@ -93,6 +95,8 @@
             path_probes: meter.u64_counter("tidetrack_path_probes").build(),
             forwards: meter.u64_counter("tidetrack_forwarded_requests").build(),
             refusals: meter.u64_counter("tidetrack_endpoint_refusals").build(),
+            held_bytes: meter.u64_gauge("tidetrack_held_bytes").build(),
+            shed_streams: meter.u64_counter("tidetrack_shed_streams").build(),
             first_byte: histogram.with_boundaries(HISTOGRAM_BOUNDS_MS.to_vec()).build(),
             registry,
             _meter_provider: provider,
@@ -243,6 +247,16 @@
         self.refusals.add(1, &[KeyValue::new("brittle", is_brittle)]);
     }
 
+    /// Records the number of bytes held for callers.
+    pub fn record_held_bytes(&self, bytes: u64) {
+        self.held_bytes.record(bytes, &[]);
+    }
+
+    /// Counts a response that was aborted because of its slow caller, by reason.
+    pub fn record_shed_stream(&self, reason: &'static str) {
+        self.shed_streams.add(1, &[KeyValue::new("why", reason)]);
+    }
+
     /// Counts messages sent to other hosts.
     pub fn record_sent_peer_messages(&self, n: usize) {
         self.peer_messages.add(n as u64, &[KeyValue::new("result", "sent")]);
--- a/crates/tidetrack-plane/src/prepare.rs
+++ b/crates/tidetrack-plane/src/prepare.rs
@@ -134,7 +134,10 @@
             ("time_ms", &timeout.as_millis()),
         ],
     );
+    let held_body =
+        traffic.has_load_control(&service).then(|| traffic.backlog.hold_request_body(body.len()));
     Ok(Job {
+        held_body,
         id,
         is_forwarded,
         asked_endpoint,
--- a/crates/tidetrack-plane/src/relay/mod.rs
+++ b/crates/tidetrack-plane/src/relay/mod.rs
@@ -11,52 +11,40 @@
 //! work on one response for long.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use http::Response;
-use tokio::sync::mpsc;
-
 use tidetrack_core::codes::{Code, Executed};
 use tidetrack_core::disconnect::DisconnectCause;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::ModelId;
-use tidetrack_core::placement::EndpointState;
 use tidetrack_core::traffic::catalog::WorkKind;
 use tidetrack_core::traffic::judge::AttemptOutcome;
 
 use crate::attempt::EndpointResponse;
-use crate::body::{BodyChunk, ResponseAborted, ResponseBody};
-use crate::choose::choose_resume_endpoint;
-use crate::crash::{detect_crash, wait_for_crash_reports};
+use crate::backlog::Sent;
+use crate::body::ResponseBody;
+use crate::crash::detect_crash;
 use crate::events::StreamEvent;
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, SilentEndpoint, Traffic};
 use crate::pending_work::PendingWork;
 use crate::report::{record_failed_attempt, record_response, report_attempt, AttemptObservation};
-use crate::send::{record_dropped_attempt, send};
-use crate::stall_aware_sleep::stall_aware_sleep;
+use crate::send::record_dropped_attempt;
 
+mod caller_stream;
+mod resume;
 mod source;
 
+use caller_stream::CallerStream;
+use resume::{resume_elsewhere, timeout_error, wait_for_silence};
 use source::{Source, StreamItem};
 
-/// Multiple of the route's maximum event gap after which a stream is resumed elsewhere, if its
-/// endpoint sent nothing at all meanwhile. A new attempt has to read the prompt again, so it is
-/// better to wait through a short stall.
-const SILENT_GAP_RATIO: f64 = 1.3;
-
-/// Multiple of the maximum event gap that applies if the endpoint serves other requests meanwhile.
-const STALLED_GAP_RATIO: f64 = 3.0;
-
 /// How long a silent endpoint is listened to after the request was written to another one. Two
 /// endpoints must not work on a stream for 400 ms, and a host with a fraction of a core sees its
 /// timers fire up to 100 ms late.
 const MAX_CONCURRENT_TIME: Duration = Duration::from_millis(250);
 
-/// Maximum gap between events if the route does not set one.
-const DEFAULT_MAX_EVENT_GAP: Duration = Duration::from_millis(1_200);
-
 /// A stream that is forwarded to a caller.
 pub struct StreamRelay {
     traffic: Rc<Traffic>,
@@ -109,7 +97,7 @@
                 return Err(e);
             }
         };
-        let (tx, body) = ResponseBody::channel();
+        let (tx, body) = CallerStream::new(&self.traffic, &self.job);
         let head = self.head.take().ok_or_else(|| {
             Error::new(Code::Internal, "the head of the response was already taken")
         })?;
@@ -127,11 +115,12 @@
     /// recovered from.
     async fn relay_items(
         mut self,
-        tx: mpsc::Sender<BodyChunk>,
+        tx: CallerStream,
         first_item: StreamItem,
         mut tries: AttemptHistory,
     ) {
         let mut next = Ok(first_item);
+        let time_limit = self.job.deadline.saturating_duration_since(self.job.started_at);
         loop {
             match next {
                 Ok(StreamItem::Event(event)) => {
@@ -141,20 +130,24 @@
                         next = Err(e);
                         continue;
                     }
-                    if tx.send(Ok(event.bytes)).await.is_err() {
-                        return self.record_caller_left();
+                    if tx.send(event.bytes, self.job.deadline).await == Sent::NoReader {
+                        return self.record_caller_left(&tx);
                     }
                 }
-                Ok(StreamItem::End) => return self.finish(),
+                Ok(StreamItem::End) => {
+                    self.finish();
+                    return tx.finish(time_limit).await;
+                }
                 Err(e) => {
                     if let Err(e) = self.resume(&mut tries, e).await {
-                        return self.abort_response(&tx, &e).await;
+                        self.abort_response(&e);
+                        return tx.abort(time_limit).await;
                     }
                 }
             }
             next = tokio::select! {
                 next = self.next(&mut tries) => next,
-                () = tx.closed() => return self.record_caller_left(),
+                () = tx.closed() => return self.record_caller_left(&tx),
             };
         }
     }
@@ -386,15 +379,18 @@
         report_attempt(&self.traffic, &self.job, &source.chosen, self.model.as_ref(), &observation);
     }
 
-    fn record_caller_left(mut self) {
+    fn record_caller_left(mut self, tx: &CallerStream) {
         self.report_progress(AttemptOutcome::CallerLeft);
+        if tx.is_shed() {
+            return;
+        }
         let fields: [(&'static str, &dyn std::fmt::Display); 2] =
             [("request", &self.job.id), ("events", &self.event_count)];
         self.traffic.shared.journal.log(Event::CallerLeft, &fields);
     }
 
-    /// Aborts the caller's connection, so that the stream does not look complete.
-    async fn abort_response(mut self, tx: &mpsc::Sender<BodyChunk>, reason: &Error) {
+    /// Reports and logs that the caller's response is aborted.
+    fn abort_response(mut self, reason: &Error) {
         self.report_progress(AttemptOutcome::Interrupted);
         self.traffic.shared.journal.log(
             Event::AnswerCut,
@@ -407,94 +403,5 @@
                 ("broke", &reason.disconnect_cause.map_or("-", DisconnectCause::as_str)),
             ],
         );
-        // The caller may have disconnected already.
-        let _ = tx.send(Err(ResponseAborted)).await;
-    }
-}
-
-fn timeout_error(text: &str) -> Error {
-    Error::new(Code::Deadline, text).with_executed(Executed::Yes)
-}
-
-/// Waits until a silent stream is to be resumed elsewhere. Returns whether its endpoint has sent nothing
-/// for other requests either.
-async fn wait_for_silence(traffic: &Traffic, job: &Job, live: Arc<EndpointState>) -> bool {
-    let max_gap = job
-        .admitted
-        .route
-        .max_event_gap
-        .map_or(DEFAULT_MAX_EVENT_GAP, |gap| Duration::from_millis(gap.0));
-    let since = traffic.shared.now();
-    let (silent_timeout, stalled_timeout) =
-        (max_gap.mul_f64(SILENT_GAP_RATIO), max_gap.mul_f64(STALLED_GAP_RATIO));
-    stall_aware_sleep(silent_timeout).await;
-    let is_endpoint_silent = !live.was_active_since(since);
-    if !is_endpoint_silent {
-        stall_aware_sleep(stalled_timeout.saturating_sub(silent_timeout)).await;
-    }
-    is_endpoint_silent
-}
-
-/// Sends the request to other endpoints, one after another, to resume the stream after
-/// `last_event_id`. Returns the first successful response; fails if no attempts are left or the
-/// request's time is over.
-///
-/// While a silent endpoint is listened to, an attempt that reaches no endpoint is refunded: a
-/// stream may stall often, and attempts are reserved for interruptions. Connects are limited per
-/// search, and the searches are spaced out by the silence before each of them.
-async fn resume_elsewhere(
-    traffic: &Rc<Traffic>,
-    job: &Job,
-    model: Option<&ModelId>,
-    last_event_id: Option<u64>,
-    tries: &mut AttemptHistory,
-) -> Result<(http::response::Parts, Source)> {
-    tries.connect_failures = 0;
-    loop {
-        wait_for_crash_reports(traffic, job).await;
-        traffic.paths.wait_for_decision(&job.service, job.deadline).await;
-        let (chosen, work_share) = match choose_resume_endpoint(traffic, job, tries, model) {
-            Ok(chosen) => chosen,
-            Err(e) => {
-                let is_restored = e.code == Code::NoPath
-                    && !job.is_forwarded
-                    && traffic.paths.wait_for_return(traffic, &job.service, job.deadline).await;
-                if is_restored {
-                    continue;
-                }
-                return Err(e);
-            }
-        };
-        let sent_at = Instant::now();
-        let error = match send(traffic, job, tries, &chosen, &work_share, model, last_event_id)
-            .await
-        {
-            Ok(response) if response.head.status.is_success() => {
-                return Ok(Source::new(response, chosen, work_share, sent_at, last_event_id));
-            }
-            Ok(response) => {
-                let text =
-                    format!("the request to resume the stream got status {}", response.head.status);
-                Error::new(Code::EndpointFailed, text).with_executed(Executed::Yes)
-            }
-            Err(e) => e,
-        };
-        if error.disconnect_cause.is_some() || error.executed == Executed::No {
-            work_share.record_closed();
-        }
-        record_failed_attempt(traffic, job, &chosen, model, &error, sent_at.elapsed());
-        detect_crash(traffic, job, &chosen, &error, sent_at).await;
-        // An endpoint whose attempt timed out may still work on the response for a moment.
-        if let Some(held) = tries.silent_endpoint.as_ref().filter(|_| error.code != Code::Deadline)
-        {
-            held.record_replacement_failure();
-        }
-        let has_silent_endpoint =
-            tries.silent_endpoint.as_ref().is_some_and(|held| held.is_listening());
-        let has_exhausted_connects =
-            has_silent_endpoint && tries.connect_failures >= job.admitted.route.max_attempts;
-        if has_exhausted_connects || job.is_expired() {
-            return Err(error);
-        }
     }
 }
--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -56,6 +56,8 @@
 struct ConnectionState {
     phase: Cell<ConnectionPhase>,
     changed: Notify,
+    /// Signalled when the response in progress is aborted and its caller may not be reading.
+    aborted: Notify,
     /// Number of requests received.
     requests: Cell<u32>,
     /// When the connection was accepted or the last response was completely written.
@@ -72,6 +74,7 @@
         ConnectionState {
             phase: Cell::new(ConnectionPhase::Idle(now)),
             changed: Notify::new(),
+            aborted: Notify::new(),
             requests: Cell::new(0),
             idle_since: Cell::new(now),
             is_closed_by_caller: Cell::new(false),
@@ -364,6 +367,8 @@
                 shutdown_reason = Some(CloseReason::IdleTimeout);
                 conn.as_mut().graceful_shutdown();
             }
+            // A caller that reads nothing keeps the HTTP library from taking the end of the body.
+            () = state.aborted.notified() => return Some(CloseReason::ResponseAborted),
             () = wait_for_closing(&mut stage), if shutdown_reason.is_none() => {
                 shutdown_reason = Some(CloseReason::HostStop);
                 conn.as_mut().graceful_shutdown();
@@ -396,5 +401,7 @@
 ) -> Result<HandlerResponse, Infallible> {
     state.record_request();
     let resp = handler(req).await;
+    let aborted = state.clone();
+    resp.body().set_abort_callback(move || aborted.aborted.notify_one());
     Ok(resp.map(|body| body.on_end(move || state.record_response_end())))
 }
--- a/crates/tidetrack-plane/src/settings.rs
+++ b/crates/tidetrack-plane/src/settings.rs
@@ -6,7 +6,7 @@
 use tidetrack_core::traffic::cascade::CascadeOptions;
 use tidetrack_core::traffic::exposure::ExposureBound;
 use tidetrack_core::traffic::suspects::SuspectOptions;
-use tidetrack_core::units::{Bandwidth, Millis};
+use tidetrack_core::units::{Bandwidth, MemorySize, Millis};
 
 /// The settings of a host's process.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +31,8 @@
     pub max_files: usize,
     /// Bandwidth of the host's network link in each direction.
     pub link: Bandwidth,
+    /// Memory of the host, of which a share may be held for callers that read slowly.
+    pub memory: MemorySize,
     /// Limits that apply to the fleet as a whole.
     pub bounds: Bounds,
     /// Whether load control applies to all services. Otherwise it applies to those whose endpoints
