Slow readers: a sender that does not wait is not woken for each chunk

Cause: the relay was woken by every chunk that the caller's connection took, also while it waited for its endpoint. Change: the queue notifies a sender only while its stream is paused.

--- a/crates/tidetrack-plane/src/backlog.rs
+++ b/crates/tidetrack-plane/src/backlog.rs
@@ -96,6 +96,7 @@
             has_ended: Cell::new(false),
             is_closed: Cell::new(false),
             is_shed: Cell::new(false),
+            is_paused: Cell::new(false),
         });
         self.queues.borrow_mut().insert(number, Rc::downgrade(&queue));
         queue
@@ -132,7 +133,8 @@
     request: String,
     chunks: RefCell<VecDeque<BodyChunk>>,
     reader: RefCell<Option<Waker>>,
-    /// Signalled when the caller takes a chunk, disconnects, or the response is shed.
+    /// Signalled when the caller disconnects, the response is shed, or the caller takes a chunk of a
+    /// paused stream.
     changed: Notify,
     /// Ends the caller's connection. A connection whose caller reads nothing does not take the
     /// error at the end of its body.
@@ -141,6 +143,8 @@
     has_ended: Cell<bool>,
     is_closed: Cell<bool>,
     is_shed: Cell<bool>,
+    /// Whether the sender waits for room. A sender that does not wait is not woken for each chunk.
+    is_paused: Cell<bool>,
 }
 
 impl Queue {
@@ -166,7 +170,9 @@
                 decisions.release(self.backlog.shared.now(), self.number, held);
                 self.backlog.shared.metrics.record_held_bytes(decisions.held_bytes());
                 self.read_at.set(Instant::now());
-                self.changed.notify_one();
+                if self.is_paused.get() {
+                    self.changed.notify_one();
+                }
             }
             Some(Err(_)) => {}
             None if self.has_ended.get() => return Poll::Ready(None),
@@ -247,10 +253,12 @@
                 return Sent::NoReader;
             }
             let poll_at = deadline.min(Instant::now() + HOST_BOUND_POLL);
+            self.0.is_paused.set(true);
             tokio::select! {
                 () = self.0.changed.notified() => {}
                 () = tokio::time::sleep_until(tokio::time::Instant::from_std(poll_at)) => {}
             }
+            self.0.is_paused.set(false);
         }
     }
 
