--- a/crates/tidetrack-core/tests/support/mod.rs
+++ b/crates/tidetrack-core/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod fleet;
 pub mod links;
+pub mod overload_simulation;
 pub mod rollout_simulation;
 
 use std::collections::BTreeSet;
