--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -97,6 +97,8 @@
     RequestForwarded, 317, "a request is forwarded to another host";
     ForwardEnded, 318, "another host answered or declined a forwarded request";
     PathSuspected, 319, "probes decide whether the network paths to the endpoints of a service are lost";
+    LoadRejected, 320, "load control rejected a request: it would start too late, or its service is contended";
+    BusyAwaited, 321, "an attempt waits for a busy endpoint, because no other one is expected to respond sooner";
     SegmentWritten, 400, "a segment of the ledger was written to the object API";
     SegmentTaken, 401, "another host had already written the segment; the remaining bills were queued again";
     SegmentFailed, 402, "a segment of the ledger could not be written; the write is retried";
--- a/crates/tidetrack-core/src/traffic/budget.rs
+++ b/crates/tidetrack-core/src/traffic/budget.rs
@@ -17,6 +17,10 @@
 /// opinions.
 const RESERVED_FOR_FAILURES: f64 = 0.15;
 
+/// The same part while the service is contended, when failures are frequent and second opinions delay
+/// other requests.
+const RESERVED_UNDER_CONTENTION: f64 = 0.5;
+
 /// Further attempts that a host may make in a window without any first attempt.
 const FREE_ATTEMPTS: f64 = 2.0;
 
@@ -60,11 +64,32 @@
 
     /// Takes one further attempt from the budget. Returns whether one was available.
     pub fn try_acquire(&mut self, now: Millis, reason: FurtherAttempt) -> bool {
-        let (first_attempts, further_attempts) = self.totals(now);
         let usable_share = match reason {
             FurtherAttempt::Failure => 1.0,
             FurtherAttempt::SecondOpinion => 1.0 - RESERVED_FOR_FAILURES,
         };
+        self.try_acquire_share(now, usable_share)
+    }
+
+    /// Takes one further attempt from the budget of a contended service. `rank_share` is the share of
+    /// the budget that requests of this rank may use: less urgent ones leave the rest to others.
+    /// Returns whether an attempt was available.
+    pub fn try_acquire_contended(
+        &mut self,
+        now: Millis,
+        reason: FurtherAttempt,
+        rank_share: f64,
+    ) -> bool {
+        let usable_share = match reason {
+            FurtherAttempt::Failure => rank_share,
+            FurtherAttempt::SecondOpinion => rank_share * (1.0 - RESERVED_UNDER_CONTENTION),
+        };
+        self.try_acquire_share(now, usable_share)
+    }
+
+    /// Takes one further attempt if the number of them stays within a share of the budget.
+    fn try_acquire_share(&mut self, now: Millis, usable_share: f64) -> bool {
+        let (first_attempts, further_attempts) = self.totals(now);
         let max_further = self.ratio * USED_RATIO_SHARE * usable_share * f64::from(first_attempts)
             + FREE_ATTEMPTS;
         let is_granted = f64::from(further_attempts) + 1.0 <= max_further;
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -28,6 +28,7 @@
 use crate::traffic::endpoints::EndpointTable;
 use crate::traffic::evacuations::Evacuations;
 use crate::traffic::exposure::{Exposure, ExposureBound};
+use crate::traffic::fair_share::SharedFairShares;
 use crate::traffic::feeds::{FeedKind, FeedTracker, FetchSource};
 use crate::traffic::freshness::Freshness;
 use crate::traffic::isolation::IsolationDetector;
@@ -114,6 +115,8 @@
     /// Requests that may have crashed an endpoint; shared with the traffic threads, which add to it
     /// and query it.
     suspects: Arc<Suspects>,
+    /// Usage by workspace; shared with the traffic threads, which add to it and query it.
+    fair_shares: SharedFairShares,
     /// Limits that endpoints reported.
     limits: EndpointLimits,
     /// Limits of endpoints that would fall over from refusing requests.
@@ -182,6 +185,7 @@
             newest_reported_version: 0,
             lists_of_copy: Default::default(),
             suspects: Arc::default(),
+            fair_shares: SharedFairShares::default(),
             limits: EndpointLimits::default(),
             brittle: BrittleEndpoints::default(),
             last_allotment: None,
@@ -209,6 +213,11 @@
         FleetState { suspects, ..self }
     }
 
+    /// Uses `fair_shares`, which is shared with the traffic threads.
+    pub fn with_fair_shares(self, fair_shares: SharedFairShares) -> FleetState {
+        FleetState { fair_shares, ..self }
+    }
+
     /// Returns the requests that may have crashed endpoints.
     pub fn suspects(&self) -> &Arc<Suspects> {
         &self.suspects
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -89,6 +89,7 @@
             messages.extend(self.peers.prover_messages(now, &self.last_update));
         }
         actions.push(Action::SendMessages(messages));
+        self.fair_shares.with(|shares| shares.set_remote(now, || self.peers.usage(now)));
         if !self.peers.is_empty() {
             let loads = self.peers.loads(now);
             for (id, state) in &self.endpoint_states {
@@ -194,6 +195,7 @@
             complete_revisions: self.feeds.complete_revisions(),
             lost_services: self.lost_services.clone(),
             is_leaving: self.is_leaving,
+            usage: self.fair_shares.with(|shares| shares.reports(now)),
             barred_versions: self.versions.bad_versions().cloned().collect(),
             loads: loads
                 .filter(|(_, work)| *work > 0)
--- a/crates/tidetrack-core/src/traffic/fair_share.rs
+++ b/crates/tidetrack-core/src/traffic/fair_share.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::str::FromStr;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -194,7 +195,16 @@
     }
 
     /// Stores what the other hosts reported. Services that they do not report lose what was stored.
-    pub fn set_remote(&mut self, now: Millis, mut remote: HashMap<ServiceId, RemoteUsage>) {
+    /// `remote` is called only if this host has counted any usage.
+    pub fn set_remote(
+        &mut self,
+        now: Millis,
+        remote: impl FnOnce() -> HashMap<ServiceId, RemoteUsage>,
+    ) {
+        if self.services.is_empty() {
+            return;
+        }
+        let mut remote = remote();
         for (service, usage) in &mut self.services {
             usage.remote = remote.remove(service).unwrap_or_default();
             usage.remote_at = now;
@@ -253,6 +263,17 @@
     }
 }
 
+/// The fair shares of a host, shared by its threads.
+#[derive(Clone, Debug, Default)]
+pub struct SharedFairShares(Arc<Mutex<FairShares>>);
+
+impl SharedFairShares {
+    /// Calls `f` with the fair shares, which no other thread uses meanwhile.
+    pub fn with<T>(&self, f: impl FnOnce(&mut FairShares) -> T) -> T {
+        f(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
 impl ServiceUsage {
     /// Returns the own usage of workspaces that no other host lists, among which the other hosts'
     /// unlisted work is divided.
--- a/crates/tidetrack-core/src/traffic/overload.rs
+++ b/crates/tidetrack-core/src/traffic/overload.rs
@@ -23,7 +23,7 @@
 
 /// Multiple of the accepted work that is admitted. The surplus is refused by the endpoints while they
 /// are full, and accepted as soon as there is room.
-const ADMISSION_MARGIN: f64 = 1.1;
+const ADMISSION_MARGIN: f64 = 1.2;
 
 /// Number of accepted requests after the last refusal that show that a service is not contended.
 const ACCEPTED_IN_A_ROW: f64 = 25.0;
@@ -32,9 +32,13 @@
 const MIN_CONTENTION_TIME: Millis = Millis(500);
 const MAX_CONTENTION_TIME: Millis = Millis(4_000);
 
-/// Part of a pool's places that is free if the pool is not contended. A report is made when a request
-/// ends, so a full endpoint reports one free place.
-const ROOM_FRACTION: f64 = 0.34;
+/// Part of the places that recent reports show as free if a service is not contended. A report is made
+/// when a request ends, so a full endpoint of six places reports one as free.
+const ROOM_FRACTION: f64 = 0.25;
+
+/// Weight of the newest report in the mean part of free places. Several reports have to show room: a
+/// single endpoint may be idle because it has just come back.
+const ROOM_WEIGHT: f64 = 0.25;
 
 /// Part of its remaining time that a request may need for itself in the check of its deadline. A large
 /// request is not rejected for its size, only for what it would wait for.
@@ -53,6 +57,10 @@
 /// request holds its place.
 const MIN_SPREAD_HOLDS: f64 = 2.0;
 
+/// Fraction of the caller's remaining time after which it returns at the earliest if the backlog lasts
+/// longer than that time.
+const LATE_RETURN_FRACTION: f64 = 0.5;
+
 /// Longest time that a caller is asked to wait.
 const MAX_RETRY_AFTER: Millis = Millis(10_000);
 
@@ -159,6 +167,8 @@
     last_refusal: Option<Millis>,
     yields: Option<Yield>,
     hold_ms: f64,
+    /// Mean part of free places in recent reports; a refusal counts as a report of none.
+    room: f64,
 }
 
 impl Default for ServiceLoad {
@@ -172,6 +182,7 @@
             last_refusal: None,
             yields: None,
             hold_ms: ASSUMED_HOLD_MS,
+            room: 0.0,
         }
     }
 }
@@ -233,11 +244,21 @@
         let latest = (drain + spread.max(min_spread)).min(max);
         // A return that leaves no time for the request is useless to its caller.
         let last_useful = arrival.time_left.0 as f64 - self.hold_ms * MIN_SPREAD_HOLDS;
-        let latest = if drain < last_useful { latest.min(last_useful) } else { latest };
-        Millis((drain + arrival.draws[1] * (latest - drain)).ceil() as u64)
+        let (earliest, latest) = match drain < last_useful && last_useful < latest {
+            // The backlog lasts beyond the deadline: an early return would be one more rejection.
+            true => (drain.max(last_useful * LATE_RETURN_FRACTION), last_useful),
+            false => (drain, latest),
+        };
+        Millis((earliest + arrival.draws[1] * (latest - earliest)).ceil() as u64)
     }
 
-    fn refuse(&self, now: Millis, reason: RejectReason, drain: f64, arrival: &Arrival) -> Admission {
+    fn refuse(
+        &self,
+        now: Millis,
+        reason: RejectReason,
+        drain: f64,
+        arrival: &Arrival,
+    ) -> Admission {
         Admission::Refuse { reason, retry_after: self.retry_after(now, drain, arrival) }
     }
 
@@ -253,7 +274,8 @@
     let start = arrival.start?;
     let time_left = arrival.time_left.0 as f64;
     let own_ms = (start.start_us - start.wait_us) / US_PER_MS;
-    let late = start.wait_us / US_PER_MS + own_ms.min(time_left * MAX_OWN_TIME_FRACTION) - time_left;
+    let late =
+        start.wait_us / US_PER_MS + own_ms.min(time_left * MAX_OWN_TIME_FRACTION) - time_left;
     (late > 0.0).then_some(late)
 }
 
@@ -268,11 +290,6 @@
     /// an admitted request has to be recorded with `record_accepted` or `record_turned_away`.
     pub fn decide(&mut self, now: Millis, service: &ServiceId, arrival: &Arrival) -> Admission {
         let load = self.load_mut(service);
-        if arrival.places.free_fraction().is_some_and(|free| free >= ROOM_FRACTION) {
-            load.last_refusal = None;
-            load.yields = None;
-            return Admission::Admit;
-        }
         if load.is_contended(now) && arrival.draws[0] < arrival.share.excess {
             load.beyond_shares.add(now, arrival.work);
             load.turned_away_count.add(now, 1.0);
@@ -318,7 +335,21 @@
 
     /// Records that an endpoint refused an attempt because its places are taken.
     pub fn record_refused_attempt(&mut self, now: Millis, service: &ServiceId) {
-        self.load_mut(service).last_refusal = Some(now);
+        let load = self.load_mut(service);
+        load.last_refusal = Some(now);
+        load.room -= load.room * ROOM_WEIGHT;
+    }
+
+    /// Records an endpoint's report of its free places. Once several reports show room, the service no
+    /// longer counts as contended.
+    pub fn record_room(&mut self, service: &ServiceId, slots: u64, taken: u64) {
+        let load = self.load_mut(service);
+        let free = slots.saturating_sub(taken) as f64 / slots.max(1) as f64;
+        load.room += (free - load.room) * ROOM_WEIGHT;
+        if load.room >= ROOM_FRACTION {
+            load.last_refusal = None;
+            load.yields = None;
+        }
     }
 
     /// Records for how long a request held a place at its endpoint.
@@ -364,3 +395,12 @@
 pub fn abandons_busy_endpoint(is_contended: bool, present_us: f64, other_us: f64) -> bool {
     !is_contended && other_us < present_us
 }
+
+/// Estimates the remaining time, in microseconds, until the response of an attempt starts. The longer
+/// an attempt is overdue, the longer it is expected to take.
+pub fn remaining_us(start: StartEstimate, elapsed_us: f64) -> f64 {
+    match elapsed_us < start.start_us {
+        true => start.start_us - elapsed_us,
+        false => start.own_us + elapsed_us - start.start_us,
+    }
+}
--- a/crates/tidetrack-core/src/traffic/peers/messages.rs
+++ b/crates/tidetrack-core/src/traffic/peers/messages.rs
@@ -8,6 +8,7 @@
 use crate::traffic::baseline::BaselineReport;
 use crate::traffic::endpoint_limits::LimitReport;
 use crate::traffic::exposure::SessionReport;
+use crate::traffic::fair_share::UsageReport;
 use crate::traffic::feeds::Revisions;
 use crate::traffic::judge::Tally;
 use crate::traffic::outliers::RequestCounts;
@@ -76,6 +77,8 @@
     pub lost_services: Vec<ServiceId>,
     /// Whether the sender is stopping.
     pub is_leaving: bool,
+    /// Usage of services by workspace. Empty without load control.
+    pub usage: Vec<UsageReport>,
 }
 
 /// A message from one host to another.
--- a/crates/tidetrack-core/src/traffic/peers/mod.rs
+++ b/crates/tidetrack-core/src/traffic/peers/mod.rs
@@ -23,6 +23,7 @@
 
 use crate::ids::{EndpointKey, FailureDomain, HostId, ServiceId, VersionName};
 use crate::traffic::baseline::BaselineReport;
+use crate::traffic::fair_share::{sum_reports, RemoteUsage};
 use crate::traffic::feeds::FeedKind;
 use crate::traffic::forwarding::{max_silence, ForwardTarget};
 use crate::traffic::judge::Tally;
@@ -398,6 +399,14 @@
         loads
     }
 
+    /// Sums the usage of services by workspace at the other hosts.
+    pub fn usage(&self, now: Millis) -> HashMap<ServiceId, RemoteUsage> {
+        let peers = self.peers.values();
+        sum_reports(
+            peers.flat_map(|p| p.update.usage.iter().map(move |r| (r, now - p.received_at))),
+        )
+    }
+
     /// Sums the other hosts' results at endpoints where some host has seen failures.
     pub fn results(&self, now: Millis) -> HashMap<EndpointKey, RequestCounts> {
         let mut results: HashMap<EndpointKey, RequestCounts> = HashMap::new();
--- a/crates/tidetrack-core/src/traffic/places.rs
+++ b/crates/tidetrack-core/src/traffic/places.rs
@@ -20,24 +20,19 @@
 /// Number of endpoints above which those without recent news are forgotten.
 const MAX_ENDPOINTS: usize = 1_024;
 
-/// Free places of a service's endpoints, as far as known.
+/// Free places of endpoints with recent news.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FreePlaces {
-    /// Number of free places at endpoints with recent news.
+    /// Number of free places.
     pub free: u64,
-    /// Number of all places at endpoints with recent news.
+    /// Number of all places.
     pub slots: u64,
-    /// Number of endpoints with recent news.
-    pub known: usize,
-    /// Number of endpoints.
-    pub endpoints: usize,
 }
 
 impl FreePlaces {
-    /// Returns the fraction of free places; `None` unless most endpoints are known.
-    pub fn free_fraction(&self) -> Option<f64> {
-        let is_known = self.known * 2 > self.endpoints && self.slots > 0;
-        is_known.then(|| self.free as f64 / self.slots as f64)
+    /// Returns the places of two sets of endpoints.
+    pub fn plus(self, other: FreePlaces) -> FreePlaces {
+        FreePlaces { free: self.free + other.free, slots: self.slots + other.slots }
     }
 }
 
@@ -107,24 +102,13 @@
         refused_at.is_some_and(|at| now < at + REFUSAL_RETENTION)
     }
 
-    /// Returns the known free places of endpoints.
-    pub fn free<'a>(
-        &self,
-        now: Millis,
-        endpoints: impl Iterator<Item = &'a EndpointId>,
-    ) -> FreePlaces {
-        let mut sum = FreePlaces::default();
-        for id in endpoints {
-            sum.endpoints += 1;
-            let Some(places) = self.endpoints.get(id) else { continue };
-            let is_recent = places.reported_at.is_some_and(|at| now < at + MAX_REPORT_AGE);
-            if let Some(slots) = places.slots.filter(|_| is_recent) {
-                sum.known += 1;
-                sum.slots += slots;
-                sum.free += places.free;
-            }
-        }
-        sum
+    /// Returns the known free places of an endpoint.
+    pub fn free(&self, now: Millis, id: &EndpointId) -> FreePlaces {
+        let is_recent =
+            |p: &&EndpointPlaces| p.reported_at.is_some_and(|at| now < at + MAX_REPORT_AGE);
+        let recent = self.endpoints.get(id).filter(is_recent);
+        let known = recent.and_then(|p| p.slots.map(|slots| (p.free, slots)));
+        known.map_or(FreePlaces::default(), |(free, slots)| FreePlaces { free, slots })
     }
 
     fn entry(&mut self, now: Millis, id: &EndpointId) -> &mut EndpointPlaces {
--- a/crates/tidetrack-core/tests/support/overload_simulation.rs
+++ b/crates/tidetrack-core/tests/support/overload_simulation.rs
@@ -10,7 +10,7 @@
 use tidetrack_core::ids::{EndpointId, ServiceId};
 use tidetrack_core::traffic::fair_share::{sum_reports, FairShares, UsageReport, WorkspaceKey};
 use tidetrack_core::traffic::overload::{Admission, Arrival, Overload};
-use tidetrack_core::traffic::places::Places;
+use tidetrack_core::traffic::places::{FreePlaces, Places};
 use tidetrack_core::units::Millis;
 
 use super::id;
@@ -58,7 +58,9 @@
     /// The same for the first workspace, and for the others.
     pub hot: (u32, u32),
     pub others: (u32, u32),
-    /// Times of rejections.
+    /// Times at which load control rejected requests.
+    pub refused_at: Vec<u64>,
+    /// Times of all rejections.
     pub rejected_at: Vec<u64>,
     /// Times at which rejected callers returned.
     pub returned_at: Vec<u64>,
@@ -72,8 +74,8 @@
         rate(self.by_rank[&rank])
     }
 
-    pub fn rejected_between(&self, from: u64, until: u64) -> usize {
-        self.rejected_at.iter().filter(|at| (from..until).contains(at)).count()
+    pub fn refused_between(&self, from: u64, until: u64) -> usize {
+        self.refused_at.iter().filter(|at| (from..until).contains(at)).count()
     }
 
     /// Returns the largest number of returns within any tenth of a second of a period.
@@ -138,7 +140,7 @@
     Choose(Attempt),
     AtEndpoint(Attempt, usize),
     Refused(Attempt, usize),
-    Ended(Attempt, usize, usize),
+    Ended(Attempt, usize),
     PlaceFree(usize),
     Gossip,
 }
@@ -213,7 +215,7 @@
             Step::Choose(attempt) => self.choose(attempt),
             Step::AtEndpoint(attempt, endpoint) => self.at_endpoint(attempt, endpoint),
             Step::Refused(attempt, endpoint) => self.refused(attempt, endpoint),
-            Step::Ended(attempt, endpoint, running) => self.ended(&attempt, endpoint, running),
+            Step::Ended(attempt, endpoint) => self.ended(&attempt, endpoint),
             Step::PlaceFree(endpoint) => self.running[endpoint] -= 1,
             Step::Gossip => self.gossip(),
         }
@@ -267,7 +269,10 @@
             work: REQUEST_WORK,
             time_left: Millis(request.deadline.saturating_sub(self.now)),
             start: None,
-            places: state.places.free(now, self.endpoint_ids.iter()),
+            places: self
+                .endpoint_ids
+                .iter()
+                .fold(FreePlaces::default(), |sum, id| sum.plus(state.places.free(now, id))),
             share: state.shares.estimate(now, &self.service, workspace, request.rank, admissible),
             draws: [self.rng.random(), self.rng.random()],
         }
@@ -283,6 +288,7 @@
             let arrival = self.arrival(host, &request);
             let decision = self.hosts[host].overload.decide(now, &self.service, &arrival);
             if let Admission::Refuse { retry_after, .. } = decision {
+                self.outcome.refused_at.push(self.now);
                 return self.reject(request, retry_after.0);
             }
         }
@@ -337,16 +343,15 @@
 
     fn at_endpoint(&mut self, attempt: Attempt, endpoint: usize) {
         let is_lost = self.scenario.endpoints_lost_from.is_some_and(|from| self.now >= from)
-            && endpoint % 2 == 0;
+            && endpoint.is_multiple_of(2);
         if is_lost || self.running[endpoint] >= SLOTS {
             self.outcome.refused_attempts += 1;
             return self.push(self.now + LINK_MS, Step::Refused(attempt, endpoint));
         }
         self.running[endpoint] += 1;
         let hold = self.rng.random_range(HOLD_MS / 2..=HOLD_MS * 3 / 2);
-        let running = self.running[endpoint];
         self.push(self.now + hold, Step::PlaceFree(endpoint));
-        self.push(self.now + hold + LINK_MS, Step::Ended(attempt, endpoint, running));
+        self.push(self.now + hold + LINK_MS, Step::Ended(attempt, endpoint));
     }
 
     fn refused(&mut self, mut attempt: Attempt, endpoint: usize) {
@@ -362,7 +367,7 @@
         }
     }
 
-    fn ended(&mut self, attempt: &Attempt, endpoint: usize, _running_at_start: usize) {
+    fn ended(&mut self, attempt: &Attempt, endpoint: usize) {
         let now = Millis(self.now);
         let taken = self.running[endpoint] as u64;
         let Host { overload, places, .. } = &mut self.hosts[attempt.host];
@@ -370,6 +375,7 @@
         places.record_accepted(endpoint_id);
         places.record_report(now, endpoint_id, SLOTS as u64, taken);
         overload.record_accepted(now, &self.service, attempt.request.rank, REQUEST_WORK);
+        overload.record_room(&self.service, SLOTS as u64, taken);
         overload.record_hold(&self.service, Millis(HOLD_MS));
         if attempt.request.is_counted && self.now <= attempt.request.deadline {
             self.counts(&attempt.request, |count| count.1 += 1);
@@ -385,7 +391,7 @@
             for i in 0..GOSSIP_FANOUT.min(hosts - 1) {
                 let to = (from + 1 + (self.round * GOSSIP_FANOUT + i) % (hosts - 1)) % hosts;
                 let is_deaf = self.scenario.hosts_deaf_from.is_some_and(|at| self.now >= at)
-                    && to % 2 == 0;
+                    && to.is_multiple_of(2);
                 if !is_deaf && self.rng.random::<f64>() >= GOSSIP_LOSS {
                     self.hosts[to].heard.insert(from, (self.now, reports.clone()));
                 }
@@ -395,7 +401,7 @@
             let heard = host.heard.values();
             let reports = heard.flat_map(|(at, r)| r.iter().map(move |r| (r, now - Millis(*at))));
             let remote = sum_reports(reports);
-            host.shares.set_remote(now, remote);
+            host.shares.set_remote(now, || remote);
         }
         if self.now < self.scenario.until {
             self.push(self.now + GOSSIP_INTERVAL_MS, Step::Gossip);
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -21,6 +21,7 @@
 use crate::forward::{choose_host, choose_host_with_share};
 use crate::holders::{choose_sender, SenderChoice};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, PrefixLocation, Traffic};
+use crate::load_control;
 use crate::pending_work::PendingWork;
 
 /// `Retry-After` in milliseconds of a refusal because no endpoint has capacity.
@@ -81,7 +82,7 @@
         }
         return Ok(());
     }
-    match traffic.with_budget(&job.service, |b| b.try_acquire(now, FurtherAttempt::Failure)) {
+    match load_control::try_acquire(traffic, job, FurtherAttempt::Failure) {
         true => Ok(()),
         false => Err(Error::new(Code::RetryBudget, "the retry budget of the service is exhausted")),
     }
@@ -99,7 +100,8 @@
     model: Option<&ModelId>,
 ) -> Result<ChosenEndpoint> {
     if !traffic.paths.is_lost(&job.service) {
-        let chosen = choose_endpoint(traffic, job, attempts, model, &[]);
+        let full = load_control::full_endpoints(traffic, job);
+        let chosen = choose_endpoint(traffic, job, attempts, model, &full);
         return chosen.or_else(|e| match e.code == Code::Overloaded {
             true if has_used_up_shares(traffic, job) => {
                 choose_host_with_share(traffic, job, attempts).ok_or(e)
@@ -267,15 +269,28 @@
     attempts: &AttemptHistory,
     model: &ModelId,
     earlier: &ChosenEndpoint,
+) -> Option<(ChosenEndpoint, PlannedAttempt)> {
+    plan_attempt_for(traffic, job, attempts, Some(model), Some(earlier))
+}
+
+/// Does the same for any model and, without an earlier attempt, for the stable versions.
+pub fn plan_attempt_for(
+    traffic: &Traffic,
+    job: &Job,
+    attempts: &AttemptHistory,
+    model: Option<&ModelId>,
+    earlier: Option<&ChosenEndpoint>,
 ) -> Option<(ChosenEndpoint, PlannedAttempt)> {
     let view = traffic.shared.view.load();
     let service = view.services.get(&job.service)?;
-    let track =
-        if earlier.canary_version.is_some() { ReleaseTrack::Canary } else { ReleaseTrack::Stable };
-    let prompt = PromptPlacement::new(traffic, job, service, Some(model));
+    let track = match earlier.and_then(|e| e.canary_version.as_ref()) {
+        Some(_) => ReleaseTrack::Canary,
+        None => ReleaseTrack::Stable,
+    };
+    let prompt = PromptPlacement::new(traffic, job, service, model);
     let chosen =
         pick_endpoint(traffic, job, attempts, &attempts.tried, service, track, &prompt).ok()?;
-    let weight = model_weight(traffic, job, Some(model));
+    let weight = model_weight(traffic, job, model);
     // A forwarded attempt does not carry the state of its endpoint.
     let picked = service.pool(track).endpoints().iter().find(|e| e.id == chosen.id)?;
     let planned_attempt = PlannedAttempt {
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -54,6 +54,7 @@
         let mut fleet_state = FleetState::new(host, peer_table)
             .with_exposure_bound(settings.bounds.canary_exposure)
             .with_suspects(shared.suspects.clone())
+            .with_fair_shares(shared.fair_shares.clone())
             .with_bootstrap(shared.now(), bootstrap);
         // Sends the first messages at once, so that other hosts learn of the start.
         shared.send_input(Input::Tick);
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -30,6 +30,7 @@
 use crate::crash::{detect_crash, wait_for_crash_reports};
 use crate::forward::{set_result, take_envelope};
 use crate::job::{AttemptHistory, ChosenEndpoint, InFlight, Job, Traffic};
+use crate::load_control;
 use crate::pending_work::PendingWork;
 use crate::prepare::prepare;
 use crate::relay;
@@ -198,11 +199,14 @@
 ) -> Result<Response<ResponseBody>> {
     let route = &job.admitted.route;
     let mut model = job.resumed_model.clone().or_else(|| cascade::first_model(route).cloned());
+    load_control::admit(traffic, job, attempts, model.as_ref())?;
     let mut fallback: Option<Response<ResponseBody>> = None;
     loop {
         let attempt_response = match make_attempt(traffic, job, attempts, model.as_ref()).await {
             Ok(attempt_response) => attempt_response,
-            Err(AttemptError::Final(e)) => return fallback.ok_or(e),
+            Err(AttemptError::Final(e)) => {
+                return fallback.ok_or_else(|| load_control::turn_away(traffic, job, attempts, e))
+            }
             Err(AttemptError::Retry) => continue,
         };
         let AttemptResponse { response, chosen, pending_work, started_at } = attempt_response;
@@ -278,6 +282,7 @@
 ) -> std::result::Result<AttemptResponse, AttemptError> {
     wait_for_crash_reports(traffic, job).await;
     traffic.paths.wait_for_decision(&job.service, job.deadline).await;
+    load_control::wait_for_place(traffic, job, attempts).await;
     let chosen = match choose_or_wait(traffic, job, attempts, model).await {
         Ok(chosen) => chosen,
         Err(e) => return Err(AttemptError::Final(final_error(job, attempts, e))),
@@ -293,6 +298,15 @@
     let started_at = Instant::now();
     match send(traffic, job, attempts, &chosen, &pending_work, model, None).await {
         Ok(response) => {
+            load_control::record_response_start(traffic, job, &chosen, started_at.elapsed());
+            if chosen.forwarded_to.is_none() && traffic.has_load_control(&job.service) {
+                traffic.service_times.borrow_mut().record_start(
+                    &job.service,
+                    model,
+                    attempt_work,
+                    started_at.elapsed(),
+                );
+            }
             if job.is_generation() && chosen.forwarded_to.is_none() {
                 let elapsed_us = started_at.elapsed().as_micros() as f64;
                 traffic.latency_estimator.borrow_mut().record_response_start(
@@ -300,14 +314,6 @@
                     work_ahead,
                     elapsed_us,
                 );
-                if traffic.has_load_control(&job.service) {
-                    traffic.service_times.borrow_mut().record_start(
-                        &job.service,
-                        model,
-                        attempt_work,
-                        started_at.elapsed(),
-                    );
-                }
             }
             pending_work.record_response_start();
             record_reported_load(traffic, job, &chosen, &response);
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -82,6 +82,7 @@
             forwarded_connections: connection_sender,
             freshness: Freshness::default(),
             suspects,
+            fair_shares: Default::default(),
             is_leaving: Default::default(),
             input_sender,
             journal,
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -22,6 +22,8 @@
 use tidetrack_core::traffic::forwarding::ForwardedRequest;
 use tidetrack_core::traffic::idle_shares::IdleShares;
 use tidetrack_core::traffic::latency_estimate::LatencyEstimator;
+use tidetrack_core::traffic::overload::Overload;
+use tidetrack_core::traffic::places::Places;
 use tidetrack_core::traffic::prefix_index::PrefixKey;
 use tidetrack_core::traffic::reachability::ReachabilityTracker;
 use tidetrack_core::traffic::scarcity::DemandTracker;
@@ -59,6 +61,10 @@
     pub latency_estimator: RefCell<LatencyEstimator>,
     /// Response times of services under load control.
     pub service_times: RefCell<ServiceTimes>,
+    /// Load of services under load control.
+    pub overload: RefCell<Overload>,
+    /// Places at endpoints of services under load control.
+    pub places: RefCell<Places>,
     demands: RefCell<HashMap<ServiceId, DemandTracker>>,
     /// Services whose endpoints report their present speed.
     services_with_reported_speed: RefCell<HashSet<ServiceId>>,
@@ -100,6 +106,8 @@
             budgets: RefCell::default(),
             latency_estimator: RefCell::default(),
             service_times: RefCell::default(),
+            overload: RefCell::default(),
+            places: RefCell::default(),
             demands: RefCell::default(),
             services_with_reported_speed: RefCell::default(),
             crash_checks: EndpointProbes::default(),
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod host;
 pub mod job;
 pub mod journal;
+pub mod load_control;
 pub mod metrics;
 pub mod pages;
 pub mod paths;
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -61,6 +61,7 @@
     path_probes: Counter<u64>,
     forwards: Counter<u64>,
     refusals: Counter<u64>,
+    load_rejections: Counter<u64>,
     first_byte: Histogram<f64>,
 }
 
@@ -92,6 +93,7 @@
             lost_paths: meter.u64_gauge("tidetrack_lost_paths").build(),
             path_probes: meter.u64_counter("tidetrack_path_probes").build(),
             forwards: meter.u64_counter("tidetrack_forwarded_requests").build(),
+            load_rejections: meter.u64_counter("tidetrack_load_rejections").build(),
             refusals: meter.u64_counter("tidetrack_endpoint_refusals").build(),
             first_byte: histogram.with_boundaries(HISTOGRAM_BOUNDS_MS.to_vec()).build(),
             registry,
@@ -243,6 +245,12 @@
         self.refusals.add(1, &[KeyValue::new("brittle", is_brittle)]);
     }
 
+    /// Counts a request that load control rejected, by service and reason.
+    pub fn record_load_rejection(&self, service: &str, reason: &'static str) {
+        let labels = [KeyValue::new("service", service.to_string()), KeyValue::new("why", reason)];
+        self.load_rejections.add(1, &labels);
+    }
+
     /// Counts messages sent to other hosts.
     pub fn record_sent_peer_messages(&self, n: usize) {
         self.peer_messages.add(n as u64, &[KeyValue::new("result", "sent")]);
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -14,10 +14,11 @@
 use tidetrack_core::units::{Millis, Tokens};
 
 use crate::attempt::{self, Attempt, EndpointResponse, IdEcho};
-use crate::choose::reserve_next_attempt;
+use crate::choose::{attempt_work, model_weight, reserve_next_attempt};
 use crate::dialect::{EndpointRequestInfo, ResponseFacts};
 use crate::forward;
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, SilentEndpoint, Traffic};
+use crate::load_control;
 use crate::pending_work::PendingWork;
 use crate::pool::max_idle_time;
 use crate::stall_aware_sleep::stall_aware_sleep;
@@ -72,6 +73,7 @@
     }
     let shared = &traffic.shared;
     chosen.state.record_send(shared.now());
+    load_control::record_send(traffic, job, chosen);
     tries.tried.push(chosen.id.clone());
     tries.sent_count += 1;
     tries.last_sent_at = shared.now();
@@ -114,7 +116,10 @@
         on_head: &|facts| {
             record_announcements(traffic, chosen, facts);
             match facts.has_not_executed {
-                true => record_refusal(traffic, &job.id, chosen, pending_work, facts),
+                true => {
+                    record_refusal(traffic, &job.id, chosen, pending_work, facts);
+                    load_control::record_refusal(traffic, job, chosen, facts);
+                }
                 false => pending_work.record_accepted(shared.now()),
             }
             record_reported_limit(traffic, chosen, facts);
@@ -233,11 +238,24 @@
     }
     let silent_timeout = job.objective().mul_f64(SILENT_TIMEOUT_RATIO).max(MIN_ATTEMPT_TIMEOUT);
     let slow_timeout = job.objective().mul_f64(SLOW_TIMEOUT_RATIO).max(MIN_ATTEMPT_TIMEOUT * 2);
+    let started_at = Instant::now();
+    let weight = model_weight(traffic, job, model);
+    // The load contains the work of this attempt already.
+    let own = job.work(weight, chosen.prefix.is_available()) as f64;
+    let ahead = (chosen.state.load(traffic.shared.now()) - own).max(0.0);
+    let work = attempt_work(traffic, job, chosen, weight, ahead);
+    let start = traffic.service_times.borrow().estimate_start(&job.service, model, work);
     loop {
         let since = traffic.shared.now();
         stall_aware_sleep(silent_timeout).await;
         if chosen.state.was_active_since(since) {
             stall_aware_sleep(slow_timeout.saturating_sub(silent_timeout)).await;
+            let elapsed = started_at.elapsed();
+            if load_control::waits_for_busy_endpoint(
+                traffic, job, tries, chosen, model, start, elapsed,
+            ) {
+                continue;
+            }
         }
         if reserve_next_attempt(traffic, job, tries, model) {
             return;
@@ -342,6 +360,7 @@
         if load.slowdown.is_some() {
             traffic.record_reported_speed(&job.service);
         }
+        load_control::record_load(traffic, job, chosen, &load);
         let work =
             load.running * WORK_PER_RUNNING_REQUEST + load.waiting * WORK_PER_WAITING_REQUEST;
         chosen.state.record_load_report(traffic.shared.now(), work, Tokens(0));
--- a/crates/tidetrack-plane/src/shared.rs
+++ b/crates/tidetrack-plane/src/shared.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwap;
 
 use tidetrack_core::traffic::control::Input;
+use tidetrack_core::traffic::fair_share::SharedFairShares;
 use tidetrack_core::traffic::forwarding::ForwardTarget;
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::suspects::Suspects;
@@ -36,6 +37,8 @@
     pub freshness: Freshness,
     /// Requests that may have crashed endpoints.
     pub suspects: Arc<Suspects>,
+    /// Usage of services under load control, by workspace.
+    pub fair_shares: SharedFairShares,
     /// Whether the host is stopping.
     pub is_leaving: AtomicBool,
     /// Channel for inputs to the control thread.
