--- a/crates/tidetrack-core/src/traffic/fair_share.rs
+++ b/crates/tidetrack-core/src/traffic/fair_share.rs
@@ -31,7 +31,7 @@
 
 /// Multiple of the fair share up to which a workspace counts as within it. Counts of few requests
 /// deviate by chance.
-const TOLERANCE: f64 = 1.25;
+const TOLERANCE: f64 = 1.5;
 
 /// Usage in response tokens below which a workspace is forgotten.
 const MIN_USAGE: f64 = 1.0;
@@ -253,7 +253,7 @@
         let Some(usage) = self.services.get_mut(service) else { return ShareEstimate::WITHIN };
         let level = usage.level(now, admissible);
         let Some(own) = usage.own.get(&workspace) else { return ShareEstimate::WITHIN };
-        let total = usage.fleet_usage(now, workspace, own, usage.spread_base(now));
+        let total = usage.fleet_usage(now, workspace, own);
         let multiple = total / level.max(MIN_USAGE);
         if multiple <= TOLERANCE {
             return ShareEstimate { multiple, excess: 0.0 };
@@ -275,24 +275,11 @@
 }
 
 impl ServiceUsage {
-    /// Returns the own usage of workspaces that no other host lists, among which the other hosts'
-    /// unlisted work is divided.
-    fn spread_base(&self, now: Millis) -> f64 {
-        let is_unlisted = |key: &&WorkspaceKey| !self.remote.workspaces.contains_key(*key);
-        let unlisted = self.own.keys().filter(is_unlisted);
-        unlisted.filter_map(|key| self.own.get(key)).map(|own| own.total(now)).sum()
-    }
-
-    /// Estimates a workspace's work at all hosts.
-    fn fleet_usage(&self, now: Millis, key: WorkspaceKey, own: &OwnUsage, base: f64) -> f64 {
+    /// Estimates a workspace's work at all hosts, from below: hosts list only their largest ones.
+    fn fleet_usage(&self, now: Millis, key: WorkspaceKey, own: &OwnUsage) -> f64 {
         let weight = decay(now - self.remote_at, REPORT_AVERAGING_TIME);
-        let own = own.total(now);
-        let remote = match self.remote.workspaces.get(&key) {
-            Some(work) => *work,
-            None if base > 0.0 => self.remote.unlisted * own / base,
-            None => 0.0,
-        };
-        own + remote * weight
+        let remote = self.remote.workspaces.get(&key).copied().unwrap_or(0.0);
+        own.total(now) + remote * weight
     }
 
     /// Returns the work per workspace up to which requests are within the fair share.
@@ -307,16 +294,18 @@
             return level.level;
         }
         let weight = decay(now - self.remote_at, REPORT_AVERAGING_TIME);
-        let base = self.spread_base(now);
-        let own = self.own.iter().map(|(key, own)| self.fleet_usage(now, *key, own, base));
+        let own = self.own.iter().map(|(key, own)| self.fleet_usage(now, *key, own));
         let is_foreign = |key: &&WorkspaceKey| !self.own.contains_key(*key);
         let foreign = self.remote.workspaces.keys().filter(is_foreign);
         let foreign = foreign.filter_map(|key| self.remote.workspaces.get(key)).map(|w| w * weight);
         let mut usages: Vec<f64> = own.chain(foreign).filter(|u| *u >= MIN_USAGE).collect();
         usages.sort_unstable_by(f64::total_cmp);
-        let total: f64 = usages.iter().sum();
+        // Workspaces that no host lists are small and get what they request.
+        let unlisted = self.remote.unlisted * weight;
+        let listed: f64 = usages.iter().sum();
+        let capacity = ((listed + unlisted) * admissible - unlisted).max(0.0);
         let median = usages.get(usages.len() / 2).copied().unwrap_or(0.0);
-        let level = max_min_level(&usages, total * admissible).max(median);
+        let level = max_min_level(&usages, capacity).max(median);
         self.level = Some(Level { computed_at: now, admissible, level });
         level
     }
--- a/crates/tidetrack-core/src/traffic/overload.rs
+++ b/crates/tidetrack-core/src/traffic/overload.rs
@@ -23,7 +23,7 @@
 
 /// Multiple of the accepted work that is admitted. The surplus is refused by the endpoints while they
 /// are full, and accepted as soon as there is room.
-const ADMISSION_MARGIN: f64 = 1.2;
+const ADMISSION_MARGIN: f64 = 1.1;
 
 /// Number of accepted requests after the last refusal that show that a service is not contended.
 const ACCEPTED_IN_A_ROW: f64 = 25.0;
@@ -34,7 +34,7 @@
 
 /// Part of the places that recent reports show as free if a service is not contended. A report is made
 /// when a request ends, so a full endpoint of six places reports one as free.
-const ROOM_FRACTION: f64 = 0.25;
+const ROOM_FRACTION: f64 = 0.3;
 
 /// Weight of the newest report in the mean part of free places. Several reports have to show room: a
 /// single endpoint may be idle because it has just come back.
@@ -334,21 +334,28 @@
     }
 
     /// Records that an endpoint refused an attempt because its places are taken.
-    pub fn record_refused_attempt(&mut self, now: Millis, service: &ServiceId) {
+    pub fn record_refused_attempt(&mut self, service: &ServiceId) {
         let load = self.load_mut(service);
-        load.last_refusal = Some(now);
         load.room -= load.room * ROOM_WEIGHT;
     }
 
+    /// Reports whether a request that an endpoint refused may ask another one. Under contention only
+    /// ranks that are admitted in full do: the others would take the places that these need.
+    pub fn may_ask_another(&self, now: Millis, service: &ServiceId, rank: u8, work: f64) -> bool {
+        let load = self.services.get(service);
+        load.is_none_or(|l| l.rejection_probability(now, rank, work) <= 0.0)
+    }
+
     /// Records an endpoint's report of its free places. Once several reports show room, the service no
     /// longer counts as contended.
     pub fn record_room(&mut self, service: &ServiceId, slots: u64, taken: u64) {
         let load = self.load_mut(service);
         let free = slots.saturating_sub(taken) as f64 / slots.max(1) as f64;
         load.room += (free - load.room) * ROOM_WEIGHT;
-        if load.room >= ROOM_FRACTION {
-            load.last_refusal = None;
-            load.yields = None;
+        if load.room >= ROOM_FRACTION && load.last_refusal.is_some() {
+            // What was turned away before says nothing about the present room.
+            *load =
+                ServiceLoad { hold_ms: load.hold_ms, room: load.room, ..ServiceLoad::default() };
         }
     }
 
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -330,7 +330,8 @@
                 && e.executed == Executed::No
                 && e.code != Code::EndpointUnreachable
                 && !may_forward_elsewhere(&e);
-            match !is_final && can_attempt_again(job, attempts) {
+            let may_ask_another = load_control::may_ask_another(traffic, job, &e);
+            match !is_final && may_ask_another && can_attempt_again(job, attempts) {
                 true => Err(AttemptError::Retry),
                 false => Err(AttemptError::Final(final_error(job, attempts, e))),
             }
--- a/crates/tidetrack-plane/src/load_control.rs
+++ b/crates/tidetrack-plane/src/load_control.rs
@@ -295,7 +295,7 @@
     }
     let now = traffic.shared.now();
     let mut overload = traffic.overload.borrow_mut();
-    overload.record_refused_attempt(now, &job.service);
+    overload.record_refused_attempt(&job.service);
     let hold = overload.hold_time(&job.service);
     let mut places = traffic.places.borrow_mut();
     if let Some(ReportedLoad { running, waiting, slots: Some(slots), .. }) = facts.load {
@@ -304,6 +304,17 @@
     places.record_refused(now, &chosen.id, hold);
 }
 
+/// Reports whether a request whose attempt failed may ask another endpoint. Under contention, an
+/// endpoint's refusal ends the less urgent requests.
+pub fn may_ask_another(traffic: &Traffic, job: &Job, e: &Error) -> bool {
+    if e.code != Code::EndpointRefused || !applies(traffic, job) {
+        return true;
+    }
+    let (now, work) = (traffic.shared.now(), job.work(1.0, false) as f64);
+    let overload = traffic.overload.borrow();
+    overload.may_ask_another(now, &job.service, job.admitted.rank(), work)
+}
+
 /// Records that a plain request was executed, with the time until its response started.
 pub fn record_response_start(
     traffic: &Traffic,
--- a/crates/tidetrack-plane/tests/messages.rs
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -2,6 +2,7 @@
 
 use tidetrack_core::ids::{EndpointId, EndpointKey};
 use tidetrack_core::traffic::baseline::Baseline;
+use tidetrack_core::traffic::fair_share::{FairShares, WorkspaceKey};
 use tidetrack_core::traffic::judge::{AttemptOutcome, Judge, ObservedResponse, Tally};
 use tidetrack_core::traffic::peers::{PeerMessage, PeerUpdate, ProofReport, TallyReport};
 use tidetrack_core::traffic::prefix_index::{PrefixIndex, PrefixKey};
@@ -13,6 +14,10 @@
 /// Maximum encoded size, in bytes, of the reports on which endpoints used which prefixes.
 const MAX_PREFIX_REPORT_BYTES: usize = 162;
 
+/// Maximum encoded size, in bytes, of the usage by workspace. A host sends 32 messages per second, and all
+/// control traffic beyond that of a deployment without load control is limited to 8 KB/s.
+const MAX_USAGE_REPORT_BYTES: usize = 128;
+
 /// Maximum size, in bytes, of a message that lists no endpoints in use.
 const MAX_BASE_MESSAGE_BYTES: usize = 220;
 
@@ -64,6 +69,23 @@
     assert!(with_200 - empty <= 200 * MAX_BYTES_PER_ENDPOINT, "{with_200}");
 }
 
+#[test]
+fn usage_reports_have_a_bounded_size_and_none_without_load_control() {
+    let (now, mut shares) = (Millis(1_000), FairShares::default());
+    let without = postcard::to_allocvec(&shares.reports(now)).expect("the reports are serialized");
+    for n in 0..2_000_u32 {
+        let service = format!("some-service-{}", n % 3).parse().expect("the service name parses");
+        let workspace: WorkspaceKey = format!("{n:08x}").parse().expect("the key parses");
+        shares.record(now, &service, workspace, 1, 1e7);
+    }
+
+    let with = postcard::to_allocvec(&shares.reports(now)).expect("the reports are serialized");
+
+    println!("bytes of usage reports: {}, without load control {}", with.len(), without.len());
+    assert!(with.len() <= MAX_USAGE_REPORT_BYTES, "{}", with.len());
+    assert!(without.len() <= 1, "{}", without.len());
+}
+
 #[test]
 fn prefix_reports_have_a_bounded_size() {
     let prefixes = PrefixIndex::default();
