--- a/crates/tidetrack-core/src/traffic/overload.rs
+++ b/crates/tidetrack-core/src/traffic/overload.rs
@@ -30,7 +30,7 @@
 
 /// Shortest and longest time after the last refusal for which a service counts as contended.
 const MIN_CONTENTION_TIME: Millis = Millis(500);
-const MAX_CONTENTION_TIME: Millis = Millis(4_000);
+const MAX_CONTENTION_TIME: Millis = Millis(2_000);
 
 /// Part of the places that recent reports show as free if a service is not contended. A report is made
 /// when a request ends, so a full endpoint of six places reports one as free.
@@ -334,8 +334,9 @@
     }
 
     /// Records that an endpoint refused an attempt because its places are taken.
-    pub fn record_refused_attempt(&mut self, service: &ServiceId) {
+    pub fn record_refused_attempt(&mut self, now: Millis, service: &ServiceId) {
         let load = self.load_mut(service);
+        load.last_refusal = Some(now);
         load.room -= load.room * ROOM_WEIGHT;
     }
 
@@ -352,10 +353,9 @@
         let load = self.load_mut(service);
         let free = slots.saturating_sub(taken) as f64 / slots.max(1) as f64;
         load.room += (free - load.room) * ROOM_WEIGHT;
-        if load.room >= ROOM_FRACTION && load.last_refusal.is_some() {
-            // What was turned away before says nothing about the present room.
-            *load =
-                ServiceLoad { hold_ms: load.hold_ms, room: load.room, ..ServiceLoad::default() };
+        if load.room >= ROOM_FRACTION {
+            load.last_refusal = None;
+            load.yields = None;
         }
     }
 
--- a/crates/tidetrack-core/tests/support/overload_simulation.rs
+++ b/crates/tidetrack-core/tests/support/overload_simulation.rs
@@ -357,7 +357,7 @@
     fn refused(&mut self, mut attempt: Attempt, endpoint: usize) {
         let now = Millis(self.now);
         let Host { overload, places, .. } = &mut self.hosts[attempt.host];
-        overload.record_refused_attempt(&self.service);
+        overload.record_refused_attempt(now, &self.service);
         let hold = overload.hold_time(&self.service);
         places.record_refused(now, &self.endpoint_ids[endpoint], hold);
         attempt.tried.push(endpoint);
--- a/crates/tidetrack-plane/src/load_control.rs
+++ b/crates/tidetrack-plane/src/load_control.rs
@@ -295,7 +295,7 @@
     }
     let now = traffic.shared.now();
     let mut overload = traffic.overload.borrow_mut();
-    overload.record_refused_attempt(&job.service);
+    overload.record_refused_attempt(now, &job.service);
     let hold = overload.hold_time(&job.service);
     let mut places = traffic.places.borrow_mut();
     if let Some(ReportedLoad { running, waiting, slots: Some(slots), .. }) = facts.load {
