--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -82,7 +82,7 @@
         // Also while all paths work: requests are forwarded from the moment in which they are lost.
         actions.push(Action::PublishForwardTargets(self.peers.forward_targets(now)));
         // Replies and queries don't contain speeds: a host with a special role would send many.
-        let load_control = self.exchange_speeds(now, actions);
+        let load_control = self.build_load_control_report(now, actions);
         let update = PeerUpdate { load_control, ..self.last_update.clone() };
         let mut messages = self.peers.round_messages(now, &update);
         if self
@@ -93,6 +93,7 @@
             messages.extend(self.peers.prover_messages(now, &self.last_update));
         }
         actions.push(Action::SendMessages(messages));
+        self.fair_shares.with(|shares| shares.set_remote(now, || self.peers.usage(now)));
         if !self.peers.is_empty() {
             let loads = self.peers.loads(now);
             let heard_share = self.peers.heard_share(now);
@@ -114,8 +115,12 @@
     }
 
     /// Combines the measured speeds of the endpoints with those of the other hosts. Returns this host's
-    /// report for load control.
-    fn exchange_speeds(&mut self, now: Millis, actions: &mut Vec<Action>) -> LoadControlReport {
+    /// report for load control, which tells speeds and usage by workspace.
+    fn build_load_control_report(
+        &mut self,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) -> LoadControlReport {
         let states = &self.endpoint_states;
         let records = self.table.records();
         let endpoints: Vec<(&EndpointRecord, &EndpointState)> =
@@ -123,7 +128,10 @@
         for change in self.speeds.update_states(now, &endpoints) {
             actions.push(Action::Log(change.event(), change.to_string()));
         }
-        LoadControlReport { speeds: self.speeds.reports_for_round(now, &self.host, &endpoints) }
+        LoadControlReport {
+            speeds: self.speeds.reports_for_round(now, &self.host, &endpoints),
+            usage: self.fair_shares.with(|shares| shares.reports(now)),
+        }
     }
 
     /// Logs requests that were barred or cleared as causes of crashes.
--- a/crates/tidetrack-core/src/traffic/endpoint_speeds.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_speeds.rs
@@ -19,6 +19,7 @@
 use crate::ids::{EndpointId, EndpointKey, HostId, ServiceId};
 use crate::placement::{EndpointState, RelativeTimes, Slowdown, MAX_RELATIVE_LOG};
 use crate::traffic::endpoints::EndpointRecord;
+use crate::traffic::fair_share::UsageReport;
 use crate::traffic::peers::ROUND_INTERVAL;
 use crate::units::Millis;
 
@@ -109,13 +110,15 @@
 pub struct LoadControlReport {
     /// The sender's own measurements of some endpoints.
     pub speeds: Vec<SpeedReport>,
+    /// Usage of services by workspace, at the sender.
+    pub usage: Vec<UsageReport>,
 }
 
 impl Serialize for LoadControlReport {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        match self.speeds.is_empty() {
+        match self.speeds.is_empty() && self.usage.is_empty() {
             true => serializer.serialize_unit(),
-            false => self.speeds.serialize(serializer),
+            false => (&self.speeds, &self.usage).serialize(serializer),
         }
     }
 }
@@ -124,8 +127,8 @@
     /// Reads a report. At the end of a message, and from anything unreadable, it is empty: nothing
     /// follows it, and it is only a hint.
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let speeds = Vec::deserialize(deserializer).unwrap_or_default();
-        Ok(LoadControlReport { speeds })
+        let (speeds, usage) = Deserialize::deserialize(deserializer).unwrap_or_default();
+        Ok(LoadControlReport { speeds, usage })
     }
 }
 
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod host;
 pub mod job;
 pub mod journal;
+pub mod load_control;
 mod load_probe;
 pub mod metrics;
 pub mod pages;
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -64,6 +64,7 @@
     refusals: Counter<u64>,
     held_bytes: Gauge<u64>,
     shed_streams: Counter<u64>,
+    load_rejections: Counter<u64>,
     first_byte: Histogram<f64>,
 }
 
@@ -96,6 +97,7 @@
             lost_paths: meter.u64_gauge("tidetrack_lost_paths").build(),
             path_probes: meter.u64_counter("tidetrack_path_probes").build(),
             forwards: meter.u64_counter("tidetrack_forwarded_requests").build(),
+            load_rejections: meter.u64_counter("tidetrack_load_rejections").build(),
             refusals: meter.u64_counter("tidetrack_endpoint_refusals").build(),
             held_bytes: meter.u64_gauge("tidetrack_held_bytes").build(),
             shed_streams: meter.u64_counter("tidetrack_shed_streams").build(),
@@ -269,6 +271,12 @@
         self.shed_streams.add(1, &[KeyValue::new("why", reason)]);
     }
 
+    /// Counts a request that load control rejected, by service and reason.
+    pub fn record_load_rejection(&self, service: &str, reason: &'static str) {
+        let labels = [KeyValue::new("service", service.to_string()), KeyValue::new("why", reason)];
+        self.load_rejections.add(1, &labels);
+    }
+
     /// Counts messages sent to other hosts.
     pub fn record_sent_peer_messages(&self, n: usize) {
         self.peer_messages.add(n as u64, &[KeyValue::new("result", "sent")]);
--- a/crates/tidetrack-plane/src/second_opinion.rs
+++ b/crates/tidetrack-plane/src/second_opinion.rs
@@ -18,6 +18,7 @@
 use crate::attempt::EndpointResponse;
 use crate::choose::{attempt_work, model_weight, plan_attempt};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, Traffic};
+use crate::load_control;
 use crate::pool::max_idle_time;
 use crate::report::record_failed_attempt;
 
@@ -59,11 +60,13 @@
         (latency, cascade::weigh_second_opinion(route, service, model, estimate, size, opts)?)
     };
     let now = traffic.shared.now();
+    let is_deferred = load_control::defers_optional_work(traffic, job);
     let can_retry = tries.sent_count < route.max_attempts && route.work.is_repeatable();
     let try_acquire_budget =
-        || traffic.with_budget(&job.service, |b| b.try_acquire(now, FurtherAttempt::SecondOpinion));
+        || load_control::try_acquire(traffic, job, FurtherAttempt::SecondOpinion);
     let keep_reason = match tradeoff.is_worth_it() {
         false => Some("cost"),
+        true if is_deferred => Some("share"),
         true if !can_retry => Some("attempts"),
         true if !try_acquire_budget() => Some("budget"),
         true if !is_reachable(traffic, job, larger, &candidate).await => {
