Load control: faults found in review

A probe's answer that says that the endpoint leaves is heeded. - Ranks without recent requests kept their weight and objective for good. - A request with milliseconds left made all less urgent ones give way; it takes half a second of remaining time now. A refusal no longer ends a request that was executed in part.

The fixture of scarcity has the three ranks that the deployments have.

--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -31,6 +31,7 @@
 mod separation;
 mod slowdown;
 mod speed;
+mod timing;
 
 pub use endpoint_state::{EndpointState, Outcomes, SendAllowance};
 pub use refusal_guard::{EndpointAccess, RefusalGuard};
@@ -38,6 +39,7 @@
 pub use separation::{AttemptLength, LengthMix, SentWork, Separation};
 pub use slowdown::Slowdown;
 pub use speed::{RelativeTimes, MAX_RELATIVE_LOG};
+pub use timing::PlacementTiming;
 
 /// `Retry-After` in milliseconds of a refusal because all endpoints are evacuated. Evacuations last for
 /// seconds at least.
@@ -176,15 +178,6 @@
     pub timing: Option<PlacementTiming>,
 }
 
-/// How the time that endpoints take counts in the choice between them.
-#[derive(Clone, Copy, Debug)]
-pub struct PlacementTiming {
-    /// Work of the request itself, in answer tokens, which a slow endpoint takes longer for.
-    pub own_work: f64,
-    /// Preference for the endpoints of long or short attempts; `None` if they are not separated.
-    pub separation: Option<Separation>,
-}
-
 impl PoolView {
     /// Creates a pool whose endpoints process `slots` requests concurrently; 0 disables the limit
     /// on their work.
@@ -366,55 +359,6 @@
         best.map_or(home_endpoint, |(e, _)| e)
     }
 
-    /// Returns the cheaper of two endpoints of the pool for a request, by what is known now.
-    pub fn cheaper_of<'a>(
-        &self,
-        now: Millis,
-        request: &PlacementRequest<'_>,
-        first: &'a PoolEndpoint,
-        second: &'a PoolEndpoint,
-    ) -> &'a PoolEndpoint {
-        let cost = |e: &PoolEndpoint| {
-            let is_held = request.prefix_holders.contains(&EndpointKey::from(&e.id));
-            let extra = if is_held { 0.0 } else { request.reread_work as f64 };
-            self.finish_cost(now, request, e, extra)
-        };
-        if cost(second) < cost(first) {
-            second
-        } else {
-            first
-        }
-    }
-
-    /// Returns the cost of an endpoint that has to do `extra` work: the expected time until it
-    /// finishes the request, and what its place costs beyond that.
-    fn finish_cost(
-        &self,
-        now: Millis,
-        request: &PlacementRequest<'_>,
-        e: &PoolEndpoint,
-        extra: f64,
-    ) -> f64 {
-        let work = e.state.load(now) + BASE_WORK_WITH_PREFIX + extra;
-        let Some(timing) = &request.timing else {
-            return (work + crossing_work(e, request)) * e.state.pace();
-        };
-        let is_preferred = self.is_preferred(request, e);
-        let surcharge = timing.separation.filter(|_| !is_preferred).map_or(0.0, |s| s.surcharge);
-        let slowdown = e.state.slowdown(now).multiple();
-        (work + timing.own_work) * slowdown + crossing_work(e, request) + surcharge
-    }
-
-    /// Reports whether an endpoint is of the set that the request's attempt prefers by its length.
-    fn is_preferred(&self, request: &PlacementRequest<'_>, e: &PoolEndpoint) -> bool {
-        let separation = request.timing.and_then(|timing| timing.separation);
-        separation.is_none_or(|separation| {
-            let key = EndpointKey::from(&e.id);
-            let found = self.keys.binary_search_by_key(&key, |(key, _)| *key);
-            found.is_ok_and(|at| separation.prefers(self.positions[self.keys[at].1 as usize]))
-        })
-    }
-
     /// Returns an endpoint other than `picked` from which the request's prefix can be copied,
     /// preferably one in the host's failure domain.
     pub fn prefix_source(
--- a/crates/tidetrack-core/src/placement/probing.rs
+++ b/crates/tidetrack-core/src/placement/probing.rs
@@ -20,12 +20,16 @@
 /// Longest time in milliseconds that the answers to probes are waited for.
 const MAX_WAIT_MS: f64 = 40.0;
 
+/// Reports whether an endpoint gets nothing beyond its share, because it falls over from refusing
+/// requests, is cold or has named a limit.
+pub fn is_restricted(state: &EndpointState) -> bool {
+    state.guard().is_active() || state.is_limited()
+}
+
 /// Reports whether an endpoint is probed before an attempt of this length is sent to it.
 pub fn needs_probe(now: Millis, length: AttemptLength, state: &EndpointState) -> bool {
-    // An endpoint that falls over from refusing, or is cold, gets nothing beyond its share.
-    let is_restricted = state.guard().is_active() || state.is_limited();
     let is_report_old = now >= state.reported_at() + FRESH_REPORT_AGE;
-    length == AttemptLength::Long && is_report_old && !is_restricted
+    length == AttemptLength::Long && is_report_old && !is_restricted(state)
 }
 
 /// Returns how long the answers to probes are waited for before a request with this objective is
--- a/crates/tidetrack-core/src/traffic/overload.rs
+++ b/crates/tidetrack-core/src/traffic/overload.rs
@@ -44,6 +44,10 @@
 /// request is not rejected for its size, only for what it would wait for.
 const MAX_OWN_TIME_FRACTION: f64 = 0.5;
 
+/// Shortest remaining time of a request whose rejection makes less urgent ones give way. With less,
+/// its own lateness and not the backlog may be the reason.
+const MIN_TIME_TO_YIELD_TO: Millis = Millis(500);
+
 /// Longest time for which less urgent requests give way to one that was rejected for its deadline.
 const MAX_YIELD_TIME: Millis = Millis(1_000);
 
@@ -290,24 +294,27 @@
     /// an admitted request has to be recorded with `record_accepted` or `record_turned_away`.
     pub fn decide(&mut self, now: Millis, service: &ServiceId, arrival: &Arrival) -> Admission {
         let load = self.load_mut(service);
-        if load.is_contended(now) && arrival.draws[0] < arrival.share.excess {
+        let has_room = arrival.places.free as f64 > ROOM_FRACTION * arrival.places.slots as f64;
+        if !has_room && load.is_contended(now) && arrival.draws[0] < arrival.share.excess {
             load.beyond_shares.add(now, arrival.work);
             load.turned_away_count.add(now, 1.0);
             return load.refuse(now, RejectReason::FairShare, load.hold_ms, arrival);
         }
         let has_free_place = arrival.places.free > 0;
         if let Some(late) = lateness_ms(arrival).filter(|_| !has_free_place) {
-            load.last_refusal = Some(now);
-            let until = now + Millis((late as u64).min(MAX_YIELD_TIME.0));
-            if load.yields.is_none_or(|y| now >= y.until || arrival.rank <= y.rank) {
-                load.yields = Some(Yield { rank: arrival.rank, until });
+            if arrival.time_left >= MIN_TIME_TO_YIELD_TO {
+                load.last_refusal = Some(now);
+                let until = now + Millis((late as u64).min(MAX_YIELD_TIME.0));
+                if load.yields.is_none_or(|y| now >= y.until || arrival.rank <= y.rank) {
+                    load.yields = Some(Yield { rank: arrival.rank, until });
+                }
             }
             load.record_outcome(now, arrival.rank, arrival.work, false);
             return load.refuse(now, RejectReason::Deadline, late, arrival);
         }
         let yield_time = load.yields_to(now, arrival.rank);
         let probability = load.rejection_probability(now, arrival.rank, arrival.work);
-        if yield_time.is_some() || arrival.draws[0] < probability {
+        if !has_room && (yield_time.is_some() || arrival.draws[0] < probability) {
             let drain = yield_time.map_or(load.hold_ms, |t| t.0 as f64);
             load.record_outcome(now, arrival.rank, arrival.work, false);
             return load.refuse(now, RejectReason::Contended, drain, arrival);
--- a/crates/tidetrack-core/src/traffic/places.rs
+++ b/crates/tidetrack-core/src/traffic/places.rs
@@ -17,6 +17,9 @@
 /// Time for which a refusal shows that an endpoint refuses requests when full.
 const REFUSAL_RETENTION: Millis = Millis(60_000);
 
+/// Shortest interval at which endpoints are forgotten.
+const PRUNE_INTERVAL: Millis = Millis(1_000);
+
 /// Number of endpoints above which those without recent news are forgotten.
 const MAX_ENDPOINTS: usize = 1_024;
 
@@ -51,6 +54,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Places {
     endpoints: HashMap<EndpointId, EndpointPlaces>,
+    pruned_at: Millis,
+    /// When an endpoint last refused a request because it was full.
+    refused_at: Option<Millis>,
 }
 
 impl Places {
@@ -80,6 +86,7 @@
     /// Records that an endpoint has refused a request because it is full. It is taken to be full until
     /// the next of its requests is expected to end, and longer if it refuses again.
     pub fn record_refused(&mut self, now: Millis, id: &EndpointId, hold: Millis) {
+        self.refused_at = Some(now);
         let places = self.entry(now, id);
         let next_end = hold.0 / places.slots.unwrap_or(1).max(1);
         let time = next_end.max(1) << places.refusals_in_a_row.min(8);
@@ -96,6 +103,11 @@
         self.endpoints.get(id).map(|p| p.full_until).filter(|until| now < *until)
     }
 
+    /// Reports whether any endpoint has lately refused a request because it was full.
+    pub fn has_refusals(&self, now: Millis) -> bool {
+        self.refused_at.is_some_and(|at| now < at + REFUSAL_RETENTION)
+    }
+
     /// Reports whether an endpoint has lately refused a request because it was full.
     pub fn refuses_when_full(&self, now: Millis, id: &EndpointId) -> bool {
         let refused_at = self.endpoints.get(id).and_then(|p| p.refused_at);
@@ -112,7 +124,12 @@
     }
 
     fn entry(&mut self, now: Millis, id: &EndpointId) -> &mut EndpointPlaces {
-        if self.endpoints.len() >= MAX_ENDPOINTS {
+        let is_known = self.endpoints.contains_key(id);
+        if !is_known
+            && self.endpoints.len() >= MAX_ENDPOINTS
+            && now >= self.pruned_at + PRUNE_INTERVAL
+        {
+            self.pruned_at = now;
             let is_recent = |at: Option<Millis>| at.is_some_and(|at| now < at + REFUSAL_RETENTION);
             self.endpoints.retain(|_, p| is_recent(p.reported_at) || is_recent(p.refused_at));
         }
--- a/crates/tidetrack-core/src/traffic/scarcity.rs
+++ b/crates/tidetrack-core/src/traffic/scarcity.rs
@@ -17,6 +17,9 @@
 /// Time over which demand is averaged. Bursts last for seconds.
 const AVERAGING_TIME: Millis = Millis(2_000);
 
+/// Decayed number of requests from which a rank counts as present: one within some seconds.
+const MIN_COUNT: f64 = 0.05;
+
 /// Factor between the values of requests of neighbouring ranks.
 const RANK_VALUE_RATIO: f64 = 2.0;
 
@@ -77,18 +80,23 @@
         demand.objective_s += objective.0 as f64 / 1e3;
     }
 
-    /// Returns the shortest objective of the ranks; `None` before the first request.
-    pub fn shortest_objective(&self) -> Option<Millis> {
-        let objectives = self.ranks.values().filter(|d| d.count > 0.0);
-        let objectives_s = objectives.map(|d| d.objective_s / d.count);
+    /// Returns the ranks that requests have come with lately, with their demand.
+    fn present_ranks(&self, now: Millis) -> impl Iterator<Item = (u8, RankDemand)> + '_ {
+        let decayed = self.ranks.iter().map(move |(rank, demand)| (*rank, demand.decayed(now)));
+        decayed.filter(|(_, demand)| demand.count >= MIN_COUNT)
+    }
+
+    /// Returns the shortest objective of the ranks; `None` without recent requests.
+    pub fn shortest_objective(&self, now: Millis) -> Option<Millis> {
+        let objectives_s = self.present_ranks(now).map(|(_, d)| d.objective_s / d.count);
         objectives_s.min_by(f64::total_cmp).map(|s| Millis((s * 1e3) as u64))
     }
 
     /// Returns the factor by which a request's value is weighted for its rank: 1 for the least
-    /// urgent rank of the service.
-    pub fn rank_weight(&self, rank: u8) -> f64 {
-        let least_urgent = self.ranks.keys().next_back().copied().unwrap_or(rank);
-        RANK_VALUE_RATIO.powi(i32::from(least_urgent.saturating_sub(rank)))
+    /// urgent rank that the service has requests of.
+    pub fn rank_weight(&self, now: Millis, rank: u8) -> f64 {
+        let less_urgent = self.present_ranks(now).filter(|(other, _)| *other > rank).count();
+        RANK_VALUE_RATIO.powi(less_urgent as i32)
     }
 
     /// Returns the value that requests lose because optional work delays them, in the unit of the
@@ -97,17 +105,14 @@
         let per_endpoint = work.hosts as f64 / work.endpoints.max(1) as f64;
         let averaging_s = AVERAGING_TIME.0 as f64 / 1e3;
         let queue_s = work.wait_s + work.own_s;
-        let cost = |(rank, demand): (&u8, &RankDemand)| {
-            let demand = demand.decayed(now);
-            if demand.count < f64::EPSILON {
-                return 0.0;
-            }
-            let value_per_s = demand.value / averaging_s * per_endpoint * self.rank_weight(*rank);
+        let cost = |(rank, demand): (u8, RankDemand)| {
+            let value_per_s =
+                demand.value / averaging_s * per_endpoint * self.rank_weight(now, rank);
             let objective_s = (demand.objective_s / demand.count).max(1e-3);
             // A short wait leaves room for a delay; close to the objective each delay is a loss.
             let scarcity = (work.wait_s / objective_s).min(1.0).powi(2);
             value_per_s * queue_s * (work.own_s / objective_s).min(1.0) * scarcity
         };
-        self.ranks.range(..=work.rank).map(cost).sum()
+        self.present_ranks(now).filter(|(rank, _)| *rank <= work.rank).map(cost).sum()
     }
 }
--- a/crates/tidetrack-core/src/traffic/service_times.rs
+++ b/crates/tidetrack-core/src/traffic/service_times.rs
@@ -67,6 +67,8 @@
     pub start_us: f64,
     /// Variance of the logarithm of the time.
     variance: f64,
+    /// How long work takes at the endpoint, as a multiple of the usual time.
+    slowdown: f64,
 }
 
 impl StartEstimate {
@@ -106,7 +108,13 @@
         let wait_us = work.ahead * self.ahead_pace_us * work.slowdown;
         let own_us = work.own * self.own_pace_us * work.slowdown;
         let start_us = self.fixed_us * work.slowdown + own_us + wait_us;
-        StartEstimate { wait_us, own_us, start_us, variance: self.variance }
+        StartEstimate {
+            wait_us,
+            own_us,
+            start_us,
+            variance: self.variance,
+            slowdown: work.slowdown,
+        }
     }
 
     /// Moves each part towards the measured time, in proportion to its share of the estimate. All
@@ -201,7 +209,8 @@
         expected_tokens: f64,
         time: Millis,
     ) -> f64 {
-        let generation_us = expected_tokens * self.times(service, model).token_us;
+        let token_us = self.times(service, model).token_us * start.slowdown;
+        let generation_us = expected_tokens * token_us;
         let end_us = start.start_us + generation_us;
         log_normal_probability(time.0 as f64 * 1e3, end_us, start.variance.max(LENGTH_VARIANCE))
     }
--- a/crates/tidetrack-core/tests/scarcity.rs
+++ b/crates/tidetrack-core/tests/scarcity.rs
@@ -12,14 +12,16 @@
 use support::{catalog, id, route};
 
 const URGENT: u8 = 0;
+const LESS_URGENT: u8 = 1;
 const RELAXED: u8 = 2;
 
-/// Two seconds of demand at one of 67 hosts: urgent requests with an objective of 1 s and relaxed ones
-/// with 4 s.
+/// Two seconds of demand at one of 67 hosts: urgent requests and less urgent ones with an objective of
+/// 1 s, and relaxed ones with 4 s.
 fn demand() -> DemandTracker {
     let mut demand = DemandTracker::default();
     for i in 0..10 {
         demand.record(Millis(i * 200), URGENT, Millis(1_000), 1.0);
+        demand.record(Millis(i * 200), LESS_URGENT, Millis(1_000), 1.0);
         if i % 3 == 0 {
             demand.record(Millis(i * 200), RELAXED, Millis(4_000), 4.0);
         }
@@ -75,6 +77,17 @@
     assert!(later < during * 0.02, "during {during}, later {later}");
 }
 
+#[test]
+fn a_rank_without_recent_requests_changes_neither_weights_nor_lengths() {
+    let mut demand = demand();
+    demand.record(Millis(0), 9, Millis(50), 1.0);
+    let now = Millis(60_000);
+    demand.record(now, URGENT, Millis(1_000), 1.0);
+
+    assert_eq!(demand.rank_weight(now, URGENT), 1.0);
+    assert_eq!(demand.shortest_objective(now), Some(Millis(1_000)));
+}
+
 #[test]
 fn second_opinions_are_not_asked_that_would_miss_the_deadline_or_cost_others_more_than_they_gain() {
     let catalog = catalog(1);
--- a/crates/tidetrack-plane/src/choose.rs
+++ b/crates/tidetrack-plane/src/choose.rs
@@ -5,19 +5,19 @@
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::ids::{EndpointId, EndpointKey, ModelId};
+use tidetrack_core::placement::probing::is_restricted;
 use tidetrack_core::placement::{
-    evacuated_error, ring_position_of, AttemptLength, EndpointAccess, Locality, PlacementRequest,
-    PlacementTiming, PoolEndpoint, PoolView,
+    evacuated_error, ring_position_of, EndpointAccess, Locality, PlacementRequest, PlacementTiming,
+    PoolEndpoint, PoolView,
 };
 use tidetrack_core::traffic::admission;
 use tidetrack_core::traffic::budget::FurtherAttempt;
 use tidetrack_core::traffic::canary::ReleaseTrack;
 use tidetrack_core::traffic::latency_estimate::PlannedAttempt;
-use tidetrack_core::traffic::prefix_index::PrefixKey;
-use tidetrack_core::traffic::service_times::AttemptWork;
 use tidetrack_core::traffic::view::{PickedEndpoint, ServiceView};
 use tidetrack_core::units::{Millis, Tokens};
 
+use crate::attempt_timing::placement_timing;
 use crate::forward::{choose_host, choose_host_with_share};
 use crate::holders::{choose_sender, SenderChoice};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, PrefixLocation, Traffic};
@@ -36,10 +36,6 @@
 /// does not justify the cost of a transfer.
 const MIN_FETCH_WORK: u64 = 1_600;
 
-/// Fraction of the shortest objective of a service from which an attempt counts as long: requests
-/// beside it lose that much of their time.
-const LONG_ATTEMPT_FRACTION: f64 = 0.1;
-
 /// Time within which an attempt normally ends. A session is held on its release track from the start of a
 /// request until its session time after the request's end, so this is added to the session time.
 const TYPICAL_MAX_ATTEMPT_TIME: Millis = Millis(8_000);
@@ -172,9 +168,6 @@
         match pick_endpoint(traffic, job, attempts, &avoided, service, track, &prompt) {
             Ok(chosen) => {
                 let is_forwarded = chosen.forwarded_to.is_some();
-                if let Some(prefix_key) = prompt.prefix_key {
-                    service.prefixes.record_use(now, prefix_key, EndpointKey::from(&chosen.id));
-                }
                 if service.canary.is_some() && !is_forwarded {
                     traffic
                         .shared
@@ -250,55 +243,6 @@
     Error::new(Code::Overloaded, message).with_retry_after(RETRY_OVERLOADED_MS)
 }
 
-/// Returns how the endpoints' times count for an attempt on a model, under load control.
-fn placement_timing(
-    traffic: &Traffic,
-    job: &Job,
-    model: Option<&ModelId>,
-    weight: f64,
-) -> PlacementTiming {
-    let length = attempt_length(traffic, job, model, weight);
-    PlacementTiming {
-        own_work: job.work(weight, true) as f64,
-        separation: length
-            .and_then(|length| traffic.with_lengths(&job.service, |mix| mix.separation(length))),
-    }
-}
-
-/// Returns the length of an attempt on a model relative to the shortest objective of its service;
-/// `None` if the request is not a generation or no objective is known.
-pub fn attempt_length(
-    traffic: &Traffic,
-    job: &Job,
-    model: Option<&ModelId>,
-    weight: f64,
-) -> Option<AttemptLength> {
-    const US_PER_MS: f64 = 1e3;
-    job.facts.size.as_ref()?;
-    let objective = traffic.with_demand(&job.service, |d| d.shortest_objective())?;
-    let whole_prompt =
-        AttemptWork { own: job.work(weight, false) as f64, ahead: 0.0, slowdown: 1.0 };
-    let times = traffic.service_times.borrow();
-    let own_us = times.estimate_start(&job.service, model, whole_prompt).own_us;
-    let is_long = own_us > objective.0 as f64 * US_PER_MS * LONG_ATTEMPT_FRACTION;
-    Some(if is_long { AttemptLength::Long } else { AttemptLength::Short })
-}
-
-/// Returns the work of an attempt at a chosen endpoint, behind the given work.
-pub fn attempt_work(
-    traffic: &Traffic,
-    job: &Job,
-    chosen: &ChosenEndpoint,
-    weight: f64,
-    ahead: f64,
-) -> AttemptWork {
-    AttemptWork {
-        own: job.work(weight, chosen.prefix.is_available()) as f64,
-        ahead,
-        slowdown: chosen.state.slowdown(traffic.shared.now()).multiple(),
-    }
-}
-
 /// Returns the endpoint that an attempt on `model` would use, on the release track of an earlier attempt, with the
 /// figures for its latency estimate. Records nothing. Returns `None` if no endpoint is available.
 pub fn plan_attempt(
@@ -342,8 +286,6 @@
 
 /// Properties of a request's prompt that affect the choice of its endpoint.
 struct PromptPlacement {
-    /// Key of the shared prefix for the model; `None` if the prompt has no shared prefix.
-    prefix_key: Option<PrefixKey>,
     /// Work of an endpoint that has to reread the shared prefix, in answer tokens.
     reread_work: u64,
     /// Endpoints that are known to hold the shared prefix.
@@ -364,7 +306,6 @@
         let holders = |prefix_key| service.prefixes.endpoints_with(now, prefix_key);
         let weight = model_weight(traffic, job, model);
         PromptPlacement {
-            prefix_key,
             reread_work: job.reread_work(weight),
             timing: traffic
                 .has_load_control(&job.service)
@@ -428,14 +369,15 @@
     let view = traffic.shared.view.load();
     let service = view.services.get(&job.service)?;
     let prompt = PromptPlacement::new(traffic, job, service, model);
-    let avoided = [attempts.tried.as_slice(), std::slice::from_ref(&chosen.id)].concat();
+    let [tried, ..] = attempts.avoided_endpoints();
+    let full = load_control::full_endpoints(traffic, job);
+    let avoided = [tried.as_slice(), &full, std::slice::from_ref(&chosen.id)].concat();
     let track = track_of(chosen);
     let planned = pick_endpoint(traffic, job, attempts, &avoided, service, track, &prompt);
-    planned.ok().filter(|e| e.forwarded_to.is_none())
+    planned.ok().filter(|e| e.forwarded_to.is_none() && !is_restricted(&e.state))
 }
 
-/// Returns the better one of a chosen endpoint and an alternative by what is known now. Records the
-/// use of the shared prefix there if it is the alternative.
+/// Returns the better one of a chosen endpoint and an alternative by what is known now.
 pub fn recheck(
     traffic: &Traffic,
     job: &Job,
@@ -454,7 +396,12 @@
     let second = pool.find_usable(now, &request, &alternative.id);
     let is_alternative_better = match (first, second) {
         (Some(first), Some(second)) => {
-            pool.cheaper_of(now, &request, first, second).id == alternative.id
+            let extra = |e: &ChosenEndpoint| match e.prefix.is_available() {
+                true => 0.0,
+                false => prompt.reread_work as f64,
+            };
+            let (first, second) = ((first, extra(chosen)), (second, extra(&alternative)));
+            pool.is_second_cheaper(now, &request, first, second)
         }
         (None, Some(_)) => true,
         _ => false,
@@ -462,12 +409,23 @@
     if !is_alternative_better {
         return chosen.clone();
     }
-    if let Some(prefix_key) = prompt.prefix_key {
-        service.prefixes.record_use(now, prefix_key, EndpointKey::from(&alternative.id));
-    }
     alternative
 }
 
+/// Records that the endpoint of an attempt will hold the request's shared prefix.
+pub fn record_prefix_use(
+    traffic: &Traffic,
+    job: &Job,
+    model: Option<&ModelId>,
+    chosen: &ChosenEndpoint,
+) {
+    let Some(prefix_key) = job.prefix_key(model) else { return };
+    if let Some(service) = traffic.shared.view.load().services.get(&job.service) {
+        let now = traffic.shared.now();
+        service.prefixes.record_use(now, prefix_key, EndpointKey::from(&chosen.id));
+    }
+}
+
 /// Builds the request that a pool picks an endpoint for.
 fn placement_request<'a>(
     traffic: &'a Traffic,
@@ -578,6 +536,7 @@
         ));
     }
     let chosen = choose(traffic, job, attempts, model)?;
+    record_prefix_use(traffic, job, model, &chosen);
     check_before_send(traffic, job, attempts, &chosen)?;
     let pending_work = PendingWork::new(traffic, &chosen, job, model_weight(traffic, job, model));
     Ok((chosen, pending_work))
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -14,20 +14,19 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::{EndpointId, ModelId};
-use tidetrack_core::placement::{EndpointAccess, EndpointState, SentWork, Slowdown};
+use tidetrack_core::placement::{EndpointAccess, EndpointState};
 use tidetrack_core::retry::{may_retry, FailedAttempt};
 use tidetrack_core::traffic::cascade;
 use tidetrack_core::traffic::forwarding::{
     may_forward_elsewhere, ForwardResult, ForwardedRequest, HolderDecline, MAX_HOSTS_PER_REQUEST,
 };
 use tidetrack_core::traffic::judge::AttemptOutcome;
-use tidetrack_core::traffic::service_times::AttemptWork;
 
 use crate::attempt::{self, EndpointResponse};
+use crate::attempt_timing::{attempt_work, record_demand, record_length, record_start};
 use crate::body::ResponseBody;
 use crate::choose::{
-    attempt_length, attempt_work, check_before_send, model_weight, overloaded_error,
-    RETRY_OVERLOADED_MS,
+    check_before_send, model_weight, overloaded_error, record_prefix_use, RETRY_OVERLOADED_MS,
 };
 use crate::crash::{detect_crash, wait_for_crash_reports};
 use crate::forward::{set_result, take_envelope};
@@ -85,7 +84,9 @@
         }
         Ok(job) => {
             let job = Rc::new(job);
-            record_demand(traffic, &job);
+            if !job.is_forwarded {
+                record_demand(traffic, &job);
+            }
             let result = run_attempts(traffic, &job, &mut attempts).await;
             result.unwrap_or_else(|e| {
                 let route = job.admitted.route.name.as_str();
@@ -107,42 +108,6 @@
     (resp, result)
 }
 
-/// Counts a generation in the demand of its service under load control.
-fn record_demand(traffic: &Traffic, job: &Job) {
-    let Some(size) = job.facts.size.as_ref().filter(|_| traffic.has_load_control(&job.service))
-    else {
-        return;
-    };
-    let view = traffic.shared.view.load();
-    let service = view.catalog.as_ref().and_then(|c| c.services.get(&job.service));
-    let price = service.map_or(0.0, |s| s.highest_price());
-    let value = size.estimated_value(price, &traffic.shared.settings.cascade);
-    let (now, rank) = (traffic.shared.now(), job.admitted.rank());
-    let objective = job.admitted.route.objective;
-    traffic.with_demand(&job.service, |demand| demand.record(now, rank, objective, value));
-}
-
-/// Counts the work of an attempt among that of long or short ones, under load control.
-fn record_length(
-    traffic: &Traffic,
-    job: &Job,
-    model: Option<&ModelId>,
-    weight: f64,
-    work: AttemptWork,
-) {
-    const US_PER_S: f64 = 1e6;
-    if !traffic.has_load_control(&job.service) {
-        return;
-    }
-    let Some(length) = attempt_length(traffic, job, model, weight) else { return };
-    let own_us = traffic.service_times.borrow().estimate_start(&job.service, model, work).own_us;
-    let now = traffic.shared.now();
-    let rank = job.admitted.rank();
-    let weight = traffic.with_demand(&job.service, |demand| demand.rank_weight(rank));
-    let sent = SentWork { length, seconds: own_us / US_PER_S, tokens: work.own, weight };
-    traffic.with_lengths(&job.service, |mix| mix.record(now, sent));
-}
-
 /// Returns why another holder may send a request to an endpoint that this host was asked for and did not send it to.
 fn holder_decline(traffic: &Traffic, endpoint: &EndpointId) -> Option<HolderDecline> {
     let now = traffic.shared.now();
@@ -312,21 +277,33 @@
         Err(e) => return Err(AttemptError::Final(final_error(job, attempts, e))),
     };
     let chosen = probe_candidates(traffic, job, attempts, model, chosen).await;
+    record_prefix_use(traffic, job, model, &chosen);
     if let Err(e) = check_before_send(traffic, job, attempts, &chosen) {
         return Err(AttemptError::Final(final_error(job, attempts, e)));
     }
     let weight = model_weight(traffic, job, model);
     let ahead = chosen.state.load(traffic.shared.now());
     let attempt_work = attempt_work(traffic, job, &chosen, weight, ahead);
-    record_length(traffic, job, model, weight, attempt_work);
+    if chosen.forwarded_to.is_none() {
+        record_length(traffic, job, model, weight, attempt_work);
+    }
     let mut pending_work = PendingWork::new(traffic, &chosen, job, weight);
     let work_ahead = chosen.state.load(traffic.shared.now());
     let present_slowdown = chosen.state.present_slowdown(traffic.shared.now());
     let started_at = Instant::now();
     match send(traffic, job, attempts, &chosen, &pending_work, model, None).await {
         Ok(response) => {
-            load_control::record_response_start(traffic, job, &chosen, started_at.elapsed());
-            if chosen.forwarded_to.is_none() && traffic.has_load_control(&job.service) {
+            let is_error = response.head.status.is_server_error();
+            load_control::record_response_start(
+                traffic,
+                job,
+                &chosen,
+                is_error,
+                started_at.elapsed(),
+            );
+            // An error that is returned at once says nothing about how fast the endpoint works.
+            let teaches_times = response.head.status.is_success() && chosen.forwarded_to.is_none();
+            if teaches_times && traffic.has_load_control(&job.service) {
                 let took = started_at.elapsed();
                 record_start(traffic, job, &chosen, model, attempt_work, present_slowdown, took);
             }
@@ -353,7 +330,7 @@
                 && e.executed == Executed::No
                 && e.code != Code::EndpointUnreachable
                 && !may_forward_elsewhere(&e);
-            let may_ask_another = load_control::may_ask_another(traffic, job, &e);
+            let may_ask_another = load_control::may_ask_another(traffic, job, attempts, &e);
             match !is_final && may_ask_another && can_attempt_again(job, attempts) {
                 true => Err(AttemptError::Retry),
                 false => Err(AttemptError::Final(final_error(job, attempts, e))),
@@ -362,28 +339,6 @@
     }
 }
 
-/// Records how long a response took to start, for its model and for the speed of its endpoint.
-fn record_start(
-    traffic: &Traffic,
-    job: &Job,
-    chosen: &ChosenEndpoint,
-    model: Option<&ModelId>,
-    work: AttemptWork,
-    present_slowdown: Slowdown,
-    took: Duration,
-) {
-    let mut times = traffic.service_times.borrow_mut();
-    // The slowness of a new version is for its roll-out to judge, by comparison with the stable ones.
-    if chosen.canary_version.is_none() {
-        let present = present_slowdown.multiple();
-        let ratio = times.relative_time(&job.service, model, work, present, took);
-        ratio.into_iter().for_each(|ratio| {
-            chosen.state.record_relative_time(traffic.shared.now(), ratio);
-        });
-    }
-    times.record_start(&job.service, model, work, took);
-}
-
 /// Reports whether another attempt is allowed after a failed one, by attempt count, time and repeatability.
 fn can_attempt_again(job: &Job, attempts: &AttemptHistory) -> bool {
     let route = &job.admitted.route;
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -10,6 +10,7 @@
 #![warn(rust_2018_idioms)]
 
 pub mod attempt;
+mod attempt_timing;
 pub mod backlog;
 pub mod body;
 pub mod call;
--- a/crates/tidetrack-plane/src/load_control.rs
+++ b/crates/tidetrack-plane/src/load_control.rs
@@ -21,7 +21,8 @@
 use tidetrack_core::traffic::service_times::StartEstimate;
 use tidetrack_core::units::Millis;
 
-use crate::choose::{attempt_work, model_weight, overloaded_error, plan_attempt_for};
+use crate::attempt_timing::attempt_work;
+use crate::choose::{model_weight, overloaded_error, plan_attempt_for};
 use crate::dialect::{ReportedLoad, ResponseFacts};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, Traffic};
 
@@ -73,7 +74,7 @@
     match admission {
         Admission::Admit => {
             // Engines queue what they are sent, so a generation has found its place.
-            if job.is_generation() {
+            if job.is_generation() && !refuses_when_full(traffic, job) {
                 record_accepted(traffic, job, work);
             }
             Ok(())
@@ -225,6 +226,9 @@
 fn refuses_when_full(traffic: &Traffic, job: &Job) -> bool {
     let now = traffic.shared.now();
     let places = traffic.places.borrow();
+    if !places.has_refusals(now) {
+        return false;
+    }
     let mut refuses = false;
     for_endpoints(traffic, job, |id| refuses |= places.refuses_when_full(now, id));
     refuses
@@ -233,10 +237,10 @@
 /// Returns the endpoints of a request's service that have refused a request because they are full,
 /// and are not expected to have a free place yet.
 pub fn full_endpoints(traffic: &Traffic, job: &Job) -> Vec<EndpointId> {
-    if !applies(traffic, job) {
+    let now = traffic.shared.now();
+    if !traffic.places.borrow().has_refusals(now) || !applies(traffic, job) {
         return Vec::new();
     }
-    let now = traffic.shared.now();
     let places = traffic.places.borrow();
     let mut full = Vec::new();
     for_endpoints(traffic, job, |id| {
@@ -249,7 +253,8 @@
 
 /// Waits a short time while all endpoints that were not tried are full.
 pub async fn wait_for_place(traffic: &Traffic, job: &Job, attempts: &AttemptHistory) {
-    if !applies(traffic, job) {
+    let has_refusals = traffic.places.borrow().has_refusals(traffic.shared.now());
+    if !has_refusals || !applies(traffic, job) {
         return;
     }
     let max_wait = MAX_WAIT.min(job.time_left().mul_f64(MAX_TIME_LEFT_FRACTION));
@@ -306,8 +311,10 @@
 
 /// Reports whether a request whose attempt failed may ask another endpoint. Under contention, an
 /// endpoint's refusal ends the less urgent requests.
-pub fn may_ask_another(traffic: &Traffic, job: &Job, e: &Error) -> bool {
-    if e.code != Code::EndpointRefused || !applies(traffic, job) {
+pub fn may_ask_another(traffic: &Traffic, job: &Job, attempts: &AttemptHistory, e: &Error) -> bool {
+    // A request of which an endpoint has executed a part has its place.
+    let may_have_run = attempts.executed.is_some_and(|executed| executed != Executed::No);
+    if e.code != Code::EndpointRefused || may_have_run || !applies(traffic, job) {
         return true;
     }
     let (now, work) = (traffic.shared.now(), job.work(1.0, false) as f64);
@@ -320,15 +327,18 @@
     traffic: &Traffic,
     job: &Job,
     chosen: &ChosenEndpoint,
+    is_error: bool,
     elapsed: Duration,
 ) {
-    if !traffic.has_load_control(&job.service) || chosen.forwarded_to.is_some() {
+    let is_own = chosen.forwarded_to.is_none();
+    if !traffic.has_load_control(&job.service) || !is_own || is_error {
         return;
     }
     traffic.places.borrow_mut().record_accepted(&chosen.id);
     let held = Millis(elapsed.as_millis() as u64);
     traffic.overload.borrow_mut().record_hold(&job.service, held);
-    if !job.is_generation() && !job.is_forwarded {
+    let counts_here = !job.is_generation() || refuses_when_full(traffic, job);
+    if counts_here && !job.is_forwarded {
         record_accepted(traffic, job, job.work(1.0, false) as f64);
     }
 }
--- a/crates/tidetrack-plane/src/load_probe.rs
+++ b/crates/tidetrack-plane/src/load_probe.rs
@@ -14,10 +14,11 @@
 use tidetrack_core::placement::probing::{max_probe_wait, needs_probe};
 
 use crate::attempt::collect;
-use crate::choose::{attempt_length, model_weight, plan_alternative, recheck};
+use crate::attempt_timing::attempt_length;
+use crate::choose::{model_weight, plan_alternative, recheck};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, Traffic};
 use crate::pool::max_idle_time;
-use crate::send::record_load;
+use crate::send::{record_announcements, record_load};
 
 /// Returns the endpoint that an attempt is sent to: the chosen one, or an alternative if probes of
 /// both show that it is likely to finish earlier.
@@ -32,7 +33,13 @@
     let weight = model_weight(traffic, job, model);
     let Some(length) = attempt_length(traffic, job, model, weight) else { return chosen };
     let is_probed = |e: &ChosenEndpoint| needs_probe(traffic.shared.now(), length, &e.state);
-    if chosen.forwarded_to.is_some() || !is_probed(&chosen) {
+    // The endpoint that another host asks for, or that a roll-out needs requests at, is not replaced,
+    // and without network paths no other endpoint can be asked.
+    let is_fixed = chosen.forwarded_to.is_some()
+        || job.is_forwarded
+        || chosen.is_loaded
+        || traffic.paths.is_lost(&job.service);
+    if is_fixed || !is_probed(&chosen) {
         return chosen;
     }
     let Some(alternative) = plan_alternative(traffic, job, attempts, model, &chosen) else {
@@ -89,6 +96,7 @@
     let Ok(resp) = lease.sender.try_send_request(req).await else { return };
     let (head, body) = resp.into_parts();
     let facts = (traffic.shared.dialect.parse_response_head)(&head.headers);
+    record_announcements(traffic, endpoint, &facts);
     if let Some(load) = facts.load.filter(|_| head.status.is_success()) {
         record_load(traffic, &job.service, endpoint, load);
     }
--- a/crates/tidetrack-plane/src/second_opinion.rs
+++ b/crates/tidetrack-plane/src/second_opinion.rs
@@ -16,7 +16,8 @@
 use tidetrack_core::units::Millis;
 
 use crate::attempt::EndpointResponse;
-use crate::choose::{attempt_work, model_weight, plan_attempt};
+use crate::attempt_timing::attempt_work;
+use crate::choose::{model_weight, plan_attempt};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, Traffic};
 use crate::load_control;
 use crate::pool::max_idle_time;
@@ -60,13 +61,13 @@
         (latency, cascade::weigh_second_opinion(route, service, model, estimate, size, opts)?)
     };
     let now = traffic.shared.now();
-    let is_deferred = load_control::defers_optional_work(traffic, job);
+    let is_deferred = || load_control::defers_optional_work(traffic, job);
     let can_retry = tries.sent_count < route.max_attempts && route.work.is_repeatable();
     let try_acquire_budget =
         || load_control::try_acquire(traffic, job, FurtherAttempt::SecondOpinion);
     let keep_reason = match tradeoff.is_worth_it() {
         false => Some("cost"),
-        true if is_deferred => Some("share"),
+        true if is_deferred() => Some("share"),
         true if !can_retry => Some("attempts"),
         true if !try_acquire_budget() => Some("budget"),
         true if !is_reachable(traffic, job, larger, &candidate).await => {
@@ -128,7 +129,7 @@
         endpoints: service.stable_pool.endpoints().len() + service.canary_pool.endpoints().len(),
     };
     let (rank_weight, delay_cost) = traffic.with_demand(&job.service, |demand| {
-        (demand.rank_weight(optional_work.rank), demand.delay_cost(now, optional_work))
+        (demand.rank_weight(now, optional_work.rank), demand.delay_cost(now, optional_work))
     });
     let estimate = ContendedEstimate {
         confidence,
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -14,7 +14,8 @@
 use tidetrack_core::units::{Millis, Tokens};
 
 use crate::attempt::{self, Attempt, EndpointResponse, IdEcho};
-use crate::choose::{attempt_work, model_weight, reserve_next_attempt};
+use crate::attempt_timing::attempt_work;
+use crate::choose::{model_weight, reserve_next_attempt};
 use crate::dialect::{EndpointRequestInfo, ReportedLoad, ResponseFacts};
 use crate::forward;
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, SilentEndpoint, Traffic};
@@ -271,7 +272,7 @@
 
 /// Records what an endpoint says about itself in the head of a response: that it is leaving, or that it wants no
 /// requests for a time.
-fn record_announcements(traffic: &Traffic, chosen: &ChosenEndpoint, facts: &ResponseFacts) {
+pub fn record_announcements(traffic: &Traffic, chosen: &ChosenEndpoint, facts: &ResponseFacts) {
     if facts.is_leaving && chosen.state.record_leave_announcement() {
         traffic.shared.journal.log(Event::EndpointLeaves, &[("endpoint", &chosen.id)]);
     }
