--- a/crates/tidetrack-core/src/traffic/cascade.rs
+++ b/crates/tidetrack-core/src/traffic/cascade.rs
@@ -114,7 +114,7 @@
     pub wait: f64,
 }
 
-/// What is known about a second attempt while requests compete for room.
+/// What is known about a second attempt while requests contend for capacity.
 #[derive(Clone, Copy, Debug)]
 pub struct ContendedEstimate {
     /// Confidence of the model in the present response, from 0 to 100.
@@ -192,7 +192,7 @@
 }
 
 /// Compares the response of `model` with a second opinion by the largest model while requests
-/// compete for room: what the second attempt costs other requests is counted in full, and an
+/// contend for capacity: what the second attempt costs other requests is counted in full, and an
 /// attempt that is likely to miss the deadline is worth little. Returns `None` if `model` is
 /// already the largest.
 pub fn weigh_contended_second_opinion<'a>(
--- a/crates/tidetrack-core/src/traffic/fair_share.rs
+++ b/crates/tidetrack-core/src/traffic/fair_share.rs
@@ -5,7 +5,7 @@
 //! fairness: a workspace that requests less than its share gets all of it, and the rest is divided
 //! among the others. What a workspace requests beyond that gives way first, beginning with its least
 //! urgent requests. A workspace that requests no more than a typical one is never above its share:
-//! if all request the same, the ranks alone decide. With room, nobody is held back.
+//! if all request the same, the ranks alone decide. With spare capacity, nobody is held back.
 
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
--- a/crates/tidetrack-core/src/traffic/overload.rs
+++ b/crates/tidetrack-core/src/traffic/overload.rs
@@ -4,7 +4,7 @@
 //! service has lately turned away work and more urgent requests need what it can do. The share of
 //! the work that finds a place is measured: the work of accepted requests divided by that of all
 //! requests whose outcome is known. It is given to the ranks in the order of their urgency, with a
-//! small margin by which the hosts notice that there is room again.
+//! small margin by which the hosts notice that there is spare capacity again.
 //!
 //! Endpoints of plain services refuse requests when all their places are taken. Their refusals and
 //! load reports tell which of them have free places; see [`places`](super::places).
@@ -22,7 +22,7 @@
 const AVERAGING_TIME: Millis = Millis(2_000);
 
 /// Multiple of the accepted work that is admitted. The surplus is refused by the endpoints while they
-/// are full, and accepted as soon as there is room.
+/// are full, and accepted as soon as there is capacity.
 const ADMISSION_MARGIN: f64 = 1.1;
 
 /// Number of accepted requests after the last refusal that show that a service is not contended.
@@ -36,7 +36,7 @@
 /// when a request ends, so a full endpoint of six places reports one as free.
 const ROOM_FRACTION: f64 = 0.3;
 
-/// Weight of the newest report in the mean part of free places. Several reports have to show room: a
+/// Weight of the newest report in the mean part of free places. Several reports have to show them: a
 /// single endpoint may be idle because it has just come back.
 const ROOM_WEIGHT: f64 = 0.25;
 
@@ -354,7 +354,7 @@
         load.is_none_or(|l| l.rejection_probability(now, rank, work) <= 0.0)
     }
 
-    /// Records an endpoint's report of its free places. Once several reports show room, the service no
+    /// Records an endpoint's report of its free places. Once several show enough of them, the service no
     /// longer counts as contended.
     pub fn record_room(&mut self, service: &ServiceId, slots: u64, taken: u64) {
         let load = self.load_mut(service);
--- a/crates/tidetrack-core/src/traffic/scarcity.rs
+++ b/crates/tidetrack-core/src/traffic/scarcity.rs
@@ -109,7 +109,7 @@
             let value_per_s =
                 demand.value / averaging_s * per_endpoint * self.rank_weight(now, rank);
             let objective_s = (demand.objective_s / demand.count).max(1e-3);
-            // A short wait leaves room for a delay; close to the objective each delay is a loss.
+            // A short wait leaves time for a delay; close to the objective each delay is a loss.
             let scarcity = (work.wait_s / objective_s).min(1.0).powi(2);
             value_per_s * queue_s * (work.own_s / objective_s).min(1.0) * scarcity
         };
--- a/crates/tidetrack-plane/src/backlog.rs
+++ b/crates/tidetrack-plane/src/backlog.rs
@@ -143,7 +143,7 @@
     has_ended: Cell<bool>,
     is_closed: Cell<bool>,
     is_shed: Cell<bool>,
-    /// Whether the sender waits for room. A sender that does not wait is not woken for each chunk.
+    /// Whether the sender waits for free space. A sender that does not wait is not woken for each chunk.
     is_paused: Cell<bool>,
 }
 
