Review, case 3: the endpoint of a spoiled stream works on while another one continues it

Cause: an event whose id does not rise makes the relay resume the stream elsewhere, with the connection to the present endpoint still open until the other one has sent the head of its response.

--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::host::{loopback, Host, HostAddresses, Replica, ZONES};
+use crate::host::{loopback, ADDRESSES, Host, HostAddresses, Replica, ZONES};
 use crate::platform::Store;
 use crate::record::Record;
 use crate::requester::{HOSTNAME, KEY, OTHER_KEY};
 
 mod burst;
-mod gone;
 mod hang;
+mod twice;
 
 /// The rule held.
 const HELD: i32 = 0;
@@ -42,7 +42,7 @@
     let result = match name {
         "hang" => hang::run(&record, has_trouble),
         "burst" => burst::run(&record, has_trouble),
-        "gone" => gone::run(&record, has_trouble),
+        "twice" => twice::run(&record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let (code, text) = match result {
@@ -73,12 +73,12 @@
     ) -> std::io::Result<Deployment> {
         let temp = std::env::temp_dir().join(format!("tidetrack-review-{}", std::process::id()));
         std::fs::create_dir_all(&temp)?;
-        let store = Store::start(&loopback(31))?;
+        let store = Store::start(&loopback(ADDRESSES - 1))?;
         let mut deployment = Deployment { store, hosts: Vec::new(), replicas: Vec::new(), temp };
         deployment.store.put("config", "main", manifest(route));
         for (n, options) in replica_options.iter().enumerate() {
             let ip = loopback(16 + n as u32);
-            let replica = Replica::start(&format!("i-7f3a91c{n}"), &ip, options)?;
+            let replica = Replica::start(&format!("i-7f3a9{n:02x}c"), &ip, options)?;
             deployment.register(&replica, service, ZONES[n % ZONES.len()]);
             deployment.replicas.push(replica);
         }
--- a/review/kit/cases/hang.rs
+++ b/review/kit/cases/hang.rs
@@ -54,12 +54,12 @@
     for _ in 0..TIMES {
         std::thread::sleep(BETWEEN);
         if has_trouble {
-            record.line("replica i-7f3a91c0 turns faulty: it gets stuck in 45 of 100 requests");
+            record.line("replica i-7f3a900c turns faulty: it gets stuck in 45 of 100 requests");
             std::fs::write(&hang_file, "")?;
         }
         std::thread::sleep(TROUBLE);
         if has_trouble {
-            record.line("replica i-7f3a91c0 is sound again");
+            record.line("replica i-7f3a900c is sound again");
         }
         let _ = std::fs::remove_file(&hang_file);
     }
--- a/review/kit/host.rs
+++ b/review/kit/host.rs
@@ -16,9 +16,12 @@
 /// Zones of the deployment.
 pub const ZONES: [&str; 4] = ["bole-hall", "arada-hall", "kirkos-hall", "yeka-hall"];
 
+/// Number of loopback addresses of a run.
+pub const ADDRESSES: u32 = 64;
+
 /// Returns the nth loopback address of this process, which no other process uses.
 pub fn loopback(n: u32) -> String {
-    let [_, high, mid, low] = (std::process::id() * 32 + n).to_be_bytes();
+    let [_, high, mid, low] = (std::process::id() * ADDRESSES + n).to_be_bytes();
     format!("127.{}.{mid}.{low}", 96 + high % 32)
 }
 
@@ -171,7 +174,6 @@
     /// Address of the replica.
     pub address: String,
     reports: Arc<Mutex<Vec<String>>>,
-    is_running: bool,
 }
 
 impl Replica {
@@ -196,7 +198,7 @@
                 sink.lock().expect("no holder of the lock panics").push(line);
             }
         });
-        Ok(Replica { child, id: id.into(), address, reports, is_running: true })
+        Ok(Replica { child, id: id.into(), address, reports })
     }
 
     /// Returns the lines that the replica has reported: `MS EVENT REQUEST ...`.
@@ -208,12 +210,6 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        self.is_running = false;
-    }
-
-    /// Reports whether the process has not been killed.
-    pub fn is_running(&self) -> bool {
-        self.is_running
     }
 }
 
--- a/review/kit/platform.rs
+++ b/review/kit/platform.rs
@@ -28,7 +28,6 @@
     revision: u64,
     kind: String,
     object: Object,
-    deleted: bool,
 }
 
 struct State {
@@ -69,18 +68,7 @@
         let object = Object { name: name.into(), revision: state.revision, spec };
         state.objects.insert((kind.into(), name.into()), object.clone());
         let revision = state.revision;
-        state.events.push(Event { revision, kind: kind.into(), object, deleted: false });
-        drop(state);
-        self.shared.1.notify_all();
-    }
-
-    /// Removes an object, as the store does with the entry of a replica that is silent.
-    pub fn remove(&self, kind: &str, name: &str) {
-        let mut state = self.shared.0.lock().expect("no holder of the lock panics");
-        let Some(object) = state.objects.remove(&(kind.into(), name.into())) else { return };
-        state.revision += 1;
-        let revision = state.revision;
-        state.events.push(Event { revision, kind: kind.into(), object, deleted: true });
+        state.events.push(Event { revision, kind: kind.into(), object });
         drop(state);
         self.shared.1.notify_all();
     }
@@ -141,7 +129,7 @@
         loop {
             let events = state.events.iter().filter(|e| e.kind == kind && e.revision > after);
             let events: Vec<String> = events
-                .map(|e| format!(r#"{{"deleted":{},"object":{}}}"#, e.deleted, e.object.text()))
+                .map(|e| format!(r#"{{"deleted":false,"object":{}}}"#, e.object.text()))
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
--- a/review/kit/replica.rs
+++ b/review/kit/replica.rs
@@ -4,10 +4,12 @@
 //! faulty while the file `hang_file` exists: it turns that share of its requests away and gets stuck in the middle of
 //! the answer, whose head it has sent; its health answers stay good. A model replica (`engine=1`) reads the prompts of
 //! its requests at the same time, at `read` tokens a ms together, sends the head with the first token and then an event
-//! every `gap_ms`. Both drop a request whose channel closes.
+//! every `gap_ms`. With `spoil=SHARE` it spoils that share of its streams while `spoil_file` exists: it sends one event
+//! twice, and goes on. Both drop a request whose channel closes.
 //!
 //! It reports on standard output, with the time: `arrived`, `running`, `rejected`, `done`, `dropped`.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -21,6 +23,9 @@
 /// Interval at which a replica looks whether the channel of a request has closed.
 const TICK: Duration = Duration::from_millis(5);
 
+/// The event of a spoiled stream that is sent twice.
+const SPOILED_EVENT: u64 = 5;
+
 struct Options {
     id: String,
     is_engine: bool,
@@ -29,6 +34,8 @@
     work: Duration,
     hang_percent: usize,
     hang_file: Option<PathBuf>,
+    spoil_percent: u64,
+    spoil_file: Option<PathBuf>,
     read_per_ms: f64,
     gap: Duration,
     events: u64,
@@ -58,6 +65,8 @@
         work: ms("work_ms", 15.0),
         hang_percent: (number("hang", 0.0) * 100.0) as usize,
         hang_file: value("hang_file").map(PathBuf::from),
+        spoil_percent: (number("spoil", 0.0) * 100.0) as u64,
+        spoil_file: value("spoil_file").map(PathBuf::from),
         read_per_ms: number("read", 61.2),
         gap: ms("gap_ms", 150.0),
         events: number("events", 64.0) as u64,
@@ -203,15 +212,28 @@
         ended
     }
 
+    /// Reports whether a stream is to be spoiled, by a hash of its id.
+    fn is_spoiled(&self, id: &str) -> bool {
+        let is_faulty = self.options.spoil_file.as_ref().is_some_and(|file| file.exists());
+        let mut hasher = DefaultHasher::new();
+        (id, &self.options.id).hash(&mut hasher);
+        is_faulty && hasher.finish() % 100 < self.options.spoil_percent
+    }
+
     fn send_events(&self, after: u64, sealed: &str, id: &str, to: &mut TcpStream) -> Option<()> {
         report("first-token", id, "");
         let head = format!(
             "HTTP/1.1 200 OK\r\n{sealed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
         write(to, &head)?;
+        let is_spoiled = self.is_spoiled(id);
         for n in after + 1..=self.options.events {
             let event = format!("id: {n}\ndata: {} piece-{n}\n\n", self.options.id);
             write(to, &format!("{:x}\r\n{event}\r\n", event.len()))?;
+            if is_spoiled && n == after + SPOILED_EVENT {
+                report("spoiled", id, &format!("event {n} is sent twice"));
+                write(to, &format!("{:x}\r\n{event}\r\n", event.len()))?;
+            }
             let until = Instant::now() + self.options.gap;
             while Instant::now() < until {
                 if is_closed(to) {
