--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::host::{loopback, ADDRESSES, Host, HostAddresses, Replica, ZONES};
+use crate::host::{loopback, Host, HostAddresses, Replica, ADDRESSES, ZONES};
 use crate::platform::Store;
 use crate::record::Record;
 use crate::requester::{HOSTNAME, KEY, OTHER_KEY};
@@ -38,7 +38,10 @@
             return NOT_RUN;
         }
     };
-    record.line(&format!("case {name}, {} the disruption", if has_trouble { "with" } else { "without" }));
+    record.line(&format!(
+        "case {name}, {} the disruption",
+        if has_trouble { "with" } else { "without" }
+    ));
     let result = match name {
         "hang" => hang::run(&record, has_trouble),
         "burst" => burst::run(&record, has_trouble),
@@ -82,7 +85,8 @@
             deployment.register(&replica, service, ZONES[n % ZONES.len()]);
             deployment.replicas.push(replica);
         }
-        let addresses: std::io::Result<Vec<HostAddresses>> = (0..host_count).map(|n| HostAddresses::choose(n as u32)).collect();
+        let addresses: std::io::Result<Vec<HostAddresses>> =
+            (0..host_count).map(|n| HostAddresses::choose(n as u32)).collect();
         let addresses = addresses?;
         let seeds: Vec<String> = addresses.iter().take(3).map(|a| a.peers().to_string()).collect();
         let store = deployment.store.address.clone();
@@ -91,7 +95,11 @@
         }
         for host in &deployment.hosts {
             if !host.wait_ready(Duration::from_secs(15)) {
-                return Err(std::io::Error::other(format!("host {} is not ready: {}", host.name, host.last_log_line())));
+                return Err(std::io::Error::other(format!(
+                    "host {} is not ready: {}",
+                    host.name,
+                    host.last_log_line()
+                )));
             }
         }
         // The hosts have heard each other by then.
@@ -112,7 +120,10 @@
         for replica in &self.replicas {
             for line in replica.reports() {
                 if let Some((at, event)) = line.split_once(' ') {
-                    record.line_at(at.parse().unwrap_or(0), &format!("replica {}: {event}", replica.id));
+                    record.line_at(
+                        at.parse().unwrap_or(0),
+                        &format!("replica {}: {event}", replica.id),
+                    );
                 }
             }
         }
--- a/review/kit/cases/burst.rs
+++ b/review/kit/cases/burst.rs
@@ -79,7 +79,9 @@
     std::thread::sleep(BEFORE);
     record.line(&format!("host 0 uses {:.1} MB", memory(&deployment)));
     if has_trouble {
-        record.line(&format!("the job now uses {BURST_CHANNELS} channels instead of {USUAL_CHANNELS}"));
+        record.line(&format!(
+            "the job now uses {BURST_CHANNELS} channels instead of {USUAL_CHANNELS}"
+        ));
         for n in USUAL_CHANNELS..BURST_CHANNELS {
             threads.push(start(job(format!("job-{n}"), KEY, LARGE_BODY)));
         }
@@ -93,7 +95,9 @@
         if mb > MEMORY_MB {
             deployment.hosts[0].kill();
             kills += 1;
-            record.line(&format!("host 0 uses {mb:.1} MB, over memory-mb = {MEMORY_MB}: the platform kills it"));
+            record.line(&format!(
+                "host 0 uses {mb:.1} MB, over memory-mb = {MEMORY_MB}: the platform kills it"
+            ));
             std::thread::sleep(RESTART_DELAY);
             deployment.hosts[0].restart()?;
             record.line("the platform has started host 0 again");
@@ -155,15 +159,21 @@
         };
         self.record.line_at(sent_ms, &format!("requester {name}: sends {id}, {size} bytes"));
         let sent = channel.send(&req).ok();
-        let answer = sent.and_then(|()| channel.read_answer(DEADLINE + Duration::from_secs(1), |_| true));
+        let answer =
+            sent.and_then(|()| channel.read_answer(DEADLINE + Duration::from_secs(1), |_| true));
         let ms = now_ms() - sent_ms;
         match answer.filter(|a| a.complete) {
             Some(a) => {
-                self.record.line(&format!("requester {name}: {id} is answered {} after {ms} ms", a.status()));
+                self.record.line(&format!(
+                    "requester {name}: {id} is answered {} after {ms} ms",
+                    a.status()
+                ));
                 true
             }
             None => {
-                self.record.line(&format!("requester {name}: the channel of {id} closes without an answer after {ms} ms"));
+                self.record.line(&format!(
+                    "requester {name}: the channel of {id} closes without an answer after {ms} ms"
+                ));
                 let lost = Lost { id, is_kept_channel };
                 self.lost.lock().expect("no holder of the lock panics").push(lost);
                 false
--- a/review/kit/cases/hang.rs
+++ b/review/kit/cases/hang.rs
@@ -35,7 +35,8 @@
 }
 
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> std::io::Result<Option<String>> {
-    let hang_file = std::env::temp_dir().join(format!("tidetrack-review-hang-{}", std::process::id()));
+    let hang_file =
+        std::env::temp_dir().join(format!("tidetrack-review-hang-{}", std::process::id()));
     let _ = std::fs::remove_file(&hang_file);
     let mut options = vec![vec!["work_ms=15".to_string()]; REPLICAS];
     options[0].extend(["hang=0.45".into(), format!("hang_file={}", hang_file.display())]);
@@ -105,13 +106,24 @@
         let answer = open.send(&req).ok().and_then(|()| open.read_answer(DEADLINE, |_| true));
         let answered = answer.filter(|a| a.complete).map(|a| (a.status(), now_ms()));
         match answered {
-            Some((status, at)) => record.line(&format!("requester {n}: {id} is answered {status} after {} ms", at - sent_ms)),
+            Some((status, at)) => record.line(&format!(
+                "requester {n}: {id} is answered {status} after {} ms",
+                at - sent_ms
+            )),
             None => {
-                record.line(&format!("requester {n}: {id} has no answer after {} ms; leaves", now_ms() - sent_ms));
+                record.line(&format!(
+                    "requester {n}: {id} has no answer after {} ms; leaves",
+                    now_ms() - sent_ms
+                ));
                 channel = None;
             }
         }
-        outcomes.lock().expect("no holder of the lock panics").push(Outcome { id, host, sent_ms, answered });
+        outcomes.lock().expect("no holder of the lock panics").push(Outcome {
+            id,
+            host,
+            sent_ms,
+            answered,
+        });
         std::thread::sleep(next.saturating_duration_since(Instant::now()));
     }
 }
@@ -122,7 +134,15 @@
     let open: Vec<&Outcome> =
         outcomes.iter().filter(|o| is_awaited(o, TIMEOUT_MS + GRACE_MS)).collect();
     for o in &open {
-        record.line_at(o.sent_ms, &format!("{} (host {}) has no answer {} ms after it was sent", o.id, o.host, TIMEOUT_MS + GRACE_MS));
+        record.line_at(
+            o.sent_ms,
+            &format!(
+                "{} (host {}) has no answer {} ms after it was sent",
+                o.id,
+                o.host,
+                TIMEOUT_MS + GRACE_MS
+            ),
+        );
     }
     let hosts: std::collections::BTreeSet<usize> = open.iter().map(|o| o.host).collect();
     let text = format!(
--- a/review/kit/cases/twice.rs
+++ b/review/kit/cases/twice.rs
@@ -29,7 +29,8 @@
 const OVERLAP_MS: u64 = 400;
 
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> std::io::Result<Option<String>> {
-    let spoil_file = std::env::temp_dir().join(format!("tidetrack-review-spoil-{}", std::process::id()));
+    let spoil_file =
+        std::env::temp_dir().join(format!("tidetrack-review-spoil-{}", std::process::id()));
     let _ = std::fs::remove_file(&spoil_file);
     let options = (0..REPLICAS).map(|n| {
         let mut options = vec!["engine=1".to_string(), "gap_ms=100".into(), "events=50".into()];
@@ -119,11 +120,16 @@
     for replica in &deployment.replicas {
         for line in replica.reports() {
             let mut words = line.split(' ');
-            let (Some(ms), Some(event), Some(id)) = (words.next(), words.next(), words.next()) else { continue };
+            let (Some(ms), Some(event), Some(id)) = (words.next(), words.next(), words.next())
+            else {
+                continue;
+            };
             let ms = ms.parse().unwrap_or(0);
             let of_request = runs.entry(id.to_string()).or_default();
             match event {
-                "running" => of_request.push(Run { replica: replica.id.clone(), began: ms, ended: None }),
+                "running" => {
+                    of_request.push(Run { replica: replica.id.clone(), began: ms, ended: None })
+                }
                 "done" | "dropped" => {
                     let run = of_request.iter_mut().rev().find(|r| r.replica == replica.id);
                     run.into_iter().for_each(|run| run.ended = Some(ms));
--- a/review/kit/host.rs
+++ b/review/kit/host.rs
@@ -48,7 +48,11 @@
         let listener = || TcpListener::bind(format!("{ip}:0"));
         let listeners = [listener()?, listener()?, listener()?];
         let address = |l: &TcpListener| l.local_addr().map(|a| a.to_string());
-        Ok(HostAddresses([address(&listeners[0])?, address(&listeners[1])?, address(&listeners[2])?]))
+        Ok(HostAddresses([
+            address(&listeners[0])?,
+            address(&listeners[1])?,
+            address(&listeners[2])?,
+        ]))
     }
 
     /// Returns the address for other hosts.
--- a/review/kit/platform.rs
+++ b/review/kit/platform.rs
@@ -93,7 +93,10 @@
         let (path, query) = req.target().split_once('?').unwrap_or((req.target(), ""));
         let Some(rest) = path.strip_prefix("/-/objects/") else { return (404, "{}".into()) };
         let param = |name: &str| {
-            query.split('&').find_map(|p| p.split_once('=').filter(|(n, _)| *n == name)).map(|(_, v)| v)
+            query
+                .split('&')
+                .find_map(|p| p.split_once('=').filter(|(n, _)| *n == name))
+                .map(|(_, v)| v)
         };
         if req.method() != "GET" {
             // These cases have no object whose status a host may write.
@@ -115,10 +118,18 @@
             None => {
                 let state = self.shared.0.lock().expect("no holder of the lock panics");
                 let after = param("after-revision").unwrap_or("");
-                let items = state.objects.iter().filter(|((k, name), _)| k == kind && name.as_str() > after);
+                let items = state
+                    .objects
+                    .iter()
+                    .filter(|((k, name), _)| k == kind && name.as_str() > after);
                 let items: Vec<String> = items.map(|(_, object)| object.text()).collect();
                 let (items, revision) = (items.join(","), state.revision);
-                (200, format!(r#"{{"items":[{items}],"truncated":false,"store-revision":{revision}}}"#))
+                (
+                    200,
+                    format!(
+                        r#"{{"items":[{items}],"truncated":false,"store-revision":{revision}}}"#
+                    ),
+                )
             }
         }
     }
@@ -136,7 +147,8 @@
                 let (events, revision) = (events.join(","), state.revision);
                 return format!(r#"{{"events":[{events}],"store-revision":{revision}}}"#);
             }
-            state = self.shared.1.wait_timeout(state, left).expect("no holder of the lock panics").0;
+            state =
+                self.shared.1.wait_timeout(state, left).expect("no holder of the lock panics").0;
         }
     }
 }
--- a/review/kit/replica.rs
+++ b/review/kit/replica.rs
@@ -51,10 +51,16 @@
 
 /// Runs a replica until it is killed.
 pub fn run(options: &[&str]) -> i32 {
-    let value = |name: &str| options.iter().find_map(|o| o.split_once('=').filter(|(n, _)| *n == name)).map(|(_, v)| v);
-    let number = |name: &str, default: f64| value(name).and_then(|v| v.parse().ok()).unwrap_or(default);
+    let value = |name: &str| {
+        options.iter().find_map(|o| o.split_once('=').filter(|(n, _)| *n == name)).map(|(_, v)| v)
+    };
+    let number =
+        |name: &str, default: f64| value(name).and_then(|v| v.parse().ok()).unwrap_or(default);
     let ms = |name: &str, default: f64| Duration::from_secs_f64(number(name, default) / 1_000.0);
-    let Ok(listener) = TcpListener::bind(format!("{}:0", value("ip").unwrap_or("127.0.0.1"))) else { return 2 };
+    let Ok(listener) = TcpListener::bind(format!("{}:0", value("ip").unwrap_or("127.0.0.1")))
+    else {
+        return 2;
+    };
     let Ok(address) = listener.local_addr() else { return 2 };
     println!("listening {address}");
     let options = Options {
@@ -117,18 +123,29 @@
             return write(to, &format!("HTTP/1.1 200 OK\r\n{id}{load}Content-Length: 0\r\n\r\n"));
         }
         let Some(id) = req.header("tidetrack-attempt-id").map(str::to_string) else {
-            return write(to, "HTTP/1.1 400 X\r\nTidetrack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return write(
+                to,
+                "HTTP/1.1 400 X\r\nTidetrack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            );
         };
         let echo = format!("Tidetrack-Attempt-Id: {id}\r\n");
-        if req.header("tidetrack-expect-replica").is_some_and(|expected| expected != self.options.id) {
+        if req
+            .header("tidetrack-expect-replica")
+            .is_some_and(|expected| expected != self.options.id)
+        {
             return write(to, &format!("HTTP/1.1 421 X\r\n{echo}Content-Length: 0\r\n\r\n"));
         }
-        report("arrived", &id, &format!("deadline-ms={}", req.header("tidetrack-deadline-ms").unwrap_or("-")));
+        report(
+            "arrived",
+            &id,
+            &format!("deadline-ms={}", req.header("tidetrack-deadline-ms").unwrap_or("-")),
+        );
         let is_faulty = self.options.hang_file.as_ref().is_some_and(|file| file.exists());
         if is_faulty && self.hits_fault() {
             return self.hang(&id, &echo, to);
         }
-        let sealed = format!("{echo}Tidetrack-Response-Seal: 3e1b.07.5a2.{}\r\n{load}", self.options.id);
+        let sealed =
+            format!("{echo}Tidetrack-Response-Seal: 3e1b.07.5a2.{}\r\n{load}", self.options.id);
         match self.options.is_engine {
             true => self.generate(req, &id, &sealed, to),
             false => self.work(&id, &echo, &sealed, to),
@@ -161,7 +178,9 @@
             >= self.options.slots + self.options.queue
         {
             report("rejected", id, "full");
-            let text = format!("HTTP/1.1 503 X\r\n{echo}Tidetrack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            let text = format!(
+                "HTTP/1.1 503 X\r\n{echo}Tidetrack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
             return write(to, &text);
         }
         self.waiting.fetch_add(1, Ordering::Relaxed);
@@ -178,14 +197,17 @@
 
     fn try_take_slot(&self) -> bool {
         let running = self.running.load(Ordering::Relaxed);
-        let take = || self.running.compare_exchange(running, running + 1, Ordering::SeqCst, Ordering::Relaxed);
+        let take = || {
+            self.running.compare_exchange(running, running + 1, Ordering::SeqCst, Ordering::Relaxed)
+        };
         running < self.options.slots && take().is_ok()
     }
 
     fn generate(&self, req: &Message, id: &str, sealed: &str, to: &mut TcpStream) -> Option<()> {
         let after: u64 = req.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
         let usage = req.header("tidetrack-token-usage").unwrap_or("0,0");
-        let mut left: f64 = usage.split(',').next().and_then(|n| n.trim().parse().ok()).unwrap_or(0.0);
+        let mut left: f64 =
+            usage.split(',').next().and_then(|n| n.trim().parse().ok()).unwrap_or(0.0);
         report("running", id, &format!("reads {left} tokens, after event {after}"));
         self.running.fetch_add(1, Ordering::Relaxed);
         self.reading.fetch_add(1, Ordering::Relaxed);
@@ -207,7 +229,11 @@
         self.running.fetch_sub(1, Ordering::Relaxed);
         match ended {
             Some(()) => report("done", id, ""),
-            None => report("dropped", id, if is_read { "while it was sent" } else { "while its prompt was read" }),
+            None => report(
+                "dropped",
+                id,
+                if is_read { "while it was sent" } else { "while its prompt was read" },
+            ),
         }
         ended
     }
