Review: each scenario in the folder of its case, the stand-ins beside case 1

Cause: review/kit was a folder of its own, and only the case folders, the report and the build script have a place there. Change: files moved, the paths in build.sh and cases.rs with them; no line of a scenario or check changed.

--- a/review/kit/cases.rs
+++ b/review/1/standins/cases.rs
@@ -9,8 +9,11 @@
 use crate::record::Record;
 use crate::requester::{HOSTNAME, KEY, OTHER_KEY};
 
+#[path = "../../2/burst.rs"]
 mod burst;
+#[path = "../hang.rs"]
 mod hang;
+#[path = "../../3/twice.rs"]
 mod twice;
 
 /// The rule held.
