The rest of a refusal no longer holds up its request

Cause: check_head read the body of a refusal only to use the connection again, before it returned the refusal, and nothing limited that read in time. The same read stood in two more places: the error response of a host that a request was forwarded to, and the answer to a load probe (there within the probe's own limit).

Change: a body that nobody needs is read in the background, for at most 250 ms and 64 KiB, and its connection is then used again or closed (discard_body). check_head does not wait any more, so every wait of an attempt lies in exchange or in collect, and collect takes the deadline itself.

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -1,12 +1,16 @@
 //! One attempt: sends a request to one endpoint and receives the head of its response.
+//!
+//! Every wait of an attempt ends at its deadline. What remains of a response that is not forwarded
+//! is read in the background, only to use the connection again, and for a short time.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use tidetrack_core::codes::{Code, Executed};
 use tidetrack_core::disconnect::{format_error_chain, DisconnectCause};
@@ -18,6 +22,13 @@
 /// Maximum size in bytes of a response body that is buffered before it is forwarded.
 pub const MAX_COLLECTED_BYTES: usize = 1 << 20;
 
+/// Maximum size in bytes of a discarded response body after which its connection is used again.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+
+/// Maximum time for the rest of a discarded response to arrive. Its body usually comes with the
+/// head; a new connection costs less than one that is kept open for a slow body.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A response that was checked to come from the endpoint itself and to belong to the attempt.
 pub struct EndpointResponse {
     /// Status and headers.
@@ -55,7 +66,7 @@
 /// Parameters of an attempt.
 pub struct Attempt<'a> {
     /// Pool that the connection is taken from and returned to.
-    pub pool: &'a Pool,
+    pub pool: &'a Rc<Pool>,
     /// Parses the head of a response.
     pub read_answer: fn(&HeaderMap) -> ResponseFacts,
     /// Called with the parsed head of each response of the endpoint, including refusals, but not
@@ -92,7 +103,7 @@
     make_request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<EndpointResponse> {
     let (head, body, lease) = exchange(attempt, make_request).await?;
-    check_head(attempt, head, body, lease).await
+    check_head(attempt, head, body, lease)
 }
 
 /// The unchecked head of a response, its body and the connection that it arrives on.
@@ -149,7 +160,7 @@
 }
 
 /// Checks that a response comes from the endpoint itself and belongs to this attempt.
-pub async fn check_head(
+pub fn check_head(
     attempt: &Attempt<'_>,
     head: http::response::Parts,
     body: Incoming,
@@ -171,8 +182,7 @@
             _ => Code::EndpointRefused,
         };
         let refusal = make_error(code, text, Executed::No);
-        let response = EndpointResponse { head, facts, body, lease };
-        reuse_after_refusal(attempt, response).await;
+        discard_body(attempt.pool, attempt.endpoint, body, lease, facts.idle_time);
         return Err(refusal);
     }
     let is_success = head.status.is_success();
@@ -193,17 +203,41 @@
     Ok(EndpointResponse { head, facts, body, lease })
 }
 
-async fn reuse_after_refusal(attempt: &Attempt<'_>, response: EndpointResponse) {
-    let idle_time = response.facts.idle_time;
-    if let Ok((_, lease)) = collect(response.body, response.lease).await {
-        attempt.pool.release(attempt.endpoint, lease, idle_time);
+/// Returns the connection of a response to the pool once the rest of its body, which nobody needs,
+/// has been read. The connection is closed if the body is long or slow.
+///
+/// `idle_time` is the time after which the peer closes the idle connection, if announced. Must be
+/// called on a `LocalSet`.
+pub fn discard_body(
+    pool: &Rc<Pool>,
+    peer: &str,
+    body: Incoming,
+    lease: Lease,
+    idle_time: Option<Duration>,
+) {
+    if body.is_end_stream() {
+        return pool.release(peer, lease, idle_time);
     }
+    let (pool, peer) = (pool.clone(), peer.to_string());
+    tokio::task::spawn_local(async move {
+        let rest = Limited::new(body, MAX_DISCARDED_BYTES).collect();
+        // Dropping the lease closes the connection.
+        if let Ok(Ok(_)) = tokio::time::timeout(DISCARD_TIMEOUT, rest).await {
+            pool.release(&peer, lease, idle_time);
+        }
+    });
 }
 
-/// Reads a complete body of at most `MAX_COLLECTED_BYTES`. Returns the body and the connection,
-/// which can be reused.
-pub async fn collect(body: Incoming, lease: Lease) -> Result<(Bytes, Lease)> {
-    let collected = Limited::new(body, MAX_COLLECTED_BYTES).collect().await;
+/// Reads a complete body of at most `MAX_COLLECTED_BYTES` until the deadline. Returns the body and
+/// the connection, which can be reused.
+///
+/// Fails with `Deadline` if the body is not complete in time, and with `EndpointFailed` if it breaks
+/// off or is too large.
+pub async fn collect(body: Incoming, lease: Lease, deadline: Instant) -> Result<(Bytes, Lease)> {
+    let collected = Limited::new(body, MAX_COLLECTED_BYTES).collect();
+    let collected = tokio::time::timeout_at(deadline.into(), collected).await.map_err(|_| {
+        Error::new(Code::Deadline, "the response was not complete before the deadline")
+    })?;
     let collected = collected.map_err(|e| {
         let error = make_error(Code::EndpointFailed, format_error_chain(e.as_ref()), Executed::Yes);
         match e.downcast_ref::<hyper::Error>() {
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -425,11 +425,7 @@
 ) -> Result<Response<ResponseBody>> {
     let proves_completion = response.proves_completion();
     let EndpointResponse { head, facts, body, lease } = response;
-    let deadline = tokio::time::Instant::from_std(job.deadline);
-    let timed_out =
-        |_| Error::new(Code::Deadline, "the response was not complete before the deadline");
-    let collected = tokio::time::timeout_at(deadline, attempt::collect(body, lease));
-    let (body, lease) = collected.await.map_err(timed_out)??;
+    let (body, lease) = attempt::collect(body, lease, job.deadline).await?;
     traffic.pool_of(chosen).release(chosen.peer_name(), lease, facts.idle_time);
     if proves_completion {
         traffic.shared.suspects.record_completion(traffic.shared.now(), &job.fingerprints);
--- a/crates/tidetrack-plane/src/forward.rs
+++ b/crates/tidetrack-plane/src/forward.rs
@@ -275,9 +275,7 @@
             }
             _ => {}
         }
-        if let Ok((_, lease)) = attempt::collect(body, lease).await {
-            traffic.host_pool.release(chosen.peer_name(), lease, None);
-        }
+        attempt::discard_body(&traffic.host_pool, chosen.peer_name(), body, lease, None);
         log(Event::ForwardEnded, &e, &"-");
         traffic.shared.metrics.record_forward("declined");
         return Err(e);
@@ -285,7 +283,7 @@
     let endpoint = result.endpoint.map_or_else(|| "-".to_string(), |id| id.to_string());
     log(Event::ForwardEnded, &head.status.as_u16(), &endpoint);
     traffic.shared.metrics.record_forward("answered");
-    attempt::check_head(&attempt, head, body, lease).await
+    attempt::check_head(&attempt, head, body, lease)
 }
 
 /// Waits until a host that a request was forwarded to is no longer heard, as a suspended one is not. Never returns
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -56,7 +56,7 @@
     /// State shared by all threads of the host.
     pub shared: SharedRef,
     /// Pool of connections to endpoints.
-    pub pool: Pool,
+    pub pool: Rc<Pool>,
     budgets: RefCell<HashMap<ServiceId, AttemptBudget>>,
     /// Estimates the latency of attempts, for the decision on another attempt on a larger model.
     pub latency_estimator: RefCell<LatencyEstimator>,
@@ -77,7 +77,7 @@
     /// Whether the network paths to the endpoints work.
     pub paths: PathMonitor,
     /// Pool of connections to other hosts, for forwarded requests.
-    pub host_pool: Pool,
+    pub host_pool: Rc<Pool>,
     /// Requests that were forwarded and are not finished.
     pub outstanding_forwards: RefCell<OutstandingForwards>,
     /// Hosts that have no share of the endpoints' limits left.
@@ -102,9 +102,9 @@
             reachability,
             backlog: HostBacklog::new(&shared),
             shared,
-            pool: Pool::for_endpoints(),
+            pool: Rc::new(Pool::for_endpoints()),
             paths: PathMonitor::default(),
-            host_pool: Pool::for_forwarding(),
+            host_pool: Rc::new(Pool::for_forwarding()),
             outstanding_forwards: RefCell::default(),
             idle_shares: RefCell::default(),
             waiting: WaitingRequests::default(),
--- a/crates/tidetrack-plane/src/load_probe.rs
+++ b/crates/tidetrack-plane/src/load_probe.rs
@@ -13,7 +13,7 @@
 use tidetrack_core::ids::ModelId;
 use tidetrack_core::placement::probing::{max_probe_wait, needs_probe};
 
-use crate::attempt::collect;
+use crate::attempt::discard_body;
 use crate::attempt_timing::attempt_length;
 use crate::choose::{model_weight, plan_alternative, recheck};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, Traffic};
@@ -100,7 +100,5 @@
     if let Some(load) = facts.load.filter(|_| head.status.is_success()) {
         record_load(traffic, &job.service, endpoint, load);
     }
-    if let Ok((_, lease)) = collect(body, lease).await {
-        traffic.pool.release(endpoint.id.as_str(), lease, facts.idle_time);
-    }
+    discard_body(&traffic.pool, endpoint.id.as_str(), body, lease, facts.idle_time);
 }
