A connection that is still busy with a refused request holds up no other one

An endpoint may refuse a request before it has read a long body, and never read the rest. The connection went back to the pool, and the next request that got it waited for it until its deadline, although it could be sent on another one.

Cause: Pool::acquire waits until a pooled connection accepts a request, and only the deadline of that request ended the wait.

Change: acquire waits at most 5 ms for a pooled connection, then closes it and takes another one.

Evidence: the test of an endpoint that refuses without reading 32 MB fails before (the second attempt does not return within 300 ms; it ends at its deadline of 4 s) and passes after.

--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -36,6 +36,10 @@
 /// Idle time after which a peer is assumed to close a connection, if it does not announce one.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(20);
 
+/// Maximum time until an idle connection accepts a request. A peer that responded without reading
+/// the whole request may leave the connection busy with the rest of it for good.
+const MAX_READY_WAIT: Duration = Duration::from_millis(5);
+
 /// Fraction of the peer's idle time after which an idle connection is no longer used.
 const IDLE_TIME_FRACTION: f64 = 0.7;
 
@@ -134,7 +138,8 @@
     pub async fn acquire(&self, name: &str, address: &str, max_idle: Duration) -> Result<Lease> {
         while let Some(mut idle) = self.pop_newest(name, max_idle) {
             let is_usable = BootInstant::now() < idle.expires_at && !idle.lease.sender.is_closed();
-            if is_usable && idle.lease.sender.ready().await.is_ok() {
+            let ready = tokio::time::timeout(MAX_READY_WAIT, idle.lease.sender.ready());
+            if is_usable && matches!(ready.await, Ok(Ok(()))) {
                 idle.lease.is_reused = true;
                 return Ok(idle.lease);
             }
--- a/crates/tidetrack-plane/tests/attempt.rs
+++ b/crates/tidetrack-plane/tests/attempt.rs
@@ -28,6 +28,11 @@
 /// Bound on a whole test, for attempts without an end.
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Size of a body that does not fit the buffers of a connection, in bytes.
+const LONG_BODY_BYTES: usize = 32 << 20;
+
+const EMPTY_REFUSAL: &str = "HTTP/1.1 503 X\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// Starts an endpoint that answers the first read of each connection with `response` and leaves all further bytes
 /// unread. The receiver gets the time at which a connection was closed by the peer, if `waits_for_close`.
 fn start_endpoint(
@@ -130,3 +135,16 @@
         assert!(pool.has_proven_idle("e-1"));
     });
 }
+
+/// Guards against a request that waits for a connection on which an earlier one is still being written.
+#[test]
+fn a_connection_whose_endpoint_refused_without_reading_the_body_holds_up_no_other_request() {
+    let (address, _closed) = start_endpoint(EMPTY_REFUSAL, false);
+
+    run(async {
+        let pool = Rc::new(Pool::for_endpoints());
+        assert_refused_promptly(&pool, &address, LONG_BODY_BYTES).await;
+
+        assert_refused_promptly(&pool, &address, 0).await;
+    });
+}
