E234 tells by which counts late calls are judged

A roll-out of a version with half of its calls four times as long was completed (EXPOSURE), and the log did not tell why: the late calls of the stable versions, the ratios and the groups of endpoints that a verdict needs were not in it.

--- a/crates/tidetrack-core/src/traffic/samples/mod.rs
+++ b/crates/tidetrack-core/src/traffic/samples/mod.rs
@@ -264,8 +264,12 @@
     /// Reports whether enough endpoint groups have a nonzero count, given the number of endpoints
     /// of the version.
     fn has_enough_groups(&self, endpoints: usize, count: CountSelector) -> bool {
-        let groups = self.groups.iter().filter(|group| count(&group.canary) >= 0.5).count();
-        groups >= min_regressed_groups(endpoints)
+        self.counted_groups(count) >= min_regressed_groups(endpoints)
+    }
+
+    /// Returns the number of endpoint groups with a nonzero count.
+    fn counted_groups(&self, count: CountSelector) -> usize {
+        self.groups.iter().filter(|group| count(&group.canary) >= 0.5).count()
     }
 
     /// Reports whether the canary version has a significantly higher share `numerator` /
@@ -448,7 +452,9 @@
         write!(
             f,
             "all_failed={:.1} all_bad={:.1} all={:.1} above={:.1} paced={:.1} proven_above={:.1} \
-             proven_paced={:.1} loaded_failed={:.0} loaded={:.0}",
+             proven_paced={:.1} loaded_failed={:.0} loaded={:.0} late={:.1} far_late={:.1} \
+             proven_late={:.1} proven_far_late={:.1} proven_all={:.1} late_groups={} groups={} \
+             late_ratio={:.1} late_ratio_rest={:.1}",
             canary.outcomes.failed,
             canary.outcomes.bad,
             canary.outcomes.total,
@@ -457,7 +463,16 @@
             stable.outcomes.above_pace,
             stable.pace_compared,
             concentrated_failed,
-            concentrated_total
+            concentrated_total,
+            late(&canary.outcomes),
+            canary.outcomes.far_late,
+            late(&stable.outcomes),
+            stable.outcomes.far_late,
+            stable.outcomes.total,
+            self.counted_groups(late),
+            self.groups.len(),
+            self.log_ratio(late, not_failed, (1.0, 1.0)),
+            self.log_ratio(late, not_failed, self.fractions_without_worst_group(late, not_failed))
         )
     }
 }
