Few endpoints no longer share a group by the hash of their ids

Cause: endpoints are counted in 16 groups by a hash of their ids, and a version is worse only if several groups show it, also without the worst one. By chance 1 in 40 versions with four endpoints is in that position, and 1 in 3 has two endpoints in one group.

Change: endpoints are hashed into 256 groups. Where more than 16 of them have counts, they are evaluated modulo 16, as before, so versions with many endpoints are judged as they were. Counts keep their form in messages.

Not taken: a comparison of the distributions of the response times instead of shares above a limit.

--- a/crates/tidetrack-core/src/traffic/cutover_counts.rs
+++ b/crates/tidetrack-core/src/traffic/cutover_counts.rs
@@ -13,6 +13,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::traffic::samples::evaluated_group;
+
 /// Fraction of the endpoint groups that is excluded, worst first.
 const EXCLUDED_FRACTION: f64 = 0.4;
 
@@ -43,32 +45,48 @@
 impl CutoverCounts {
     /// Adds a response.
     pub fn add(&mut self, route: u8, group: u8, is_failed: bool) {
-        let counts = self.count_mut(route, group);
-        counts.total = counts.total.saturating_add(1);
-        counts.failed = counts.failed.saturating_add(u16::from(is_failed));
+        self.add_counts(RouteGroupCounts { route, group, total: 1, failed: u16::from(is_failed) });
     }
 
     /// Adds the counts of another host.
     pub fn merge(&mut self, other: &CutoverCounts) {
-        for other_counts in &other.counts {
-            let counts = self.count_mut(other_counts.route, other_counts.group);
-            counts.total = counts.total.saturating_add(other_counts.total);
-            counts.failed = counts.failed.saturating_add(other_counts.failed);
-        }
+        other.counts.iter().for_each(|counts| self.add_counts(*counts));
     }
 
-    /// Returns the number of endpoint groups with responses.
+    fn add_counts(&mut self, added: RouteGroupCounts) {
+        let counts = self.count_mut(added.route, added.group);
+        counts.total = counts.total.saturating_add(added.total);
+        counts.failed = counts.failed.saturating_add(added.failed);
+    }
+
+    /// Returns the number of endpoint groups with responses that are evaluated separately.
     pub fn group_count(&self) -> usize {
-        self.failed_shares().len()
+        self.with_combined_groups().groups().len()
     }
 
     /// Returns the counts without the worst endpoint groups.
     pub fn without_worst(&self) -> CutoverCounts {
-        let mut shares = self.failed_shares();
+        let mut kept = self.with_combined_groups();
+        let mut shares = kept.failed_shares();
         shares.sort_by(|a, b| a.1.total_cmp(&b.1));
         shares.truncate(shares.len() - excluded_groups(shares.len()));
-        let is_kept = |c: &&RouteGroupCounts| shares.iter().any(|(group, _)| *group == c.group);
-        CutoverCounts { counts: self.counts.iter().filter(is_kept).copied().collect() }
+        kept.counts.retain(|c| shares.iter().any(|(group, _)| *group == c.group));
+        kept
+    }
+
+    /// Returns the counts with as many endpoint groups as are evaluated separately.
+    fn with_combined_groups(&self) -> CutoverCounts {
+        let groups = self.groups().len();
+        let mut combined = CutoverCounts::default();
+        for counts in &self.counts {
+            let group = evaluated_group(counts.group, groups);
+            combined.add_counts(RouteGroupCounts { group, ..*counts });
+        }
+        combined
+    }
+
+    fn groups(&self) -> BTreeSet<u8> {
+        self.counts.iter().map(|c| c.group).collect()
     }
 
     /// Returns the sums for a route class.
@@ -83,12 +101,11 @@
 
     /// Returns the share of failed responses of each endpoint group.
     fn failed_shares(&self) -> Vec<(u8, f32)> {
-        let groups: BTreeSet<u8> = self.counts.iter().map(|c| c.group).collect();
         let failed_share = |group: u8| {
             let totals = sum_counts(self.counts.iter().filter(|c| c.group == group));
             (group, totals.failed / totals.total.max(1.0))
         };
-        groups.into_iter().map(failed_share).collect()
+        self.groups().into_iter().map(failed_share).collect()
     }
 
     fn count_mut(&mut self, route: u8, group: u8) -> &mut RouteGroupCounts {
--- a/crates/tidetrack-core/src/traffic/samples/mod.rs
+++ b/crates/tidetrack-core/src/traffic/samples/mod.rs
@@ -37,8 +37,13 @@
 /// Number of classes into which routes are hashed.
 const ROUTE_CLASSES: u64 = 16;
 
-/// Number of groups into which endpoints are hashed.
-const ENDPOINT_GROUPS: u32 = 16;
+/// Number of groups into which endpoints are hashed. It is large enough for the endpoints of a small
+/// service to be in different groups.
+const ENDPOINT_GROUPS: u32 = 256;
+
+/// Maximum number of groups that are evaluated separately; more are combined. `ENDPOINT_GROUPS` is a
+/// multiple of it.
+const MAX_EVALUATED_GROUPS: u8 = 16;
 
 /// Minimum log-likelihood ratio for a regression; a single evaluation reaches it by chance in 1 of
 /// 400 cases.
@@ -171,6 +176,14 @@
     (key % ENDPOINT_GROUPS) as u8
 }
 
+/// Returns the group that a group of endpoints is evaluated in, if `groups` of them have counts.
+pub fn evaluated_group(group: u8, groups: usize) -> u8 {
+    match groups > usize::from(MAX_EVALUATED_GROUPS) {
+        true => group % MAX_EVALUATED_GROUPS,
+        false => group,
+    }
+}
+
 impl Samples {
     /// Adds a response of a stable version.
     pub fn add_stable(&mut self, route: u8, comparison: ResponseComparison) {
@@ -208,14 +221,17 @@
             own_counts.canary.merge(&route.canary);
             own_counts.stable.merge(&route.stable);
         }
-        for group in &other.groups {
-            let own_counts = self.group_mut(group.group);
-            own_counts.canary.merge(&group.canary);
-            own_counts.concentrated_total =
-                own_counts.concentrated_total.saturating_add(group.concentrated_total);
-            own_counts.concentrated_failed =
-                own_counts.concentrated_failed.saturating_add(group.concentrated_failed);
-        }
+        other.groups.iter().for_each(|group| self.add_group(*group));
+    }
+
+    /// Adds counts of a group of endpoints.
+    fn add_group(&mut self, group: GroupCounts) {
+        let counts = self.group_mut(group.group);
+        counts.canary.merge(&group.canary);
+        counts.concentrated_total =
+            counts.concentrated_total.saturating_add(group.concentrated_total);
+        counts.concentrated_failed =
+            counts.concentrated_failed.saturating_add(group.concentrated_failed);
     }
 
     /// Returns the samples of the canary version and of the stable versions, summed over all
@@ -231,6 +247,25 @@
 
     /// Returns the way in which the canary version is worse than the stable versions, if any.
     pub fn regression(&self, basis: VerdictBasis) -> Option<Regression> {
+        match self.groups.len() > usize::from(MAX_EVALUATED_GROUPS) {
+            true => self.with_combined_groups().regression_by_groups(basis),
+            false => self.regression_by_groups(basis),
+        }
+    }
+
+    /// Returns the counts with as many endpoint groups as are evaluated separately.
+    fn with_combined_groups(&self) -> Samples {
+        let mut combined = Samples { routes: self.routes.clone(), groups: Vec::new() };
+        for group in &self.groups {
+            combined.add_group(GroupCounts {
+                group: evaluated_group(group.group, self.groups.len()),
+                ..*group
+            });
+        }
+        combined
+    }
+
+    fn regression_by_groups(&self, basis: VerdictBasis) -> Option<Regression> {
         let VerdictBasis { endpoints, .. } = basis;
         let min_log_ratio = REGRESSION_MIN_LOG_RATIO + basis.threshold_surcharge();
         let single_route_min_log_ratio = SINGLE_ROUTE_MIN_LOG_RATIO + basis.threshold_surcharge();
--- a/crates/tidetrack-core/tests/verdicts.rs
+++ b/crates/tidetrack-core/tests/verdicts.rs
@@ -228,6 +228,60 @@
     );
 }
 
+/// Four endpoint ids of which three are in one of 16 groups by their hash.
+const ENDPOINTS_WITH_SIMILAR_HASHES: [&str; 4] =
+    ["i-4318ffb11e", "i-72d19f750a", "i-aa64588d46", "i-e1220136cf"];
+
+/// Guards against a slow version that is completed because the hashes of its endpoints put them into too few groups.
+#[test]
+fn late_calls_are_detected_at_endpoints_whose_hashes_are_similar() {
+    let response_with_duration = |endpoint: &str, ms: f64| ObservedResponse {
+        head_ms: Some(ms),
+        ..response_from(endpoint, AttemptOutcome::Complete)
+    };
+    let mut baseline = Baseline::default();
+    let mut judge = Judge::default();
+    for n in 0..200 {
+        let response = response_with_duration(&format!("o{}", n % 4), 20.0);
+        judge.record_stable(Millis(0), &response, &baseline);
+        baseline.learn(&response);
+    }
+
+    for n in 0..60 {
+        let ms = if n / 4 % 2 == 0 { 80.0 } else { 20.0 };
+        let response = response_with_duration(ENDPOINTS_WITH_SIMILAR_HASHES[n % 4], ms);
+        judge.record_canary(Millis(100), &response, &baseline);
+    }
+
+    assert_eq!(
+        judge.tally(Millis(100)).bar_reason(VerdictBasis::complete(4)),
+        Some(BarReason::Sample(Regression::Late))
+    );
+}
+
+/// Guards against the same for a version that fails once it gets all calls.
+#[test]
+fn failures_since_the_cutover_are_detected_at_endpoints_whose_hashes_are_similar() {
+    let baseline = Baseline::default();
+    let mut judge = Judge::default();
+    for n in 0..200 {
+        let response = response_from(&format!("o{}", n % 4), AttemptOutcome::Complete);
+        judge.record_stable(Millis(0), &response, &baseline);
+    }
+
+    for n in 0..60 {
+        let has_failed = n / 4 % 2 == 0;
+        let outcome = if has_failed { AttemptOutcome::Failed } else { AttemptOutcome::Complete };
+        let response = response_from(ENDPOINTS_WITH_SIMILAR_HASHES[n % 4], outcome);
+        judge.record_after_cutover(Millis(100), &response, &baseline);
+    }
+
+    assert_eq!(
+        judge.tally(Millis(100)).bar_reason_since_cutover(VerdictBasis::complete(4)),
+        Some(BarReason::Sample(Regression::FailsSinceCutover))
+    );
+}
+
 /// Guards against a slow version whose few very late calls are mistaken for the late calls that
 /// every version has.
 #[test]
