--- a/crates/tidetrack-core/src/traffic/cutover_counts.rs
+++ b/crates/tidetrack-core/src/traffic/cutover_counts.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::traffic::samples::evaluated_group;
+use crate::traffic::samples::{combined_group, needs_combination};
 
 /// Fraction of the endpoint groups that is excluded, worst first.
 const EXCLUDED_FRACTION: f64 = 0.4;
@@ -27,6 +27,13 @@
     failed: u16,
 }
 
+impl RouteGroupCounts {
+    fn merge(&mut self, other: &RouteGroupCounts) {
+        self.total = self.total.saturating_add(other.total);
+        self.failed = self.failed.saturating_add(other.failed);
+    }
+}
+
 /// Sums over several route classes or endpoint groups.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseTotals {
@@ -53,36 +60,40 @@
         other.counts.iter().for_each(|counts| self.add_counts(*counts));
     }
 
+    /// Adds counts, which are combined with those of other groups if there are too many.
     fn add_counts(&mut self, added: RouteGroupCounts) {
-        let counts = self.count_mut(added.route, added.group);
-        counts.total = counts.total.saturating_add(added.total);
-        counts.failed = counts.failed.saturating_add(added.failed);
+        let groups = self.counts.iter().map(|counts| counts.group);
+        let group = match needs_combination(groups.chain([added.group])) {
+            true => {
+                self.combine_groups();
+                combined_group(added.group)
+            }
+            false => added.group,
+        };
+        self.count_mut(added.route, group).merge(&added);
     }
 
-    /// Returns the number of endpoint groups with responses that are evaluated separately.
+    fn combine_groups(&mut self) {
+        if self.counts.iter().all(|counts| counts.group == combined_group(counts.group)) {
+            return;
+        }
+        for counts in std::mem::take(&mut self.counts) {
+            self.count_mut(counts.route, combined_group(counts.group)).merge(&counts);
+        }
+    }
+
+    /// Returns the number of endpoint groups with responses.
     pub fn group_count(&self) -> usize {
-        self.with_combined_groups().groups().len()
+        self.groups().len()
     }
 
     /// Returns the counts without the worst endpoint groups.
     pub fn without_worst(&self) -> CutoverCounts {
-        let mut kept = self.with_combined_groups();
-        let mut shares = kept.failed_shares();
+        let mut shares = self.failed_shares();
         shares.sort_by(|a, b| a.1.total_cmp(&b.1));
         shares.truncate(shares.len() - excluded_groups(shares.len()));
-        kept.counts.retain(|c| shares.iter().any(|(group, _)| *group == c.group));
-        kept
-    }
-
-    /// Returns the counts with as many endpoint groups as are evaluated separately.
-    fn with_combined_groups(&self) -> CutoverCounts {
-        let groups = self.groups().len();
-        let mut combined = CutoverCounts::default();
-        for counts in &self.counts {
-            let group = evaluated_group(counts.group, groups);
-            combined.add_counts(RouteGroupCounts { group, ..*counts });
-        }
-        combined
+        let is_kept = |c: &&RouteGroupCounts| shares.iter().any(|(group, _)| *group == c.group);
+        CutoverCounts { counts: self.counts.iter().filter(is_kept).copied().collect() }
     }
 
     fn groups(&self) -> BTreeSet<u8> {
--- a/crates/tidetrack-core/src/traffic/samples/mod.rs
+++ b/crates/tidetrack-core/src/traffic/samples/mod.rs
@@ -22,9 +22,11 @@
 use crate::units::Millis;
 
 mod counts;
+mod groups;
 mod log_ratio;
 
 pub use counts::{OutcomeCounts, Sample};
+pub use groups::{combined_group, endpoint_group, needs_combination};
 pub use log_ratio::{estimated_share, log_likelihood_ratio};
 
 use counts::{above_pace, bad, failed, far_late, late, not_failed, total, CountSelector};
@@ -37,14 +39,6 @@
 /// Number of classes into which routes are hashed.
 const ROUTE_CLASSES: u64 = 16;
 
-/// Number of groups into which endpoints are hashed. It is large enough for the endpoints of a small
-/// service to be in different groups.
-const ENDPOINT_GROUPS: u32 = 256;
-
-/// Maximum number of groups that are evaluated separately; more are combined. `ENDPOINT_GROUPS` is a
-/// multiple of it.
-const MAX_EVALUATED_GROUPS: u8 = 16;
-
 /// Minimum log-likelihood ratio for a regression; a single evaluation reaches it by chance in 1 of
 /// 400 cases.
 const REGRESSION_MIN_LOG_RATIO: f32 = 6.0;
@@ -121,6 +115,13 @@
 }
 
 impl GroupCounts {
+    fn merge(&mut self, other: &GroupCounts) {
+        self.canary.merge(&other.canary);
+        self.concentrated_total = self.concentrated_total.saturating_add(other.concentrated_total);
+        self.concentrated_failed =
+            self.concentrated_failed.saturating_add(other.concentrated_failed);
+    }
+
     fn concentrated_failed_share(&self) -> f32 {
         f32::from(self.concentrated_failed) / f32::from(self.concentrated_total.max(1))
     }
@@ -171,19 +172,6 @@
     (hash % ROUTE_CLASSES) as u8
 }
 
-/// Returns the group of an endpoint from its key.
-pub fn endpoint_group(key: u32) -> u8 {
-    (key % ENDPOINT_GROUPS) as u8
-}
-
-/// Returns the group that a group of endpoints is evaluated in, if `groups` of them have counts.
-pub fn evaluated_group(group: u8, groups: usize) -> u8 {
-    match groups > usize::from(MAX_EVALUATED_GROUPS) {
-        true => group % MAX_EVALUATED_GROUPS,
-        false => group,
-    }
-}
-
 impl Samples {
     /// Adds a response of a stable version.
     pub fn add_stable(&mut self, route: u8, comparison: ResponseComparison) {
@@ -221,17 +209,7 @@
             own_counts.canary.merge(&route.canary);
             own_counts.stable.merge(&route.stable);
         }
-        other.groups.iter().for_each(|group| self.add_group(*group));
-    }
-
-    /// Adds counts of a group of endpoints.
-    fn add_group(&mut self, group: GroupCounts) {
-        let counts = self.group_mut(group.group);
-        counts.canary.merge(&group.canary);
-        counts.concentrated_total =
-            counts.concentrated_total.saturating_add(group.concentrated_total);
-        counts.concentrated_failed =
-            counts.concentrated_failed.saturating_add(group.concentrated_failed);
+        other.groups.iter().for_each(|group| self.group_mut(group.group).merge(group));
     }
 
     /// Returns the samples of the canary version and of the stable versions, summed over all
@@ -247,25 +225,6 @@
 
     /// Returns the way in which the canary version is worse than the stable versions, if any.
     pub fn regression(&self, basis: VerdictBasis) -> Option<Regression> {
-        match self.groups.len() > usize::from(MAX_EVALUATED_GROUPS) {
-            true => self.with_combined_groups().regression_by_groups(basis),
-            false => self.regression_by_groups(basis),
-        }
-    }
-
-    /// Returns the counts with as many endpoint groups as are evaluated separately.
-    fn with_combined_groups(&self) -> Samples {
-        let mut combined = Samples { routes: self.routes.clone(), groups: Vec::new() };
-        for group in &self.groups {
-            combined.add_group(GroupCounts {
-                group: evaluated_group(group.group, self.groups.len()),
-                ..*group
-            });
-        }
-        combined
-    }
-
-    fn regression_by_groups(&self, basis: VerdictBasis) -> Option<Regression> {
         let VerdictBasis { endpoints, .. } = basis;
         let min_log_ratio = REGRESSION_MIN_LOG_RATIO + basis.threshold_surcharge();
         let single_route_min_log_ratio = SINGLE_ROUTE_MIN_LOG_RATIO + basis.threshold_surcharge();
@@ -464,7 +423,28 @@
         &mut self.routes[index]
     }
 
+    /// Returns the counts of a group, which are combined with those of others if there are too many.
     fn group_mut(&mut self, group: u8) -> &mut GroupCounts {
+        let groups = self.groups.iter().map(|counts| counts.group);
+        match needs_combination(groups.chain([group])) {
+            true => {
+                self.combine_groups();
+                self.counts_mut(combined_group(group))
+            }
+            false => self.counts_mut(group),
+        }
+    }
+
+    fn combine_groups(&mut self) {
+        if self.groups.iter().all(|counts| counts.group == combined_group(counts.group)) {
+            return;
+        }
+        for counts in std::mem::take(&mut self.groups) {
+            self.counts_mut(combined_group(counts.group)).merge(&counts);
+        }
+    }
+
+    fn counts_mut(&mut self, group: u8) -> &mut GroupCounts {
         let index =
             self.groups.iter().position(|counts| counts.group == group).unwrap_or_else(|| {
                 let canary = OutcomeCounts::default();
