Slow plain calls are found by the distribution of their times

Cause: each call was cut to late or not, at twice the mean plus 15 ms.

Change: successful plain calls are counted by steps of their time (a third of an octave), route and group of endpoints. The log-likelihood ratio of a quarter, half or all of the calls of a route taking 3, 5 or 8 times as long, averaged over these, against the stable versions' times or 1.2 times as long with 2% slow calls, has to reach 4, and 1 without any one group. Hosts report the counts behind all that hosts of earlier builds read.

Evidence: slow_calls_are_detected_although_none_of_them_is_late gives no verdict before and SlowerCalls after.

--- a/crates/tidetrack-core/src/traffic/baseline.rs
+++ b/crates/tidetrack-core/src/traffic/baseline.rs
@@ -19,6 +19,7 @@
 
 use crate::ids::{ModelId, RouteId};
 use crate::traffic::judge::ObservedResponse;
+use crate::traffic::samples::time_step;
 
 /// Minimum weight of the newest value in a running mean.
 const MEAN_WEIGHT: f64 = 0.05;
@@ -139,6 +140,8 @@
     /// Whether the pace was above the baseline; `None` if the response has no pace or there is no
     /// baseline for it.
     pub is_above_pace: Option<bool>,
+    /// Step of the response time of a successful plain call; `None` for other responses.
+    pub time_step: Option<u8>,
 }
 
 /// Baseline of the stable versions of a service.
@@ -163,6 +166,7 @@
             is_late,
             is_far_late,
             is_above_pace: self.is_above_pace(response),
+            time_step: response.head_ms.filter(|_| is_successful_call).map(time_step),
         }
     }
 
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -8,7 +8,7 @@
 use crate::placement::{hash_fraction, EndpointState};
 use crate::traffic::baseline::Baseline;
 use crate::traffic::canary::{Canary, Phase, ProgressWriter};
-use crate::traffic::endpoint_speeds::LoadControlReport;
+use crate::traffic::endpoint_speeds::{CallTimesReport, LoadControlReport};
 use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::freshness::Freshness;
 use crate::traffic::peers::{BarredVersion, PeerUpdate, ProofReport, TallyReport, ROUND_INTERVAL};
@@ -82,7 +82,10 @@
         // Also while all paths work: requests are forwarded from the moment in which they are lost.
         actions.push(Action::PublishForwardTargets(self.peers.forward_targets(now)));
         // Replies and queries don't contain speeds: a host with a special role would send many.
-        let load_control = self.build_load_control_report(now, actions);
+        let load_control = LoadControlReport {
+            call_times: self.last_update.load_control.call_times.clone(),
+            ..self.build_load_control_report(now, actions)
+        };
         let update = PeerUpdate { load_control, ..self.last_update.clone() };
         let mut messages = self.peers.round_messages(now, &update);
         if self
@@ -131,6 +134,7 @@
         LoadControlReport {
             speeds: self.speeds.reports_for_round(now, &self.host, &endpoints),
             usage: self.fair_shares.with(|shares| shares.reports(now)),
+            call_times: Vec::new(),
         }
     }
 
@@ -254,6 +258,11 @@
                         update.sessions.push((service.clone(), exposure.reports(now, sample)));
                     }
                     let tally = canary.judge.tally(now).clone();
+                    update.load_control.call_times.push(CallTimesReport {
+                        service: service.clone(),
+                        version: version.clone(),
+                        times: tally.samples.call_times.clone(),
+                    });
                     let age_ms = canary.age(now).0;
                     let baseline =
                         self.baselines.get(&service).map(Baseline::report).unwrap_or_default();
--- a/crates/tidetrack-core/src/traffic/endpoint_speeds.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_speeds.rs
@@ -16,11 +16,12 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::events::Event;
-use crate::ids::{EndpointId, EndpointKey, HostId, ServiceId};
+use crate::ids::{EndpointId, EndpointKey, HostId, ServiceId, VersionName};
 use crate::placement::{EndpointState, RelativeTimes, Slowdown, MAX_RELATIVE_LOG};
 use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::fair_share::UsageReport;
 use crate::traffic::peers::ROUND_INTERVAL;
+use crate::traffic::samples::CallTimes;
 use crate::units::Millis;
 
 /// Maximum number of endpoints in a message. At 8 bytes each and 32 messages per second, the reports
@@ -112,13 +113,39 @@
     pub speeds: Vec<SpeedReport>,
     /// Usage of services by workspace, at the sender.
     pub usage: Vec<UsageReport>,
+    /// Response times of versions under roll-out. They belong to the sender's tallies and stand here
+    /// because hosts that do not know them ignore what follows the usage.
+    pub call_times: Vec<CallTimesReport>,
+}
+
+/// Response times of plain calls that a host observed during a roll-out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CallTimesReport {
+    /// Service under roll-out.
+    pub service: ServiceId,
+    /// The version under roll-out.
+    pub version: VersionName,
+    /// Counts of the sender.
+    pub times: CallTimes,
+}
+
+/// Reports at the end of a message, which some senders do not add.
+#[derive(Default)]
+struct OptionalEnd(Vec<CallTimesReport>);
+
+impl<'de> Deserialize<'de> for OptionalEnd {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(OptionalEnd(Deserialize::deserialize(deserializer).unwrap_or_default()))
+    }
 }
 
 impl Serialize for LoadControlReport {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        match self.speeds.is_empty() && self.usage.is_empty() {
-            true => serializer.serialize_unit(),
-            false => (&self.speeds, &self.usage).serialize(serializer),
+        let is_empty = self.speeds.is_empty() && self.usage.is_empty();
+        match (is_empty, self.call_times.is_empty()) {
+            (true, true) => serializer.serialize_unit(),
+            (false, true) => (&self.speeds, &self.usage).serialize(serializer),
+            (_, false) => (&self.speeds, &self.usage, &self.call_times).serialize(serializer),
         }
     }
 }
@@ -127,8 +154,9 @@
     /// Reads a report. At the end of a message, and from anything unreadable, it is empty: nothing
     /// follows it, and it is only a hint.
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let (speeds, usage) = Deserialize::deserialize(deserializer).unwrap_or_default();
-        Ok(LoadControlReport { speeds, usage })
+        let (speeds, usage, OptionalEnd(call_times)) =
+            Deserialize::deserialize(deserializer).unwrap_or_default();
+        Ok(LoadControlReport { speeds, usage, call_times })
     }
 }
 
--- a/crates/tidetrack-core/src/traffic/peers/mod.rs
+++ b/crates/tidetrack-core/src/traffic/peers/mod.rs
@@ -169,6 +169,14 @@
         self.departed_tallies.retain(|departed| {
             departed.from != msg.from || departed.incarnation != msg.incarnation
         });
+        let mut update = msg.update;
+        for report in std::mem::take(&mut update.load_control.call_times) {
+            let is_same =
+                |t: &&mut TallyReport| t.service == report.service && t.version == report.version;
+            if let Some(tally_report) = update.tallies.iter_mut().find(is_same) {
+                tally_report.tally.samples.call_times = report.times;
+            }
+        }
         let peer = Peer {
             incarnation: msg.incarnation,
             address: msg.address,
@@ -176,7 +184,7 @@
             is_well_connected: msg.is_well_connected,
             received_at: now,
             stamp_ms: msg.stamp_ms,
-            update: msg.update,
+            update,
         };
         self.peers.insert(msg.from, peer);
         proof
--- a/crates/tidetrack-core/src/traffic/samples/mod.rs
+++ b/crates/tidetrack-core/src/traffic/samples/mod.rs
@@ -21,10 +21,12 @@
 use crate::traffic::verdict_basis::VerdictBasis;
 use crate::units::Millis;
 
+mod call_times;
 mod counts;
 mod groups;
 mod log_ratio;
 
+pub use call_times::{time_step, CallTimes};
 pub use counts::{OutcomeCounts, Sample};
 pub use groups::{combined_group, endpoint_group, needs_combination};
 pub use log_ratio::{estimated_share, log_likelihood_ratio};
@@ -61,6 +63,10 @@
 /// are excluded.
 const SINCE_CUTOVER_MIN_LOG_RATIO: f32 = 4.0;
 
+/// Like [`REGRESSION_MIN_LOG_RATIO`], for the distribution of the times of plain calls. It is lower
+/// because the ratio is averaged over the alternatives and allows for some slow calls.
+const CALL_TIMES_MIN_LOG_RATIO: f32 = 4.0;
+
 /// Like [`REGRESSION_MIN_LOG_RATIO`], for a single one of several routes.
 const SINGLE_ROUTE_MIN_LOG_RATIO: f32 = 7.0;
 
@@ -140,6 +146,8 @@
     FailsSinceCutover,
     /// It has a higher share of late plain calls, or of late and failed ones together.
     Late,
+    /// A part of its plain calls takes several times as long.
+    SlowerCalls,
     /// A higher share of its responses is above the baseline pace.
     Slower,
     /// A higher share of its responses is above the baseline pace on some route.
@@ -154,6 +162,7 @@
             Regression::FailsUnderLoad => "fails_under_load",
             Regression::FailsSinceCutover => "fails_since_move",
             Regression::Late => "late",
+            Regression::SlowerCalls => "slower_calls",
             Regression::Slower => "slower",
             Regression::SlowerOnRoute => "slower_on_route",
         })
@@ -165,6 +174,9 @@
 pub struct Samples {
     routes: Vec<RouteSamples>,
     groups: Vec<GroupCounts>,
+    /// Response times of plain calls. Messages carry them in a `CallTimesReport`.
+    #[serde(skip)]
+    pub call_times: CallTimes,
 }
 
 /// Returns the class of a route from the hash of its name.
@@ -176,12 +188,18 @@
     /// Adds a response of a stable version.
     pub fn add_stable(&mut self, route: u8, comparison: ResponseComparison) {
         self.route_mut(route).stable.add(comparison);
+        if let Some(step) = comparison.time_step {
+            self.call_times.add_stable(route, step);
+        }
     }
 
     /// Adds a response of the canary version.
     pub fn add_canary(&mut self, route: u8, group: u8, comparison: ResponseComparison) {
         self.route_mut(route).canary.add(comparison);
         self.group_mut(group).canary.add(comparison);
+        if let Some(step) = comparison.time_step {
+            self.call_times.add_canary(route, group, step);
+        }
     }
 
     /// Adds a response of a canary endpoint under concentrated load.
@@ -210,6 +228,7 @@
             own_counts.stable.merge(&route.stable);
         }
         other.groups.iter().for_each(|group| self.group_mut(group.group).merge(group));
+        self.call_times.merge(&other.call_times);
     }
 
     /// Returns the samples of the canary version and of the stable versions, summed over all
@@ -252,7 +271,21 @@
         let is_confirmed = |(_, is_over_threshold, count): &&(Regression, bool, CountSelector)| {
             *is_over_threshold && self.has_enough_groups(endpoints, *count)
         };
-        tests.iter().find(is_confirmed).map(|(regression, ..)| *regression)
+        let regression = tests.iter().find(is_confirmed).map(|(regression, ..)| *regression);
+        let has_slower_calls = || {
+            let surcharge = basis.threshold_surcharge();
+            self.has_slower_calls(endpoints, CALL_TIMES_MIN_LOG_RATIO + surcharge)
+        };
+        regression.or_else(|| has_slower_calls().then_some(Regression::SlowerCalls))
+    }
+
+    /// Reports whether a part of the plain calls takes significantly longer than on the stable
+    /// versions, both with and without any one endpoint group.
+    fn has_slower_calls(&self, endpoints: usize, min_log_ratio: f32) -> bool {
+        let min_without_worst =
+            if endpoints < 2 { 0.0 } else { f64::from(INCONCLUSIVE_MIN_LOG_RATIO) };
+        self.call_times.log_ratio() >= f64::from(min_log_ratio)
+            && self.call_times.log_ratio_without_worst_group() >= min_without_worst
     }
 
     /// Reports whether enough endpoint groups have a nonzero count, given the number of endpoints
@@ -315,7 +348,9 @@
         };
         let is_slow = pace_log_ratio(&canary, &stable) >= INCONCLUSIVE_MIN_LOG_RATIO;
         stable.outcomes.total >= MIN_STABLE_RESPONSES
-            && (is_slow || ratios.into_iter().any(is_inconclusive))
+            && (is_slow
+                || ratios.into_iter().any(is_inconclusive)
+                || self.call_times.log_ratio() >= f64::from(INCONCLUSIVE_MIN_LOG_RATIO))
     }
 
     /// Returns the fractions of the numerator and of the denominator that remain without the
@@ -469,7 +504,8 @@
             "all_failed={:.1} all_bad={:.1} all={:.1} above={:.1} paced={:.1} proven_above={:.1} \
              proven_paced={:.1} loaded_failed={:.0} loaded={:.0} late={:.1} far_late={:.1} \
              proven_late={:.1} proven_far_late={:.1} proven_all={:.1} late_groups={} groups={} \
-             late_ratio={:.1} late_ratio_rest={:.1}",
+             late_ratio={:.1} late_ratio_rest={:.1} times_ratio={:.1} \
+             times_ratio_rest={:.1}",
             canary.outcomes.failed,
             canary.outcomes.bad,
             canary.outcomes.total,
@@ -487,7 +523,9 @@
             self.counted_groups(late),
             self.groups.len(),
             self.log_ratio(late, not_failed, (1.0, 1.0)),
-            self.log_ratio(late, not_failed, self.fractions_without_worst_group(late, not_failed))
+            self.log_ratio(late, not_failed, self.fractions_without_worst_group(late, not_failed)),
+            self.call_times.log_ratio(),
+            self.call_times.log_ratio_without_worst_group()
         )
     }
 }
--- a/crates/tidetrack-core/tests/verdicts.rs
+++ b/crates/tidetrack-core/tests/verdicts.rs
@@ -228,6 +228,36 @@
     );
 }
 
+/// Guards against a slow version whose calls stay below the limit above which a call is late.
+#[test]
+fn slow_calls_are_detected_although_none_of_them_is_late() {
+    const USUAL_MS: f64 = 20.0;
+    const SLOW_MS: f64 = 54.0;
+    let response_with_duration = |endpoint: &str, ms: f64| ObservedResponse {
+        head_ms: Some(ms),
+        ..response_from(endpoint, AttemptOutcome::Complete)
+    };
+    let mut baseline = Baseline::default();
+    let mut judge = Judge::default();
+    for n in 0..200 {
+        let response = response_with_duration(&format!("o{}", n % 4), USUAL_MS);
+        judge.record_stable(Millis(0), &response, &baseline);
+        baseline.learn(&response);
+    }
+
+    for n in 0..40 {
+        let ms = if n / 4 % 2 == 0 { SLOW_MS } else { USUAL_MS };
+        let response = response_with_duration(&format!("n{}", n % 4), ms);
+        assert!(!baseline.compare(&response).is_late, "{response:?}");
+        judge.record_canary(Millis(100), &response, &baseline);
+    }
+
+    assert_eq!(
+        judge.tally(Millis(100)).bar_reason(VerdictBasis::complete(4)),
+        Some(BarReason::Sample(Regression::SlowerCalls))
+    );
+}
+
 /// Four endpoint ids of which three are in one of 16 groups by their hash.
 const ENDPOINTS_WITH_SIMILAR_HASHES: [&str; 4] =
     ["i-4318ffb11e", "i-72d19f750a", "i-aa64588d46", "i-e1220136cf"];
--- a/crates/tidetrack-plane/tests/messages.rs
+++ b/crates/tidetrack-plane/tests/messages.rs
@@ -4,13 +4,14 @@
 use tidetrack_core::placement::RelativeTimes;
 use tidetrack_core::traffic::baseline::Baseline;
 use tidetrack_core::traffic::endpoint_speeds::{
-    IncarnationHash, LoadControlReport, SpeedReport, REPORTS_PER_MESSAGE,
+    CallTimesReport, IncarnationHash, LoadControlReport, SpeedReport, REPORTS_PER_MESSAGE,
 };
 use tidetrack_core::traffic::endpoints::EndpointRecord;
 use tidetrack_core::traffic::fair_share::{FairShares, WorkspaceKey};
 use tidetrack_core::traffic::judge::{AttemptOutcome, Judge, ObservedResponse, Tally};
 use tidetrack_core::traffic::peers::{PeerMessage, PeerUpdate, ProofReport, TallyReport};
 use tidetrack_core::traffic::prefix_index::{PrefixIndex, PrefixKey};
+use tidetrack_core::traffic::samples::CallTimes;
 use tidetrack_core::units::Millis;
 
 /// Maximum number of bytes that each endpoint in use adds to a message.
@@ -180,8 +181,8 @@
         SpeedReport::new(EndpointKey::from(&record.id), IncarnationHash::of(&record), times)
     };
     let mut message = message(20);
-    message.update.load_control =
-        LoadControlReport { speeds: (0..endpoints).map(report).collect(), usage: Vec::new() };
+    let speeds = (0..endpoints).map(report).collect();
+    message.update.load_control = LoadControlReport { speeds, ..LoadControlReport::default() };
     message
 }
 
@@ -218,3 +219,27 @@
     let rest = truncated.expect("the rest of the message is deserialized");
     assert_eq!(rest, message_with_speeds(0));
 }
+
+/// Guards against hosts that cannot read each other's messages because only one of them reports response times.
+#[test]
+fn response_times_of_versions_follow_what_other_hosts_read() {
+    let mut times = CallTimes::default();
+    times.add_stable(1, 4);
+    times.add_canary(1, 200, 9);
+    let mut with_times = message(20);
+    with_times.update.load_control.call_times.push(CallTimesReport {
+        service: "model-service".parse().expect("the service name parses"),
+        version: "v2".parse().expect("the version name parses"),
+        times,
+    });
+    let without = encode(&message(20));
+
+    let encoded = encode(&with_times);
+
+    let decode = |bytes: &[u8]| postcard::from_bytes::<PeerMessage>(bytes);
+    assert_eq!(decode(&encoded).as_ref(), Ok(&with_times));
+    assert_eq!(decode(&without).as_ref(), Ok(&message(20)));
+    // Hosts that do not know the times read two empty lists before them.
+    assert_eq!(encoded[..without.len()], without);
+    assert_eq!(encoded[without.len()..without.len() + 2], [0, 0]);
+}
