--- a/crates/tidetrack-core/src/traffic/endpoint_speeds.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_speeds.rs
@@ -105,8 +105,9 @@
     }
 }
 
-/// What a host reports for load control. It is the last part of a message and takes no bytes where
-/// there is nothing to report, so that such messages are those of hosts without load control.
+/// What a host reports for load control, and the response times of its tallies. It is the last part
+/// of a message and takes no bytes where there is nothing to report, so that such messages are those
+/// of hosts without load control.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LoadControlReport {
     /// The sender's own measurements of some endpoints.
--- a/crates/tidetrack-core/tests/call_times.rs
+++ b/crates/tidetrack-core/tests/call_times.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// Guards against missing a slow version of a service with few requests.
+#[test]
+fn forty_calls_show_that_half_of_them_take_three_times_as_long() {
+    for seed in 0..20 {
+        let times = call_times(seed, 40, 0.5, 3.0, GROUPS);
+
+        assert!(times.log_ratio() >= THRESHOLD, "seed {seed}: {}", times.log_ratio());
+    }
+}
+
 /// Guards against barring good versions, also those that are a little slower or rarely slow.
 #[test]
 fn the_calls_of_good_versions_do_not_look_slow() {
--- a/crates/tidetrack-core/tests/few_calls.rs
+++ b/crates/tidetrack-core/tests/few_calls.rs
@@ -267,6 +267,16 @@
     assert_eq!(count_barred(case), SEED_COUNT);
 }
 
+/// Guards against completing a version of which half of the calls take three or more times as long.
+#[test]
+fn a_version_with_half_of_its_calls_several_times_slower_is_barred_at_low_traffic() {
+    let case = RolloutCase { slow_share: 0.5, slowdown: 3.0, ..RolloutCase::default() };
+
+    for slowdown in [3.0, 4.0, 6.0] {
+        assert_eq!(count_barred(RolloutCase { slowdown, ..case }), SEED_COUNT);
+    }
+}
+
 /// The allowance is shared by all hosts, and a good version is completed however much of it is
 /// used.
 #[test]
