Logs tell which completions a host knew of when it barred a part

E236 now has the number of workspaces and the time since the last completion in any of them that the host knows of, E316 the hash of each part beside its id, and E249 counts per second the reports sent, the ones left out, and the completions that arrived with their largest age.

--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -78,6 +78,7 @@
     EndpointAccess, 246, "who may send to an endpoint that falls over from refusing requests has changed for this host";
     MaxRefusalsIgnored, 247, "an endpoint says how many refusals it bears with a value that is not a number from 0 on; it is ignored";
     EndpointSlow, 248, "an endpoint is persistently slower than others of its service, by the measurements of all hosts, or no longer is";
+    SuspectReports, 249, "what hosts told each other in the last second about requests and prompt parts that endpoints crashed on";
     RequestDone, 300, "a request succeeded";
     RequestRefused, 301, "a request was refused or failed";
     AttemptFailed, 302, "an attempt at an endpoint failed";
--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -143,6 +143,8 @@
     bootstrap_until: Millis,
     last_bootstrap_message: Millis,
     last_round: Millis,
+    /// When the reports about suspects were last logged.
+    last_suspect_log: Millis,
     last_proof_request: Millis,
     /// When the last view was built; `None` before the first one.
     last_view: Option<Millis>,
@@ -164,6 +166,7 @@
             bootstrap_until: Millis(0),
             last_bootstrap_message: Millis(0),
             last_round: Millis(0),
+            last_suspect_log: Millis(0),
             last_proof_request: Millis(0),
             last_view: None,
             is_view_outdated: false,
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -12,6 +12,7 @@
 use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::freshness::Freshness;
 use crate::traffic::peers::{BarredVersion, PeerUpdate, ProofReport, TallyReport, ROUND_INTERVAL};
+use crate::traffic::suspects::ReportCounts;
 use crate::traffic::verdict_basis::VerdictBasis;
 use crate::units::Millis;
 
@@ -28,6 +29,9 @@
 /// Shortest interval between two requests for a proof.
 const MIN_PROOF_REQUEST_INTERVAL: Millis = Millis(300);
 
+/// Shortest interval between two lines about what hosts told each other about suspects.
+const SUSPECT_LOG_INTERVAL: Millis = Millis(1_000);
+
 /// Shortest interval between two rounds of messages.
 const MIN_ROUND_INTERVAL: Millis = Millis(100);
 
@@ -73,7 +77,7 @@
         // other input, so a busy host would keep them.
         let has_view_changed = self.table.sweep(now);
         self.detect_outliers(now, actions);
-        self.log_suspect_changes(actions);
+        self.log_suspect_changes(now, actions);
         self.update_endpoint_access(now, actions);
         self.allocate_send_limits(now, actions);
         let has_view_changed = self.update_versions(now, actions) || has_view_changed;
@@ -138,11 +142,19 @@
         }
     }
 
-    /// Logs requests that were barred or cleared as causes of crashes.
-    fn log_suspect_changes(&self, actions: &mut Vec<Action>) {
+    /// Logs requests that were barred or cleared as causes of crashes, and at intervals what hosts told
+    /// each other about them.
+    fn log_suspect_changes(&mut self, now: Millis, actions: &mut Vec<Action>) {
         for change in self.suspects.take_changes() {
             actions.push(Action::Log(change.event(), change.to_string()));
         }
+        if now >= self.last_suspect_log + SUSPECT_LOG_INTERVAL {
+            self.last_suspect_log = now;
+            let counts = self.suspects.take_report_counts();
+            if counts != ReportCounts::default() {
+                actions.push(Action::Log(Event::SuspectReports, counts.to_string()));
+            }
+        }
     }
 
     /// Removes versions that no endpoint runs any more and releases versions that may serve now.
--- a/crates/tidetrack-core/src/traffic/fingerprint.rs
+++ b/crates/tidetrack-core/src/traffic/fingerprint.rs
@@ -115,6 +115,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ContentHash([u8; HASH_LEN]);
 
+impl fmt::Display for ContentHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
 impl AsRef<[Fingerprint]> for Fingerprint {
     fn as_ref(&self) -> &[Fingerprint] {
         std::slice::from_ref(self)
@@ -139,6 +145,13 @@
     pub fn request(&self) -> Fingerprint {
         self.0[0]
     }
+
+    /// Returns the hashes of the shared parts in order, separated by commas, as they appear in
+    /// fingerprints of parts.
+    pub fn part_hashes(&self) -> String {
+        let hashes: Vec<String> = self.0[1..].iter().map(|f| f.content().to_string()).collect();
+        hashes.join(",")
+    }
 }
 
 impl AsRef<[Fingerprint]> for RequestFingerprints {
@@ -149,8 +162,7 @@
 
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:08x}-", self.caller)?;
-        self.hash.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+        write!(f, "{:08x}-{}", self.caller, self.content())
     }
 }
 
--- a/crates/tidetrack-core/src/traffic/suspects/completions.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/completions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::traffic::fingerprint::Fingerprint;
+use crate::traffic::fingerprint::{ContentHash, Fingerprint};
 use crate::units::Millis;
 
 /// Maximum number of fingerprints in each of the two maps. When the current one is full, it replaces
@@ -27,4 +27,10 @@
     pub(super) fn last(&self, fingerprint: Fingerprint) -> Option<Millis> {
         self.0.iter().find_map(|half| half.get(&fingerprint)).copied()
     }
+
+    /// Returns when the last known execution of any workspace's request with the content completed.
+    pub(super) fn last_of_content(&self, content: ContentHash) -> Option<Millis> {
+        let all = self.0.iter().flatten();
+        all.filter(|(f, _)| f.content() == content).map(|(_, at)| *at).max()
+    }
 }
--- a/crates/tidetrack-core/src/traffic/suspects/exchange.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/exchange.rs
@@ -61,6 +61,11 @@
         };
         let is_cleared =
             cleared_at.is_some_and(|at| self.clear(state, now, at, report.fingerprint));
+        if let Some(at) = cleared_at.filter(|at| is_cleared && reported >= Some(*at)) {
+            let counts = &mut state.report_counts;
+            counts.completions += 1;
+            counts.max_completion_age = counts.max_completion_age.max(now - at);
+        }
         has_new_crash || is_cleared
     }
 
@@ -113,6 +118,7 @@
         // A crash makes suspects of all requests that ran at the endpoint, and of their parts. Each of
         // them is reported in turn, so that no host lacks the one that turns out to be the cause.
         let mut next_recent = state.next_recent;
+        let recent_changes = recent.len();
         if recent.len() > max_reports {
             let others = recent.split_off(max_reports / 2);
             recent = select_reports(&recent, &others, max_reports, &mut next_recent);
@@ -123,6 +129,8 @@
         let reports = all.iter().map(|(fingerprint, s)| s.to_report(now, **fingerprint)).collect();
         state.next_barred = next_barred;
         state.next_recent = next_recent;
+        state.report_counts.reported += recent_changes.min(max_reports);
+        state.report_counts.deferred += recent_changes.saturating_sub(max_reports);
         reports
     }
 }
--- a/crates/tidetrack-core/src/traffic/suspects/mod.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/mod.rs
@@ -40,7 +40,7 @@
 mod reports;
 mod verdicts;
 
-pub use reports::{CrashReport, SuspectChange, SuspectReport};
+pub use reports::{CrashReport, ReportCounts, SuspectChange, SuspectReport};
 
 use completions::RecentCompletions;
 use crashes::{Crash, Suspect};
@@ -111,6 +111,7 @@
     running_copies: HashMap<Fingerprint, u32>,
     completions: RecentCompletions,
     changes: Vec<SuspectChange>,
+    report_counts: ReportCounts,
     /// Index of the next barred suspect to repeat in reports.
     next_barred: usize,
     /// Index of the next recently changed suspect to report, of those for which a message has no room.
@@ -322,6 +323,11 @@
         std::mem::take(&mut self.state().changes)
     }
 
+    /// Returns what was reported and learned since the last call, for the log.
+    pub fn take_report_counts(&self) -> ReportCounts {
+        std::mem::take(&mut self.state().report_counts)
+    }
+
     /// Returns the number of suspects.
     pub fn len(&self) -> usize {
         self.state().suspects.len()
--- a/crates/tidetrack-core/src/traffic/suspects/reports.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/reports.rs
@@ -7,6 +7,7 @@
 use crate::events::Event;
 use crate::ids::EndpointKey;
 use crate::traffic::fingerprint::Fingerprint;
+use crate::units::Millis;
 
 /// A crash of an endpoint while it ran a suspect request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,11 +45,36 @@
         fingerprint: Fingerprint,
         /// Number of crashes that count against the request.
         crashes: usize,
+        /// Number of workspaces whose requests crashed endpoints, as far as this host stores them.
+        workspaces: usize,
+        /// Milliseconds since the last completion that this host knows of; `None` if it knows of none.
+        completed_ms: Option<u64>,
     },
     /// The request is no longer barred, or an execution of it completed.
     Cleared(Fingerprint),
 }
 
+/// What a host reported and learned about suspects since the counts were last taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportCounts {
+    /// Number of reports of recent changes in messages.
+    pub reported: usize,
+    /// Number of reports of recent changes for which a message had no room.
+    pub deferred: usize,
+    /// Number of completions that this host learned of from reports.
+    pub completions: usize,
+    /// Largest age of such a completion at its arrival.
+    pub max_completion_age: Millis,
+}
+
+impl fmt::Display for ReportCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ReportCounts { reported, deferred, completions, max_completion_age } = self;
+        write!(f, "reported={reported} deferred={deferred} completions={completions} ")?;
+        write!(f, "max_completion_age_ms={}", max_completion_age.0)
+    }
+}
+
 impl SuspectChange {
     /// Returns the event under which the change is logged.
     pub fn event(&self) -> Event {
@@ -62,8 +88,12 @@
 impl fmt::Display for SuspectChange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            SuspectChange::Barred { fingerprint, crashes } => {
-                write!(f, "fingerprint={fingerprint} crashes={crashes}")
+            SuspectChange::Barred { fingerprint, crashes, workspaces, completed_ms } => {
+                write!(f, "fingerprint={fingerprint} crashes={crashes} workspaces={workspaces}")?;
+                match completed_ms {
+                    Some(ms) => write!(f, " completed_ms={ms}"),
+                    None => write!(f, " completed_ms=-"),
+                }
             }
             SuspectChange::Cleared(fingerprint) => write!(f, "fingerprint={fingerprint}"),
         }
--- a/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
@@ -72,7 +72,7 @@
             && (!candidate.is_part
                 || counted.len() >= MAX_UNDECIDED_CRASHES
                 || is_singled_out(&index, n, &counted));
-        update_members(state, candidate, counted.len(), is_barred[n]);
+        update_members(state, now, candidate, counted.len(), is_barred[n]);
         if is_barred[n] && candidate.members.len() > 1 {
             let last_crash_at = candidate.crashes.iter().map(|c| c.crashed_at).max();
             let bar =
@@ -116,7 +116,7 @@
     }
     for fingerprint in idle {
         let crashes = by_content.get(&fingerprint.content()).map_or(0, |c| c.crashes.len());
-        update(state, fingerprint, crashes, false);
+        state.set_verdict(fingerprint, crashes, false);
     }
     by_content.into_values().filter(|c| c.crashes.len() >= EXCLUSIVE_FROM_CRASHES).collect()
 }
@@ -149,20 +149,46 @@
     !others.any(|m| rest.iter().all(|crash| index.candidates_at(crash).any(|o| o == m)))
 }
 
-fn update_members(state: &mut State, candidate: &Candidate, crashes: usize, is_barred: bool) {
+/// Sets the verdict on the members of a candidate, and records the changes for the log.
+fn update_members(
+    state: &mut State,
+    now: Millis,
+    candidate: &Candidate,
+    crashes: usize,
+    is_barred: bool,
+) {
     for fingerprint in &candidate.members {
-        update(state, *fingerprint, crashes, is_barred);
+        let was_barred = state.set_verdict(*fingerprint, crashes, is_barred);
+        if is_barred && !was_barred {
+            let completed_at = state.last_completion(fingerprint.content());
+            state.changes.push(SuspectChange::Barred {
+                fingerprint: *fingerprint,
+                crashes,
+                workspaces: candidate.members.len(),
+                completed_ms: completed_at.map(|at| (now - at).0),
+            });
+        }
     }
 }
 
-/// Sets the verdict on a suspect, and records a change for the log.
-fn update(state: &mut State, fingerprint: Fingerprint, crashes: usize, is_barred: bool) {
-    let Some(suspect) = state.suspects.get_mut(&fingerprint) else { return };
-    if is_barred && !suspect.is_barred {
-        state.changes.push(SuspectChange::Barred { fingerprint, crashes });
-    } else if suspect.is_barred && !is_barred {
-        state.changes.push(SuspectChange::Cleared(fingerprint));
+impl State {
+    /// Sets the verdict on a suspect, and records for the log that it is no longer barred. Returns whether
+    /// it was barred.
+    fn set_verdict(&mut self, fingerprint: Fingerprint, crashes: usize, is_barred: bool) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
+        let was_barred = std::mem::replace(&mut suspect.is_barred, is_barred);
+        suspect.crash_count = crashes;
+        if was_barred && !is_barred {
+            self.changes.push(SuspectChange::Cleared(fingerprint));
+        }
+        was_barred
+    }
+
+    /// Returns when an execution of any workspace's request with the content last completed, as far as
+    /// this host knows.
+    fn last_completion(&self, content: ContentHash) -> Option<Millis> {
+        let same = self.suspects.iter().filter(|(f, _)| f.content() == content);
+        let reported = same.filter_map(|(_, s)| s.cleared_at).max();
+        reported.max(self.completions.last_of_content(content))
     }
-    suspect.is_barred = is_barred;
-    suspect.crash_count = crashes;
 }
--- a/crates/tidetrack-core/tests/suspects.rs
+++ b/crates/tidetrack-core/tests/suspects.rs
@@ -80,7 +80,13 @@
     assert!(suspects.check(Millis(4_000), crashing_request).is_err());
     assert_eq!(admission_error_code(&suspects, 4_000, other), None);
     let changes = suspects.take_changes();
-    assert_eq!(changes, [SuspectChange::Barred { fingerprint: crashing_request, crashes: 3 }]);
+    let barred = SuspectChange::Barred {
+        fingerprint: crashing_request,
+        crashes: 3,
+        workspaces: 1,
+        completed_ms: None,
+    };
+    assert_eq!(changes, [barred]);
 }
 
 #[test]
--- a/crates/tidetrack-plane/src/crash.rs
+++ b/crates/tidetrack-plane/src/crash.rs
@@ -198,6 +198,7 @@
                 ("request", &self.request),
                 ("fingerprint", &self.fingerprints.request()),
                 ("parts", &self.parts),
+                ("part_hashes", &self.fingerprints.part_hashes()),
                 ("endpoint", id),
                 ("domain", failure_domain),
                 ("crashes", &crashes),
