A prompt part is one suspect for all workspaces

Cause: evidence was kept by workspace and part, but judged by part: crashes were merged over all workspaces, while a completion that a host heard of cleared one workspace's entry, and a completion of its own only the entries that existed by then.

Change: a part is one suspect, with the first two workspaces whose requests crashed endpoints; a bar holds for these, or for all if there are two. What hosts send each other keeps its form: one report per stored workspace, of which the second has the newest crash only.

--- a/crates/tidetrack-core/src/traffic/fingerprint.rs
+++ b/crates/tidetrack-core/src/traffic/fingerprint.rs
@@ -79,6 +79,11 @@
         Fingerprint { caller: caller_hash(workspace), hash }
     }
 
+    /// Returns the fingerprint of the content in the requests of a workspace, given by its hash.
+    pub fn of_content(caller: u32, content: ContentHash) -> Fingerprint {
+        Fingerprint { caller, hash: content.0 }
+    }
+
     /// Reports whether this is the fingerprint of a prompt part.
     pub fn is_part(&self) -> bool {
         self.hash.ends_with(&PART_MARK)
--- a/crates/tidetrack-core/src/traffic/suspects/crashes.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/crashes.rs
@@ -4,7 +4,7 @@
 use crate::traffic::fingerprint::Fingerprint;
 use crate::units::Millis;
 
-use super::{Bar, CrashReport, SuspectReport};
+use super::{Bar, CrashReport, SuspectKey, SuspectReport};
 
 /// Crashes of one endpoint within this time count as one crash that several hosts observed.
 /// Reported ages do not include the transmission delay, so hosts date the same crash differently.
@@ -17,12 +17,17 @@
 /// if the suspect is a prompt part: one in wide use runs at nearly all of them.
 const SIMULTANEOUS_WINDOW: Millis = Millis(100);
 
-/// Maximum number of crashes stored per suspect.
-const MAX_CRASHES_PER_SUSPECT: usize = 16;
+/// Maximum number of crashes stored per suspect. A part in wide use runs at most of the endpoints that
+/// end together.
+const MAX_CRASHES_PER_SUSPECT: usize = 64;
 
 /// Maximum number of crashes in one suspect's report.
 const MAX_CRASHES_PER_REPORT: usize = 6;
 
+/// Number of workspaces with crashes from which a bar on a part holds for all workspaces. No more of
+/// them are stored.
+const WORKSPACES_FOR_GENERAL_BAR: usize = 2;
+
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Crash {
     pub(super) endpoint: EndpointKey,
@@ -64,6 +69,8 @@
 pub(super) struct Suspect {
     /// Whether this is a prompt part, and not a whole request.
     pub(super) is_part: bool,
+    /// Hashes of the workspaces whose requests crashed endpoints, without repetitions.
+    pub(super) callers: Vec<u32>,
     /// Crashes in the order in which this host learned of them.
     pub(super) crashes: Vec<Crash>,
     /// When the last execution completed, as far as is known.
@@ -78,14 +85,42 @@
 }
 
 impl Suspect {
-    pub(super) fn new(is_part: bool) -> Suspect {
-        Suspect { is_part, ..Suspect::default() }
+    /// Creates the suspect that a fingerprint identifies.
+    pub(super) fn new(fingerprint: Fingerprint) -> Suspect {
+        let callers = vec![fingerprint.caller()];
+        Suspect { is_part: fingerprint.is_part(), callers, ..Suspect::default() }
+    }
+
+    /// Returns the workspace that the suspect's entry is charged to.
+    pub(super) fn owner(&self) -> u32 {
+        self.callers[0]
     }
 
-    /// Returns the bar on the suspect; `None` if it is not barred.
-    pub(super) fn bar(&self) -> Option<Bar> {
+    /// Returns the fingerprint of the suspect in the requests of its owner.
+    pub(super) fn fingerprint(&self, key: SuspectKey) -> Fingerprint {
+        key.fingerprint(self.owner())
+    }
+
+    /// Returns the fingerprints of the suspect in the requests of all its workspaces.
+    pub(super) fn fingerprints(&self, key: SuspectKey) -> impl Iterator<Item = Fingerprint> + '_ {
+        self.callers.iter().map(move |caller| key.fingerprint(*caller))
+    }
+
+    /// Records that endpoints crashed under requests of a workspace. Returns whether that is news.
+    pub(super) fn add_caller(&mut self, caller: u32) -> bool {
+        let is_news =
+            self.callers.len() < WORKSPACES_FOR_GENERAL_BAR && !self.callers.contains(&caller);
+        if is_news {
+            self.callers.push(caller);
+        }
+        is_news
+    }
+
+    /// Returns the bar that holds for requests of a workspace; `None` if there is none.
+    pub(super) fn bar_for(&self, caller: u32) -> Option<Bar> {
+        let is_general = self.callers.len() >= WORKSPACES_FOR_GENERAL_BAR;
         let bar = Bar { crashes: self.crash_count, last_crash_at: self.last_crash_at() };
-        self.is_barred.then_some(bar)
+        (self.is_barred && (is_general || self.callers.contains(&caller))).then_some(bar)
     }
 
     /// Returns the crashes of which the suspect has not been cleared.
@@ -103,11 +138,9 @@
             true => self.counting_crashes().any(|crash| crash.crashed_at <= at),
             false => self.cleared_at.is_none(),
         };
-        if is_changed {
-            self.cleared_at = self.cleared_at.max(Some(at));
-            let is_suspect = self.counting_crashes().next().is_some();
-            self.is_barred &= is_suspect;
-        }
+        self.cleared_at = self.cleared_at.max(Some(at));
+        let is_suspect = self.counting_crashes().next().is_some();
+        self.is_barred &= is_suspect;
         is_changed
     }
 
@@ -128,9 +161,13 @@
         self.crashes.iter().map(|c| c.crashed_at).max().unwrap_or_default()
     }
 
-    /// Returns the suspect's report to other hosts, with ages relative to `now`.
+    /// Returns the suspect's report to other hosts on the requests of one workspace, with ages relative
+    /// to `now`.
     pub(super) fn to_report(&self, now: Millis, fingerprint: Fingerprint) -> SuspectReport {
-        let newest = self.crashes.iter().rev().take(MAX_CRASHES_PER_REPORT);
+        // One report names all crashes. Those on further workspaces only add the workspace.
+        let is_first = self.owner() == fingerprint.caller();
+        let max_crashes = if is_first { MAX_CRASHES_PER_REPORT } else { 1 };
+        let newest = self.crashes.iter().rev().take(max_crashes);
         let crash_report = |c: &Crash| CrashReport {
             endpoint: c.endpoint,
             domain_hash: c.domain_hash,
--- a/crates/tidetrack-core/src/traffic/suspects/exchange.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/exchange.rs
@@ -9,7 +9,7 @@
 
 use super::crashes::{Crash, Suspect};
 use super::verdicts::reevaluate;
-use super::{State, SuspectReport, Suspects, MAX_REPORTS_PER_MESSAGE};
+use super::{State, SuspectKey, SuspectReport, Suspects, MAX_REPORTS_PER_MESSAGE};
 
 impl Suspects {
     /// Adds the suspects and crashes that another host reports.
@@ -32,11 +32,12 @@
         let instant_before = |ms: u32| Millis(now.0.saturating_sub(u64::from(ms)));
         let newest = report.crashes.iter().map(|c| instant_before(c.age_ms)).max();
         let is_old = newest.is_none_or(|at| now >= at + self.opts.retention);
-        if is_old && !state.suspects.contains_key(&report.fingerprint) {
+        let key = SuspectKey::from(report.fingerprint);
+        if is_old && !state.suspects.contains_key(&key) {
             return false;
         }
         let suspect = self.entry_or_evict(state, report.fingerprint);
-        let mut has_new_crash = false;
+        let mut is_news = suspect.add_caller(report.fingerprint.caller());
         for crash_report in report.crashes.iter().rev() {
             let (endpoint, domain_hash, crashed_at) = (
                 crash_report.endpoint,
@@ -44,29 +45,26 @@
                 instant_before(crash_report.age_ms),
             );
             let sent_at = Millis(crashed_at.0.saturating_sub(u64::from(crash_report.run_ms)));
-            has_new_crash |=
-                suspect.add_crash(Crash { endpoint, domain_hash, sent_at, crashed_at });
+            is_news |= suspect.add_crash(Crash { endpoint, domain_hash, sent_at, crashed_at });
         }
-        if has_new_crash {
+        if is_news {
             suspect.changed_at = now;
             self.has_unreported.store(true, Ordering::Relaxed);
         }
-        let is_part = report.fingerprint.is_part();
-        let completed_here = state.completions.last(report.fingerprint);
+        let completed_here = state.completions.last(key);
         let reported = report.cleared_ms.map(instant_before);
         let reported = reported.filter(|at| now < *at + self.opts.clear_duration);
-        let cleared_at = match is_part {
+        let cleared_at = match key.is_part() {
             true => reported.max(completed_here),
             false => reported.or(completed_here.map(|_| now)),
         };
-        let is_cleared =
-            cleared_at.is_some_and(|at| self.clear(state, now, at, report.fingerprint));
+        let is_cleared = cleared_at.is_some_and(|at| self.clear(state, now, at, key));
         if let Some(at) = cleared_at.filter(|at| is_cleared && reported >= Some(*at)) {
             let counts = &mut state.report_counts;
             counts.completions += 1;
             counts.max_completion_age = counts.max_completion_age.max(now - at);
         }
-        has_new_crash || is_cleared
+        is_news || is_cleared
     }
 
     /// Reports whether there are changes that have not been reported to any host.
@@ -102,18 +100,19 @@
         self.has_unreported.store(false, Ordering::Relaxed);
         let mut state = self.state();
         self.remove_expired(&mut state, now);
-        let mut recent: Vec<(&Fingerprint, &Suspect)> = Vec::new();
-        let mut barred: Vec<(&Fingerprint, &Suspect)> = Vec::new();
-        for (fingerprint, suspect) in &state.suspects {
+        let mut recent: Vec<(Fingerprint, &Suspect)> = Vec::new();
+        let mut barred: Vec<(Fingerprint, &Suspect)> = Vec::new();
+        for (key, suspect) in &state.suspects {
+            let fingerprints = suspect.fingerprints(*key).map(|f| (f, suspect));
             if is_recent_change(now, suspect.changed_at) {
-                recent.push((fingerprint, suspect));
-            } else if suspect.is_barred && is_due(fingerprint) {
-                barred.push((fingerprint, suspect));
+                recent.extend(fingerprints);
+            } else if suspect.is_barred {
+                barred.extend(fingerprints.filter(|(f, _)| is_due(f)));
             }
         }
-        recent.sort_by_key(|(fingerprint, s)| {
+        recent.sort_by_cached_key(|(fingerprint, s)| {
             let crashes = s.counting_crashes().count();
-            std::cmp::Reverse((s.is_barred, crashes, s.is_part, s.changed_at, **fingerprint))
+            std::cmp::Reverse((s.is_barred, crashes, s.is_part, s.changed_at, *fingerprint))
         });
         // A crash makes suspects of all requests that ran at the endpoint, and of their parts. Each of
         // them is reported in turn, so that no host lacks the one that turns out to be the cause.
@@ -123,10 +122,10 @@
             let others = recent.split_off(max_reports / 2);
             recent = select_reports(&recent, &others, max_reports, &mut next_recent);
         }
-        barred.sort_by_key(|(fingerprint, _)| **fingerprint);
+        barred.sort_by_key(|(fingerprint, _)| *fingerprint);
         let mut next_barred = state.next_barred;
         let all = select_reports(&recent, &barred, max_reports, &mut next_barred);
-        let reports = all.iter().map(|(fingerprint, s)| s.to_report(now, **fingerprint)).collect();
+        let reports = all.iter().map(|(fingerprint, s)| s.to_report(now, *fingerprint)).collect();
         state.next_barred = next_barred;
         state.next_recent = next_recent;
         state.report_counts.reported += recent_changes.min(max_reports);
--- a/crates/tidetrack-core/src/traffic/suspects/mod.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/mod.rs
@@ -14,9 +14,11 @@
 //!
 //! A completed request is cleared for a while, since identical requests are sent by the thousand. A
 //! completed part is cleared of the earlier crashes only: a part in wide use completes again and
-//! again, and one that endpoints begin to crash on never does. A completion in any workspace clears
-//! a part for all of them. A bar holds for the workspaces whose requests crashed endpoints, and for all others
-//! only if there are two such workspaces, so that no workspace can bar the prompts of others.
+//! again, and one that endpoints begin to crash on never does.
+//!
+//! A part is one suspect for all workspaces, so that what clears it and what counts against it cannot
+//! come apart. A bar holds for the workspaces whose requests crashed endpoints, and for all others only
+//! if there are two such workspaces, so that no workspace can bar the prompts of others.
 //!
 //! The number of suspects is bounded, in total and per caller, and each suspect expires after a
 //! time.
@@ -31,19 +33,21 @@
 use crate::codes::Code;
 use crate::errors::{Error, Result};
 use crate::ids::{EndpointId, EndpointKey, FailureDomain};
-use crate::traffic::fingerprint::{ContentHash, Fingerprint};
+use crate::traffic::fingerprint::Fingerprint;
 use crate::units::Millis;
 
 mod completions;
 mod crashes;
 mod exchange;
 mod reports;
+mod suspect_key;
 mod verdicts;
 
 pub use reports::{CrashReport, ReportCounts, SuspectChange, SuspectReport};
 
 use completions::RecentCompletions;
 use crashes::{Crash, Suspect};
+use suspect_key::SuspectKey;
 use verdicts::reevaluate;
 
 /// Number of crashes from which a host runs at most one copy of a request at a time.
@@ -104,9 +108,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    suspects: HashMap<Fingerprint, Suspect>,
-    /// Parts that are barred for all callers.
-    barred_for_all: HashMap<ContentHash, Bar>,
+    suspects: HashMap<SuspectKey, Suspect>,
     /// The number of running copies of each request, and of each part that is on trial, on this host.
     running_copies: HashMap<Fingerprint, u32>,
     completions: RecentCompletions,
@@ -218,12 +220,9 @@
     /// Returns an error if a fingerprint is barred, or else whether only one copy of it may run at a
     /// time.
     fn check_locked(&self, state: &State, now: Millis, fingerprint: Fingerprint) -> Result<bool> {
-        let suspect = state.suspects.get(&fingerprint).filter(|s| !self.is_expired(s, now));
-        let bar = match suspect.and_then(Suspect::bar) {
-            Some(bar) => Some(bar),
-            None => state.barred_for_all.get(&fingerprint.content()).copied(),
-        };
-        let Some(bar) = bar else {
+        let suspect = state.suspects.get(&fingerprint.into());
+        let suspect = suspect.filter(|s| !self.is_expired(s, now));
+        let Some(bar) = suspect.and_then(|s| s.bar_for(fingerprint.caller())) else {
             let crashes = suspect.map_or(0, |s| s.crash_count);
             return Ok(crashes >= EXCLUSIVE_FROM_CRASHES && !fingerprint.is_part());
         };
@@ -243,7 +242,7 @@
     /// small service before any of the hosts counted enough crashes to bar it.
     pub fn attempt_delay(&self, now: Millis, fingerprints: impl AsRef<[Fingerprint]>) -> Millis {
         let state = self.state();
-        let delay = |fingerprint: &Fingerprint| match state.suspects.get(fingerprint) {
+        let delay = |fingerprint: &Fingerprint| match state.suspects.get(&(*fingerprint).into()) {
             Some(s) if s.crash_count >= EXCLUSIVE_FROM_CRASHES && !s.is_barred => {
                 s.last_crash_at() + CRASH_REPORT_TIME - now
             }
@@ -272,17 +271,22 @@
         };
         let mut state = self.state();
         for fingerprint in fingerprints {
-            if !fingerprint.is_part() && state.completions.last(*fingerprint).is_some() {
+            let completed_at = state.completions.last((*fingerprint).into());
+            if !fingerprint.is_part() && completed_at.is_some() {
                 continue;
             }
             let suspect = self.entry_or_evict(&mut state, *fingerprint);
-            if suspect.add_crash(crash) {
+            let is_new_crash = suspect.add_crash(crash);
+            if suspect.add_caller(fingerprint.caller()) || is_new_crash {
                 suspect.changed_at = now;
                 self.has_unreported.store(true, Ordering::Relaxed);
             }
+            if let Some(at) = completed_at {
+                suspect.clear(at);
+            }
         }
         reevaluate(&self.opts, &mut state, now);
-        let request = fingerprints.first().and_then(|fingerprint| state.suspects.get(fingerprint));
+        let request = fingerprints.first().and_then(|f| state.suspects.get(&(*f).into()));
         request.map_or(0, |s| s.crash_count)
     }
 
@@ -291,12 +295,9 @@
         let mut state = self.state();
         let mut is_cleared = false;
         for fingerprint in fingerprints.as_ref() {
-            state.completions.record(now, *fingerprint);
-            let is_same = |f: &&Fingerprint| f.content() == fingerprint.content();
-            let same: Vec<Fingerprint> = state.suspects.keys().filter(is_same).copied().collect();
-            for suspect in same {
-                is_cleared |= self.clear(&mut state, now, now, suspect);
-            }
+            let key = SuspectKey::from(*fingerprint);
+            state.completions.record(now, key);
+            is_cleared |= self.clear(&mut state, now, now, key);
         }
         if is_cleared {
             reevaluate(&self.opts, &mut state, now);
@@ -304,15 +305,15 @@
     }
 
     /// Clears a suspect because an execution completed at `at`. Returns whether that changes anything.
-    fn clear(&self, state: &mut State, now: Millis, at: Millis, fingerprint: Fingerprint) -> bool {
-        let Some(suspect) = state.suspects.get_mut(&fingerprint) else { return false };
+    fn clear(&self, state: &mut State, now: Millis, at: Millis, key: SuspectKey) -> bool {
+        let Some(suspect) = state.suspects.get_mut(&key) else { return false };
         let was_barred = suspect.is_barred;
         if !suspect.clear(at) {
             return false;
         }
         suspect.changed_at = now;
-        if was_barred || !fingerprint.is_part() {
-            state.changes.push(SuspectChange::Cleared(fingerprint));
+        if was_barred && !suspect.is_barred || !key.is_part() {
+            state.changes.push(SuspectChange::Cleared(suspect.fingerprint(key)));
         }
         self.has_unreported.store(true, Ordering::Relaxed);
         true
@@ -345,25 +346,25 @@
         state: &'a mut State,
         fingerprint: Fingerprint,
     ) -> &'a mut Suspect {
-        if !state.suspects.contains_key(&fingerprint) {
+        let key = SuspectKey::from(fingerprint);
+        if !state.suspects.contains_key(&key) {
             let caller = fingerprint.caller();
-            let is_own = |f: &Fingerprint| f.caller() == caller;
-            let own = state.suspects.keys().filter(|f| is_own(f)).count();
+            let own = state.suspects.values().filter(|s| s.owner() == caller).count();
             if own >= self.opts.max_suspects_per_caller {
-                state.evict(is_own);
+                state.evict(|s| s.owner() == caller);
             } else if state.suspects.len() >= self.opts.max_suspects {
                 // Evicts an entry of the caller that has the most entries.
                 let mut entries_per_caller: HashMap<u32, usize> = HashMap::new();
-                for f in state.suspects.keys() {
-                    *entries_per_caller.entry(f.caller()).or_default() += 1;
+                for suspect in state.suspects.values() {
+                    *entries_per_caller.entry(suspect.owner()).or_default() += 1;
                 }
                 let largest =
                     entries_per_caller.into_iter().max_by_key(|(caller, n)| (*n, *caller));
                 let largest = largest.map(|(caller, _)| caller);
-                state.evict(|f| Some(f.caller()) == largest);
+                state.evict(|s| Some(s.owner()) == largest);
             }
         }
-        state.suspects.entry(fingerprint).or_insert_with(|| Suspect::new(fingerprint.is_part()))
+        state.suspects.entry(key).or_insert_with(|| Suspect::new(fingerprint))
     }
 
     fn is_expired(&self, suspect: &Suspect, now: Millis) -> bool {
@@ -383,12 +384,13 @@
 impl State {
     /// Evicts the least important of the candidates: those that are not barred first, then those
     /// with the fewest crashes, then whole requests, then those with the oldest crashes.
-    fn evict(&mut self, is_candidate: impl Fn(&Fingerprint) -> bool) {
-        let candidates = self.suspects.iter().filter(|(f, _)| is_candidate(f));
-        let least_important = candidates
-            .min_by_key(|(f, s)| (s.is_barred, s.crashes.len(), s.is_part, s.last_crash_at(), **f));
-        if let Some(fingerprint) = least_important.map(|(f, _)| *f) {
-            self.suspects.remove(&fingerprint);
+    fn evict(&mut self, is_candidate: impl Fn(&Suspect) -> bool) {
+        let candidates = self.suspects.iter().filter(|(_, s)| is_candidate(s));
+        let least_important = candidates.min_by_key(|(key, s)| {
+            (s.is_barred, s.crashes.len(), s.is_part, s.last_crash_at(), **key)
+        });
+        if let Some(key) = least_important.map(|(key, _)| *key) {
+            self.suspects.remove(&key);
         }
     }
 }
--- a/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
@@ -16,21 +16,19 @@
 use std::collections::HashMap;
 
 use crate::ids::EndpointKey;
-use crate::traffic::fingerprint::{ContentHash, Fingerprint};
 use crate::units::Millis;
 
 use super::crashes::Crash;
-use super::{Bar, State, SuspectChange, SuspectOptions, EXCLUSIVE_FROM_CRASHES};
+use super::{State, SuspectChange, SuspectKey, SuspectOptions, EXCLUSIVE_FROM_CRASHES};
 
 /// Number of crashes from which a part is barred although another suspect ran at all of them: by then
 /// a sound one would almost certainly have completed.
 const MAX_UNDECIDED_CRASHES: usize = 5;
 
-/// Suspects with the same contents, which only the workspace tells apart.
+/// A suspect with several crashes.
 struct Candidate {
-    members: Vec<Fingerprint>,
-    is_part: bool,
-    /// Crashes that count against any of the members.
+    key: SuspectKey,
+    /// Crashes that count against the suspect.
     crashes: Vec<Crash>,
 }
 
@@ -59,73 +57,51 @@
 /// the changes.
 pub(super) fn reevaluate(opts: &SuspectOptions, state: &mut State, now: Millis) {
     let mut candidates = collect_candidates(opts, state, now);
-    candidates.sort_by_key(|c| Reverse((c.crashes.len(), c.is_part)));
+    candidates.sort_by_key(|c| Reverse((c.crashes.len(), c.key.is_part())));
     let index = CrashIndex::new(&candidates);
     let mut is_barred = vec![false; candidates.len()];
-    state.barred_for_all.clear();
     for (n, candidate) in candidates.iter().enumerate() {
+        let is_part = candidate.key.is_part();
         let explains = |m: usize| is_barred[m] && has_precedence(&candidates[m], candidate);
         let is_unexplained = |crash: &&Crash| !index.candidates_at(crash).any(explains);
         let unexplained = candidate.crashes.iter().filter(is_unexplained);
-        let counted = merge_common_causes(unexplained, candidate.is_part);
+        let counted = merge_common_causes(unexplained, is_part);
         is_barred[n] = counted.len() >= opts.bar_threshold
-            && (!candidate.is_part
+            && (!is_part
                 || counted.len() >= MAX_UNDECIDED_CRASHES
                 || is_singled_out(&index, n, &counted));
-        update_members(state, now, candidate, counted.len(), is_barred[n]);
-        if is_barred[n] && candidate.members.len() > 1 {
-            let last_crash_at = candidate.crashes.iter().map(|c| c.crashed_at).max();
-            let bar =
-                Bar { crashes: counted.len(), last_crash_at: last_crash_at.unwrap_or_default() };
-            let content = candidate.members[0].content();
-            state.barred_for_all.insert(content, bar);
-        }
+        state.set_verdict(now, candidate.key, counted.len(), is_barred[n]);
     }
 }
 
-/// Returns the candidates with more than one crash, after updating the other suspects: a single crash
-/// never restricts anything.
+/// Returns the suspects with more than one crash, after updating the others: a single crash never
+/// restricts anything.
 fn collect_candidates(opts: &SuspectOptions, state: &mut State, now: Millis) -> Vec<Candidate> {
-    let mut by_content: HashMap<ContentHash, Candidate> = HashMap::new();
-    for (fingerprint, suspect) in &state.suspects {
+    let mut candidates = Vec::new();
+    let mut others = Vec::new();
+    for (key, suspect) in &state.suspects {
         let is_expired = now >= suspect.last_crash_at() + opts.retention;
-        let mut counting = suspect.counting_crashes().peekable();
-        if is_expired || counting.peek().is_none() {
-            continue;
-        }
-        let candidate = by_content.entry(fingerprint.content()).or_insert_with(|| Candidate {
-            members: Vec::new(),
-            is_part: suspect.is_part,
-            crashes: Vec::new(),
-        });
-        candidate.members.push(*fingerprint);
-        for crash in counting {
-            if !candidate.crashes.iter().any(|known| known.is_duplicate_of(crash)) {
-                candidate.crashes.push(*crash);
-            }
+        let crashes: Vec<Crash> = match is_expired {
+            true => Vec::new(),
+            false => suspect.counting_crashes().copied().collect(),
+        };
+        if crashes.len() >= EXCLUSIVE_FROM_CRASHES {
+            candidates.push(Candidate { key: *key, crashes });
+        } else if suspect.is_barred || suspect.crash_count != crashes.len() {
+            others.push((*key, crashes.len()));
         }
     }
-    let mut idle: Vec<Fingerprint> = Vec::new();
-    for (fingerprint, suspect) in &state.suspects {
-        let candidate = by_content.get(&fingerprint.content());
-        let crashes = candidate.map_or(0, |c| c.crashes.len());
-        if crashes < EXCLUSIVE_FROM_CRASHES && (suspect.is_barred || suspect.crash_count != crashes)
-        {
-            idle.push(*fingerprint);
-        }
+    for (key, crashes) in others {
+        state.set_verdict(now, key, crashes, false);
     }
-    for fingerprint in idle {
-        let crashes = by_content.get(&fingerprint.content()).map_or(0, |c| c.crashes.len());
-        state.set_verdict(fingerprint, crashes, false);
-    }
-    by_content.into_values().filter(|c| c.crashes.len() >= EXCLUSIVE_FROM_CRASHES).collect()
+    candidates
 }
 
 /// Reports whether a barred candidate explains its crashes for another one. One that ran beside the
 /// cause shares only some of the cause's crashes, and a request all of those of its part.
 fn has_precedence(barred: &Candidate, other: &Candidate) -> bool {
     let (barred, other) =
-        ((barred.crashes.len(), barred.is_part), (other.crashes.len(), other.is_part));
+        ((barred.crashes.len(), barred.key.is_part()), (other.crashes.len(), other.key.is_part()));
     barred > other
 }
 
@@ -149,46 +125,23 @@
     !others.any(|m| rest.iter().all(|crash| index.candidates_at(crash).any(|o| o == m)))
 }
 
-/// Sets the verdict on the members of a candidate, and records the changes for the log.
-fn update_members(
-    state: &mut State,
-    now: Millis,
-    candidate: &Candidate,
-    crashes: usize,
-    is_barred: bool,
-) {
-    for fingerprint in &candidate.members {
-        let was_barred = state.set_verdict(*fingerprint, crashes, is_barred);
+impl State {
+    /// Sets the verdict on a suspect, and records a change for the log.
+    fn set_verdict(&mut self, now: Millis, key: SuspectKey, crashes: usize, is_barred: bool) {
+        let Some(suspect) = self.suspects.get_mut(&key) else { return };
+        let was_barred = std::mem::replace(&mut suspect.is_barred, is_barred);
+        suspect.crash_count = crashes;
+        let fingerprint = suspect.fingerprint(key);
         if is_barred && !was_barred {
-            let completed_at = state.last_completion(fingerprint.content());
-            state.changes.push(SuspectChange::Barred {
-                fingerprint: *fingerprint,
+            let completed_at = suspect.cleared_at.max(self.completions.last(key));
+            self.changes.push(SuspectChange::Barred {
+                fingerprint,
                 crashes,
-                workspaces: candidate.members.len(),
+                workspaces: suspect.callers.len(),
                 completed_ms: completed_at.map(|at| (now - at).0),
             });
-        }
-    }
-}
-
-impl State {
-    /// Sets the verdict on a suspect, and records for the log that it is no longer barred. Returns whether
-    /// it was barred.
-    fn set_verdict(&mut self, fingerprint: Fingerprint, crashes: usize, is_barred: bool) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
-        let was_barred = std::mem::replace(&mut suspect.is_barred, is_barred);
-        suspect.crash_count = crashes;
-        if was_barred && !is_barred {
+        } else if was_barred && !is_barred {
             self.changes.push(SuspectChange::Cleared(fingerprint));
         }
-        was_barred
-    }
-
-    /// Returns when an execution of any workspace's request with the content last completed, as far as
-    /// this host knows.
-    fn last_completion(&self, content: ContentHash) -> Option<Millis> {
-        let same = self.suspects.iter().filter(|(f, _)| f.content() == content);
-        let reported = same.filter_map(|(_, s)| s.cleared_at).max();
-        reported.max(self.completions.last_of_content(content))
     }
 }
--- a/crates/tidetrack-core/tests/crashing_parts.rs
+++ b/crates/tidetrack-core/tests/crashing_parts.rs
@@ -204,6 +204,24 @@
     assert_eq!((alone, two, completed), (None, Some(Code::CrashesEndpoints), None));
 }
 
+/// Guards against completions that clear a part only for the workspace that they were seen in.
+#[test]
+fn a_completion_clears_a_part_of_crashes_that_other_workspaces_report_later() {
+    let [reporter, suspects] = [Suspects::default(), Suspects::default()];
+    for n in 0..3 {
+        let workspace = format!("w{n}");
+        record_part_crashes(&reporter, &workspace, &[&workspace, "s"], 1_000 + n * 400, 1);
+    }
+    suspects.record_completion(Millis(1_900), request("east", &["first", "s"], 0));
+
+    let reports = reporter.reports_for_host(Millis(2_000), MAX_REPORTS_PER_MESSAGE);
+    suspects.receive_reports(Millis(2_000), &reports);
+
+    for workspace in ["w0", "w1", "w2", "west"] {
+        assert_eq!(error_code(&suspects, 2_000, &request(workspace, &["first", "s"], 9)), None);
+    }
+}
+
 /// Guards against a bar that is lost because requests name many parts.
 #[test]
 fn many_parts_do_not_evict_the_one_that_crashes_endpoints() {
