Crashes count against a part only where no other cause is likelier

Callers saw sound requests rejected although evidence was no longer split by workspace: rare parts that ran in three groups of ending endpoints, and parts in wide use before any host could hear of a completion.

Cause: three crashes barred a part at once, whatever else ended at that moment and however recently it had completed. Ends of endpoints were taken for independent observations, and silence of 0 ms for a lack of completions.

Change: - A crash does not count where more endpoints ended within 100 ms without the suspect than with it (unless a barred suspect explains them). - A part that is known to have completed is barred by five crashes, each at least 0.4 s old, so that completions at other hosts can arrive. - An execution sent before the first crash clears only crashes of the first second; one sent after it clears as before. Otherwise executions under way would excuse a part that begins to crash endpoints.

--- a/crates/tidetrack-core/src/traffic/suspects/exchange.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/exchange.rs
@@ -36,27 +36,24 @@
         if is_old && !state.suspects.contains_key(&key) {
             return false;
         }
+        let crashes: Vec<Crash> = report.crashes.iter().rev().map(|c| c.at(now)).collect();
+        crashes.iter().for_each(|crash| state.ends.record(*crash));
+        let completed_here = state.completions.last(key);
         let suspect = self.entry_or_evict(state, report.fingerprint);
         let mut is_news = suspect.add_caller(report.fingerprint.caller());
-        for crash_report in report.crashes.iter().rev() {
-            let (endpoint, domain_hash, crashed_at) = (
-                crash_report.endpoint,
-                crash_report.domain_hash,
-                instant_before(crash_report.age_ms),
-            );
-            let sent_at = Millis(crashed_at.0.saturating_sub(u64::from(crash_report.run_ms)));
-            is_news |= suspect.add_crash(Crash { endpoint, domain_hash, sent_at, crashed_at });
+        for crash in crashes {
+            is_news |= suspect.add_crash(crash);
         }
         if is_news {
             suspect.changed_at = now;
             self.has_unreported.store(true, Ordering::Relaxed);
         }
-        let completed_here = state.completions.last(key);
+        let suspect_completed = completed_here.map(|c| suspect.cleared_until(c));
         let reported = report.cleared_ms.map(instant_before);
         let reported = reported.filter(|at| now < *at + self.opts.clear_duration);
         let cleared_at = match key.is_part() {
-            true => reported.max(completed_here),
-            false => reported.or(completed_here.map(|_| now)),
+            true => reported.max(suspect_completed),
+            false => reported.or(suspect_completed.map(|_| now)),
         };
         let is_cleared = cleared_at.is_some_and(|at| self.clear(state, now, at, key));
         if let Some(at) = cleared_at.filter(|at| is_cleared && reported >= Some(*at)) {
@@ -100,6 +97,7 @@
         self.has_unreported.store(false, Ordering::Relaxed);
         let mut state = self.state();
         self.remove_expired(&mut state, now);
+        self.update_pending_verdicts(&mut state, now);
         let mut recent: Vec<(Fingerprint, &Suspect)> = Vec::new();
         let mut barred: Vec<(Fingerprint, &Suspect)> = Vec::new();
         for (key, suspect) in &state.suspects {
--- a/crates/tidetrack-core/src/traffic/suspects/mod.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/mod.rs
@@ -14,7 +14,7 @@
 //!
 //! A completed request is cleared for a while, since identical requests are sent by the thousand. A
 //! completed part is cleared of the earlier crashes only: a part in wide use completes again and
-//! again, and one that endpoints begin to crash on never does.
+//! again, and one that endpoints begin to crash on never does, but for executions that were sent before.
 //!
 //! A part is one suspect for all workspaces, so that what clears it and what counts against it cannot
 //! come apart. A bar holds for the workspaces whose requests crashed endpoints, and for all others only
@@ -39,14 +39,16 @@
 mod completions;
 mod crashes;
 mod exchange;
+mod recent_ends;
 mod reports;
 mod suspect_key;
 mod verdicts;
 
 pub use reports::{CrashReport, ReportCounts, SuspectChange, SuspectReport};
 
-use completions::RecentCompletions;
+use completions::{Completion, RecentCompletions};
 use crashes::{Crash, Suspect};
+use recent_ends::RecentEnds;
 use suspect_key::SuspectKey;
 use verdicts::reevaluate;
 
@@ -112,6 +114,9 @@
     /// The number of running copies of each request, and of each part that is on trial, on this host.
     running_copies: HashMap<Fingerprint, u32>,
     completions: RecentCompletions,
+    ends: RecentEnds,
+    /// When a verdict may next change without further reports; `None` if none is pending.
+    next_verdict_at: Option<Millis>,
     changes: Vec<SuspectChange>,
     report_counts: ReportCounts,
     /// Index of the next barred suspect to repeat in reports.
@@ -186,6 +191,7 @@
         fingerprints: impl AsRef<[Fingerprint]>,
     ) -> Result<RunningRequest> {
         let mut state = self.state();
+        self.update_pending_verdicts(&mut state, now);
         let mut counted = Vec::new();
         for fingerprint in fingerprints.as_ref() {
             let is_exclusive = self.check_locked(&state, now, *fingerprint)?;
@@ -210,13 +216,20 @@
 
     /// Returns an error if one of the fingerprints of a request is barred. Called before each attempt.
     pub fn check(&self, now: Millis, fingerprints: impl AsRef<[Fingerprint]>) -> Result<()> {
-        let state = self.state();
+        let mut state = self.state();
+        self.update_pending_verdicts(&mut state, now);
         fingerprints
             .as_ref()
             .iter()
             .try_for_each(|fingerprint| self.check_locked(&state, now, *fingerprint).map(drop))
     }
 
+    fn update_pending_verdicts(&self, state: &mut State, now: Millis) {
+        if state.next_verdict_at.is_some_and(|at| now >= at) {
+            reevaluate(&self.opts, state, now);
+        }
+    }
+
     /// Returns an error if a fingerprint is barred, or else whether only one copy of it may run at a
     /// time.
     fn check_locked(&self, state: &State, now: Millis, fingerprint: Fingerprint) -> Result<bool> {
@@ -270,9 +283,10 @@
             crashed_at: now,
         };
         let mut state = self.state();
+        state.ends.record(crash);
         for fingerprint in fingerprints {
-            let completed_at = state.completions.last((*fingerprint).into());
-            if !fingerprint.is_part() && completed_at.is_some() {
+            let completion = state.completions.last((*fingerprint).into());
+            if !fingerprint.is_part() && completion.is_some() {
                 continue;
             }
             let suspect = self.entry_or_evict(&mut state, *fingerprint);
@@ -281,8 +295,9 @@
                 suspect.changed_at = now;
                 self.has_unreported.store(true, Ordering::Relaxed);
             }
-            if let Some(at) = completed_at {
-                suspect.clear(at);
+            if let Some(completion) = completion {
+                let cleared_until = suspect.cleared_until(completion);
+                suspect.clear(cleared_until);
             }
         }
         reevaluate(&self.opts, &mut state, now);
@@ -290,14 +305,24 @@
         request.map_or(0, |s| s.crash_count)
     }
 
-    /// Records that an execution of a request completed, and clears the request and its parts.
-    pub fn record_completion(&self, now: Millis, fingerprints: impl AsRef<[Fingerprint]>) {
+    /// Records that an execution of a request that was sent at `sent_at` completed, and clears the
+    /// request and its parts.
+    pub fn record_completion(
+        &self,
+        now: Millis,
+        sent_at: Millis,
+        fingerprints: impl AsRef<[Fingerprint]>,
+    ) {
+        let completion = Completion { sent_at, completed_at: now };
         let mut state = self.state();
         let mut is_cleared = false;
         for fingerprint in fingerprints.as_ref() {
             let key = SuspectKey::from(*fingerprint);
-            state.completions.record(now, key);
-            is_cleared |= self.clear(&mut state, now, now, key);
+            state.completions.record(key, completion);
+            if let Some(suspect) = state.suspects.get_mut(&key) {
+                let cleared_until = suspect.cleared_until(completion);
+                is_cleared |= self.clear(&mut state, now, cleared_until, key);
+            }
         }
         if is_cleared {
             reevaluate(&self.opts, &mut state, now);
--- a/crates/tidetrack-core/src/traffic/suspects/reports.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/reports.rs
@@ -9,6 +9,8 @@
 use crate::traffic::fingerprint::Fingerprint;
 use crate::units::Millis;
 
+use super::crashes::Crash;
+
 /// A crash of an endpoint while it ran a suspect request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -25,6 +27,19 @@
     pub age_ms: u32,
 }
 
+impl CrashReport {
+    /// Returns the crash that a report which was received at `now` describes.
+    pub(super) fn at(&self, now: Millis) -> Crash {
+        let crashed_at = Millis(now.0.saturating_sub(u64::from(self.age_ms)));
+        Crash {
+            endpoint: self.endpoint,
+            domain_hash: self.domain_hash,
+            sent_at: Millis(crashed_at.0.saturating_sub(u64::from(self.run_ms))),
+            crashed_at,
+        }
+    }
+}
+
 /// A request that may have crashed endpoints, as hosts report it to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
--- a/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
@@ -12,24 +12,53 @@
 //! that only ever occur together cannot be told apart, and are barred together after a few more
 //! crashes.
 
+use std::cell::LazyCell;
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use crate::ids::EndpointKey;
 use crate::units::Millis;
 
-use super::crashes::Crash;
+use super::crashes::{time_between, Crash, SIMULTANEOUS_WINDOW};
+use super::recent_ends::ends_around;
 use super::{State, SuspectChange, SuspectKey, SuspectOptions, EXCLUSIVE_FROM_CRASHES};
 
-/// Number of crashes from which a part is barred although another suspect ran at all of them: by then
-/// a sound one would almost certainly have completed.
+/// Number of crashes from which a part is barred although another suspect ran at all of them, or although
+/// it has completed before: by then a sound one would almost certainly have completed again.
 const MAX_UNDECIDED_CRASHES: usize = 5;
 
+/// Time after a crash in which completions at other endpoints become known on most hosts.
+const COMPLETION_REPORT_TIME: Millis = Millis(400);
+
 /// A suspect with several crashes.
 struct Candidate {
     key: SuspectKey,
     /// Crashes that count against the suspect.
     crashes: Vec<Crash>,
+    /// Whether the suspect is a part that is known to have completed, before or after the crashes. A
+    /// sound one is then likely to complete again soon.
+    has_completed: bool,
+}
+
+impl Candidate {
+    /// Reports whether the suspect is likely to have caused a crash: the endpoints that ended at about the
+    /// same time without it, and without a barred suspect, are no more than those that ended with it.
+    fn is_likely_cause(
+        &self,
+        crash: &Crash,
+        unexplained: &[&Crash],
+        ends: &[Crash],
+        is_explained: impl Fn(&Crash) -> bool,
+    ) -> bool {
+        let is_near =
+            |c: &&&Crash| time_between(c.crashed_at, crash.crashed_at) <= SIMULTANEOUS_WINDOW;
+        let with_suspect = unexplained.iter().filter(is_near).count();
+        let is_other_cause = |end: &&Crash| {
+            !self.crashes.iter().any(|c| c.is_duplicate_of(end)) && !is_explained(end)
+        };
+        let near = ends_around(ends, crash.crashed_at, SIMULTANEOUS_WINDOW);
+        near.iter().filter(is_other_cause).count() <= with_suspect
+    }
 }
 
 /// Candidates by the crashes that they ran at.
@@ -59,18 +88,39 @@
     let mut candidates = collect_candidates(opts, state, now);
     candidates.sort_by_key(|c| Reverse((c.crashes.len(), c.key.is_part())));
     let index = CrashIndex::new(&candidates);
+    let ends = LazyCell::new(|| state.ends.sorted());
+    let mut next_verdict_at = None;
     let mut is_barred = vec![false; candidates.len()];
+    let mut verdicts = Vec::with_capacity(candidates.len());
     for (n, candidate) in candidates.iter().enumerate() {
         let is_part = candidate.key.is_part();
         let explains = |m: usize| is_barred[m] && has_precedence(&candidates[m], candidate);
         let is_unexplained = |crash: &&Crash| !index.candidates_at(crash).any(explains);
-        let unexplained = candidate.crashes.iter().filter(is_unexplained);
-        let counted = merge_common_causes(unexplained, is_part);
+        let unexplained: Vec<&Crash> = candidate.crashes.iter().filter(is_unexplained).collect();
+        let mut counted = merge_common_causes(unexplained.iter().copied(), is_part);
+        if counted.len() >= opts.bar_threshold {
+            let is_explained = |end: &Crash| index.candidates_at(end).any(|m| is_barred[m]);
+            let is_likely_cause = |crash: &&Crash| {
+                candidate.is_likely_cause(crash, &unexplained, &ends, is_explained)
+            };
+            let caused = unexplained.iter().copied().filter(is_likely_cause);
+            counted = merge_common_causes(caused, is_part);
+            if counted.len() >= opts.bar_threshold && candidate.has_completed {
+                let counts_from = |crash: &Crash| crash.crashed_at + COMPLETION_REPORT_TIME;
+                let pending = counted.iter().map(|c| counts_from(c)).filter(|at| *at > now).min();
+                next_verdict_at = [next_verdict_at, pending].into_iter().flatten().min();
+                counted.retain(|crash| counts_from(crash) <= now);
+            }
+        }
         is_barred[n] = counted.len() >= opts.bar_threshold
             && (!is_part
                 || counted.len() >= MAX_UNDECIDED_CRASHES
-                || is_singled_out(&index, n, &counted));
-        state.set_verdict(now, candidate.key, counted.len(), is_barred[n]);
+                || !candidate.has_completed && is_singled_out(&index, n, &counted));
+        verdicts.push((candidate.key, counted.len()));
+    }
+    state.next_verdict_at = next_verdict_at;
+    for ((key, crashes), is_barred) in verdicts.into_iter().zip(is_barred) {
+        state.set_verdict(now, key, crashes, is_barred);
     }
 }
 
@@ -86,7 +136,9 @@
             false => suspect.counting_crashes().copied().collect(),
         };
         if crashes.len() >= EXCLUSIVE_FROM_CRASHES {
-            candidates.push(Candidate { key: *key, crashes });
+            let is_known = suspect.cleared_at.is_some() || state.completions.last(*key).is_some();
+            let has_completed = key.is_part() && is_known;
+            candidates.push(Candidate { key: *key, crashes, has_completed });
         } else if suspect.is_barred || suspect.crash_count != crashes.len() {
             others.push((*key, crashes.len()));
         }
@@ -133,7 +185,8 @@
         suspect.crash_count = crashes;
         let fingerprint = suspect.fingerprint(key);
         if is_barred && !was_barred {
-            let completed_at = suspect.cleared_at.max(self.completions.last(key));
+            let completed_here = self.completions.last(key).map(|c| c.completed_at);
+            let completed_at = suspect.cleared_at.max(completed_here);
             self.changes.push(SuspectChange::Barred {
                 fingerprint,
                 crashes,
--- a/crates/tidetrack-core/tests/ending_endpoints.rs
+++ b/crates/tidetrack-core/tests/ending_endpoints.rs
@@ -52,6 +52,8 @@
     spread_ms: u64,
     /// From when on requests have a part that crashes endpoints, in milliseconds; `None` if none has.
     crashing_from: Option<u64>,
+    /// Whether requests with the part complete until then.
+    is_crashing_part_used_before: bool,
 }
 
 /// An attempt at a request that runs at an endpoint.
@@ -59,6 +61,8 @@
     host: usize,
     endpoint: usize,
     fingerprints: RequestFingerprints,
+    has_crashing_part: bool,
+    /// Whether the attempt crashes its endpoint at its end.
     is_crashing: bool,
     number: u32,
     sent_at: u64,
@@ -70,7 +74,7 @@
     due_at: u64,
     host: usize,
     fingerprints: RequestFingerprints,
-    is_crashing: bool,
+    has_crashing_part: bool,
     attempts: u32,
 }
 
@@ -144,18 +148,20 @@
         let per_step = |per_s: f64| per_s * CLOCK_STEP_MS as f64 / 1_000.0;
         let sound = per_step(8.0 * f64::from(self.scene.hosts));
         let crashing = match self.scene.crashing_from {
-            Some(from) if self.fleet.now >= from => per_step(CRASHING_PER_S),
+            Some(from) if self.fleet.now >= from || self.scene.is_crashing_part_used_before => {
+                per_step(CRASHING_PER_S)
+            }
             _ => 0.0,
         };
-        for (is_crashing, rate) in [(false, sound), (true, crashing)] {
+        for (has_crashing_part, rate) in [(false, sound), (true, crashing)] {
             let count = rate as usize + usize::from(self.fleet.rng.random_bool(rate.fract()));
             for _ in 0..count {
-                self.outcome.requests += usize::from(!is_crashing);
+                self.outcome.requests += usize::from(!has_crashing_part);
                 let request = WaitingRequest {
                     due_at: self.fleet.now,
                     host: self.fleet.rng.random_range(0..self.scene.hosts as usize),
-                    fingerprints: self.new_request(is_crashing),
-                    is_crashing,
+                    fingerprints: self.new_request(has_crashing_part),
+                    has_crashing_part,
                     attempts: 0,
                 };
                 self.send(request);
@@ -165,12 +171,12 @@
 
     /// Returns the fingerprints of a request of one of 24 workspaces, a few of which send most. Its first
     /// part is one of five, its second one of 400.
-    fn new_request(&mut self, is_crashing: bool) -> RequestFingerprints {
+    fn new_request(&mut self, has_crashing_part: bool) -> RequestFingerprints {
         let rng = &mut self.fleet.rng;
         let low = |a: u32, b: u32| a.min(b);
         let workspace = low(rng.random_range(0..24), rng.random_range(0..24));
         let first = low(rng.random_range(0..5), rng.random_range(0..5));
-        let second = match is_crashing {
+        let second = match has_crashing_part {
             true => "crashing".to_string(),
             false => format!("second{}", rng.random_range(0..400)),
         };
@@ -202,7 +208,7 @@
         let now = self.fleet.now;
         let suspects = self.fleet.hosts[request.host].fleet_state.suspects();
         if suspects.check(Millis(now), &request.fingerprints).is_err() {
-            self.outcome.rejected += usize::from(!request.is_crashing);
+            self.outcome.rejected += usize::from(!request.has_crashing_part);
             return;
         }
         let delay = suspects.attempt_delay(Millis(now), &request.fingerprints);
@@ -216,21 +222,29 @@
             return;
         }
         let endpoint = up[self.fleet.rng.random_range(0..up.len())];
-        if request.is_crashing {
+        let is_crashing =
+            request.has_crashing_part && self.scene.crashing_from.is_some_and(|at| now >= at);
+        if is_crashing {
             self.outcome.crashing_sent += 1;
             let is_late = self.decided_at.is_some_and(|at| now > at + CONTACT_MS);
             self.outcome.late += usize::from(is_late);
         }
-        let time = match request.is_crashing {
+        let time = match is_crashing {
             true => TIME_TO_CRASH_MS,
             // Between 0.15 s and some seconds; most are short.
             false => 150 + (-1_800.0 * (1.0 - self.fleet.rng.random::<f64>()).ln()) as u64,
         };
-        let WaitingRequest { host, fingerprints, is_crashing, attempts, .. } = request;
-        let (number, ends_at) = (attempts + 1, now + time);
-        let attempt =
-            Attempt { host, endpoint, fingerprints, is_crashing, number, sent_at: now, ends_at };
-        self.running.push(attempt);
+        let WaitingRequest { host, fingerprints, has_crashing_part, attempts, .. } = request;
+        self.running.push(Attempt {
+            host,
+            endpoint,
+            fingerprints,
+            has_crashing_part,
+            is_crashing,
+            number: attempts + 1,
+            sent_at: now,
+            ends_at: now + time,
+        });
     }
 
     /// Ends the endpoints that are due, and the attempts that completed until now, in the order of time.
@@ -264,7 +278,11 @@
         let completed: Vec<Attempt> = completed;
         for attempt in completed {
             let suspects = self.fleet.hosts[attempt.host].fleet_state.suspects();
-            suspects.record_completion(Millis(attempt.ends_at), &attempt.fingerprints);
+            suspects.record_completion(
+                Millis(attempt.ends_at),
+                Millis(attempt.sent_at),
+                &attempt.fingerprints,
+            );
         }
     }
 
@@ -285,15 +303,12 @@
                 Millis(attempt.sent_at),
             );
             if attempt.number < MAX_ATTEMPTS {
-                let Attempt { host, fingerprints, is_crashing, number, .. } = attempt;
-                let due_at = self.fleet.now;
-                let attempts = number;
                 self.waiting.push(WaitingRequest {
-                    due_at,
-                    host,
-                    fingerprints,
-                    is_crashing,
-                    attempts,
+                    due_at: self.fleet.now,
+                    host: attempt.host,
+                    fingerprints: attempt.fingerprints,
+                    has_crashing_part: attempt.has_crashing_part,
+                    attempts: attempt.number,
                 });
             }
         }
@@ -339,6 +354,7 @@
         groups: groups(500),
         spread_ms: 0,
         crashing_from: None,
+        is_crashing_part_used_before: false,
     });
 }
 
@@ -351,6 +367,7 @@
         groups: groups(200),
         spread_ms: 0,
         crashing_from: None,
+        is_crashing_part_used_before: false,
     });
 }
 
@@ -364,6 +381,7 @@
             groups: groups(500),
             spread_ms,
             crashing_from: None,
+            is_crashing_part_used_before: false,
         });
     }
 }
@@ -376,6 +394,20 @@
         groups: Vec::new(),
         spread_ms: 0,
         crashing_from: Some(5_000),
+        is_crashing_part_used_before: false,
+    });
+}
+
+/// Guards against a part that goes on crashing endpoints because it completed before.
+#[test]
+fn a_part_in_use_that_begins_to_crash_endpoints_is_found() {
+    check_scene("crashing part in use", |hosts, seed| Scene {
+        hosts,
+        seed,
+        groups: Vec::new(),
+        spread_ms: 0,
+        crashing_from: Some(5_000),
+        is_crashing_part_used_before: true,
     });
 }
 
@@ -389,6 +421,7 @@
             groups: groups(500),
             spread_ms,
             crashing_from: Some(5_500),
+            is_crashing_part_used_before: false,
         });
     }
 }
