--- a/crates/tidetrack-core/src/traffic/suspects/completions.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/completions.rs
@@ -10,29 +10,22 @@
 /// older one.
 const MAX_ENTRIES_PER_HALF: usize = 2_048;
 
-/// An execution that completed.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Completion {
-    pub(super) sent_at: Millis,
-    pub(super) completed_at: Millis,
-}
-
-/// The last completion of each suspect: the current map, then the previous one.
+/// The time of the last completion: the current map, then the previous one.
 #[derive(Debug, Default)]
-pub(super) struct RecentCompletions([HashMap<SuspectKey, Completion>; 2]);
+pub(super) struct RecentCompletions([HashMap<SuspectKey, Millis>; 2]);
 
 impl RecentCompletions {
     /// Records that an execution completed.
-    pub(super) fn record(&mut self, key: SuspectKey, completion: Completion) {
+    pub(super) fn record(&mut self, now: Millis, key: SuspectKey) {
         if self.0[0].len() >= MAX_ENTRIES_PER_HALF {
             self.0.swap(0, 1);
             self.0[0].clear();
         }
-        self.0[0].insert(key, completion);
+        self.0[0].insert(key, now);
     }
 
-    /// Returns the last known completion.
-    pub(super) fn last(&self, key: SuspectKey) -> Option<Completion> {
+    /// Returns when the last known execution completed.
+    pub(super) fn last(&self, key: SuspectKey) -> Option<Millis> {
         self.0.iter().find_map(|half| half.get(&key)).copied()
     }
 }
--- a/crates/tidetrack-core/src/traffic/suspects/crashes.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/crashes.rs
@@ -4,7 +4,6 @@
 use crate::traffic::fingerprint::Fingerprint;
 use crate::units::Millis;
 
-use super::completions::Completion;
 use super::{Bar, CrashReport, SuspectKey, SuspectReport};
 
 /// Crashes of one endpoint within this time count as one crash that several hosts observed.
@@ -25,9 +24,6 @@
 /// Maximum number of crashes in one suspect's report.
 const MAX_CRASHES_PER_REPORT: usize = 6;
 
-/// Time after a crash within which further crashes are cleared by executions that were sent before it.
-const MAX_TIME_CLEARED_BY_EARLIER: Millis = Millis(1_000);
-
 /// Number of workspaces with crashes from which a bar on a part holds for all workspaces. No more of
 /// them are stored.
 const WORKSPACES_FOR_GENERAL_BAR: usize = 2;
@@ -79,8 +75,6 @@
     pub(super) crashes: Vec<Crash>,
     /// When the last execution completed, as far as is known.
     pub(super) cleared_at: Option<Millis>,
-    /// The latest start of an execution that completed on this host after the first stored crash.
-    pub(super) survived_since: Option<Millis>,
     /// When this host last learned something new about the suspect.
     pub(super) changed_at: Millis,
     /// Number of crashes that count against the suspect and that nothing else explains.
@@ -150,32 +144,13 @@
         is_changed
     }
 
-    /// Returns up to when the completion of an execution clears the suspect. One that was sent after a crash
-    /// shows that endpoints survive the suspect since. One that was sent before may run on where a part
-    /// that was sound begins to crash endpoints; so such completions only clear the first crashes.
-    pub(super) fn cleared_until(&mut self, completion: Completion) -> Millis {
-        let Completion { sent_at, completed_at } = completion;
-        self.survived_since = self.survived_since.max(Some(sent_at));
-        match self.first_unsurvived_crash() {
-            Some(crash) => completed_at.min(crash.crashed_at + MAX_TIME_CLEARED_BY_EARLIER),
-            None => completed_at,
-        }
-    }
-
-    /// Returns the first crash after which no execution that completed on this host was sent.
-    fn first_unsurvived_crash(&self) -> Option<&Crash> {
-        let is_after = |crash: &&Crash| Some(crash.crashed_at) > self.survived_since;
-        self.crashes.iter().filter(is_after).min_by_key(|crash| crash.crashed_at)
-    }
-
     /// Adds a crash. Returns false if it is a duplicate of a known one.
     pub(super) fn add_crash(&mut self, crash: Crash) -> bool {
         if self.crashes.iter().any(|known| known.is_duplicate_of(&crash)) {
             return false;
         }
         if self.crashes.len() >= MAX_CRASHES_PER_SUSPECT {
-            // The first crash tells since when endpoints have crashed.
-            self.crashes.remove(1);
+            self.crashes.remove(0);
         }
         self.crashes.push(crash);
         true
@@ -193,9 +168,6 @@
         let is_first = self.owner() == fingerprint.caller();
         let max_crashes = if is_first { MAX_CRASHES_PER_REPORT } else { 1 };
         let newest = self.crashes.iter().rev().take(max_crashes);
-        let first = self.first_unsurvived_crash().filter(|_| is_first);
-        let is_listed = |crash: &Crash| newest.clone().any(|c| c.is_duplicate_of(crash));
-        let first = first.filter(|crash| !is_listed(crash));
         let crash_report = |c: &Crash| CrashReport {
             endpoint: c.endpoint,
             domain_hash: c.domain_hash,
@@ -204,7 +176,7 @@
         };
         SuspectReport {
             fingerprint,
-            crashes: newest.clone().chain(first).map(crash_report).collect(),
+            crashes: newest.map(crash_report).collect(),
             cleared_ms: self.cleared_at.map(|at| elapsed_ms(now, at)),
         }
     }
--- a/crates/tidetrack-core/src/traffic/suspects/exchange.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/exchange.rs
@@ -48,12 +48,11 @@
             suspect.changed_at = now;
             self.has_unreported.store(true, Ordering::Relaxed);
         }
-        let suspect_completed = completed_here.map(|c| suspect.cleared_until(c));
         let reported = report.cleared_ms.map(instant_before);
         let reported = reported.filter(|at| now < *at + self.opts.clear_duration);
         let cleared_at = match key.is_part() {
-            true => reported.max(suspect_completed),
-            false => reported.or(suspect_completed.map(|_| now)),
+            true => reported.max(completed_here),
+            false => reported.or(completed_here.map(|_| now)),
         };
         let is_cleared = cleared_at.is_some_and(|at| self.clear(state, now, at, key));
         if let Some(at) = cleared_at.filter(|at| is_cleared && reported >= Some(*at)) {
--- a/crates/tidetrack-core/src/traffic/suspects/mod.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/mod.rs
@@ -46,7 +46,7 @@
 
 pub use reports::{CrashReport, ReportCounts, SuspectChange, SuspectReport};
 
-use completions::{Completion, RecentCompletions};
+use completions::RecentCompletions;
 use crashes::{Crash, Suspect};
 use recent_ends::RecentEnds;
 use suspect_key::SuspectKey;
@@ -285,8 +285,8 @@
         let mut state = self.state();
         state.ends.record(crash);
         for fingerprint in fingerprints {
-            let completion = state.completions.last((*fingerprint).into());
-            if !fingerprint.is_part() && completion.is_some() {
+            let completed_at = state.completions.last((*fingerprint).into());
+            if !fingerprint.is_part() && completed_at.is_some() {
                 continue;
             }
             let suspect = self.entry_or_evict(&mut state, *fingerprint);
@@ -295,9 +295,8 @@
                 suspect.changed_at = now;
                 self.has_unreported.store(true, Ordering::Relaxed);
             }
-            if let Some(completion) = completion {
-                let cleared_until = suspect.cleared_until(completion);
-                suspect.clear(cleared_until);
+            if let Some(at) = completed_at {
+                suspect.clear(at);
             }
         }
         reevaluate(&self.opts, &mut state, now);
@@ -305,24 +304,14 @@
         request.map_or(0, |s| s.crash_count)
     }
 
-    /// Records that an execution of a request that was sent at `sent_at` completed, and clears the
-    /// request and its parts.
-    pub fn record_completion(
-        &self,
-        now: Millis,
-        sent_at: Millis,
-        fingerprints: impl AsRef<[Fingerprint]>,
-    ) {
-        let completion = Completion { sent_at, completed_at: now };
+    /// Records that an execution of a request completed, and clears the request and its parts.
+    pub fn record_completion(&self, now: Millis, fingerprints: impl AsRef<[Fingerprint]>) {
         let mut state = self.state();
         let mut is_cleared = false;
         for fingerprint in fingerprints.as_ref() {
             let key = SuspectKey::from(*fingerprint);
-            state.completions.record(key, completion);
-            if let Some(suspect) = state.suspects.get_mut(&key) {
-                let cleared_until = suspect.cleared_until(completion);
-                is_cleared |= self.clear(&mut state, now, cleared_until, key);
-            }
+            state.completions.record(now, key);
+            is_cleared |= self.clear(&mut state, now, now, key);
         }
         if is_cleared {
             reevaluate(&self.opts, &mut state, now);
--- a/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
+++ b/crates/tidetrack-core/src/traffic/suspects/verdicts.rs
@@ -57,7 +57,8 @@
             !self.crashes.iter().any(|c| c.is_duplicate_of(end)) && !is_explained(end)
         };
         let near = ends_around(ends, crash.crashed_at, SIMULTANEOUS_WINDOW);
-        near.iter().filter(is_other_cause).count() <= with_suspect
+        // One more than there are with the suspect decides.
+        near.iter().filter(is_other_cause).take(with_suspect + 1).count() <= with_suspect
     }
 }
 
@@ -185,8 +186,7 @@
         suspect.crash_count = crashes;
         let fingerprint = suspect.fingerprint(key);
         if is_barred && !was_barred {
-            let completed_here = self.completions.last(key).map(|c| c.completed_at);
-            let completed_at = suspect.cleared_at.max(completed_here);
+            let completed_at = suspect.cleared_at.max(self.completions.last(key));
             self.changes.push(SuspectChange::Barred {
                 fingerprint,
                 crashes,
--- a/crates/tidetrack-core/tests/crashing_parts.rs
+++ b/crates/tidetrack-core/tests/crashing_parts.rs
@@ -49,11 +49,6 @@
     }
 }
 
-/// Records that a request completed that was sent 40 ms before.
-fn record_completion(suspects: &Suspects, at: u64, request: &RequestFingerprints) {
-    suspects.record_completion(Millis(at), Millis(at - 40), request);
-}
-
 fn error_code(suspects: &Suspects, at: u64, request: &RequestFingerprints) -> Option<Code> {
     suspects.check(Millis(at), request).err().map(|e| e.code)
 }
@@ -105,7 +100,7 @@
         let sound = request("north", &["first", &format!("s{n}")], n);
         let crashing = request("north", &["first", "dead"], 100 + n);
         record_crash(&suspects, at, &[&sound, &crashing], &format!("e{n}"));
-        record_completion(&suspects, at + 50, &request("north", &["first", "x"], 200 + n));
+        suspects.record_completion(Millis(at + 50), request("north", &["first", "x"], 200 + n));
     }
 
     let sound = request("north", &["first", "s0"], 300);
@@ -186,7 +181,7 @@
 #[test]
 fn a_part_that_completed_before_its_crashes_is_barred() {
     let suspects = Suspects::default();
-    record_completion(&suspects, 900, &request("north", &["first", "dead"], 0));
+    suspects.record_completion(Millis(900), request("north", &["first", "dead"], 0));
 
     record_part_crashes(&suspects, "north", &["first", "dead"], 1_000, 5);
 
@@ -203,7 +198,7 @@
     let alone = error_code(&suspects, 4_000, &request("south", &["b", "dead"], 1));
     record_part_crashes(&suspects, "east", &["dead"], 4_000, 1);
     let two = error_code(&suspects, 4_100, &request("south", &["b", "dead"], 1));
-    record_completion(&suspects, 4_200, &request("south", &["b", "dead"], 1));
+    suspects.record_completion(Millis(4_200), request("south", &["b", "dead"], 1));
     let completed = error_code(&suspects, 4_300, &request("north", &["a", "dead"], 2));
 
     assert_eq!((alone, two, completed), (None, Some(Code::CrashesEndpoints), None));
@@ -217,7 +212,7 @@
         let workspace = format!("w{n}");
         record_part_crashes(&reporter, &workspace, &[&workspace, "s"], 1_000 + n * 400, 1);
     }
-    record_completion(&suspects, 1_900, &request("east", &["first", "s"], 0));
+    suspects.record_completion(Millis(1_900), request("east", &["first", "s"], 0));
 
     let reports = reporter.reports_for_host(Millis(2_000), MAX_REPORTS_PER_MESSAGE);
     suspects.receive_reports(Millis(2_000), &reports);
@@ -258,8 +253,8 @@
     let trial = suspects.admit(Millis(bar_ends_at), &first).expect("one request is admitted");
     let beside = suspects.admit(Millis(bar_ends_at), &second).err().map(|e| e.code);
     drop(trial);
-    record_completion(&suspects, bar_ends_at + 50, &first);
-    let after = [0, 1].map(|_| suspects.admit(Millis(bar_ends_at + 60), &second).is_ok());
+    suspects.record_completion(Millis(bar_ends_at + 10), &first);
+    let after = [0, 1].map(|_| suspects.admit(Millis(bar_ends_at + 20), &second).is_ok());
 
     assert_eq!(before, Some(Code::CrashesEndpoints));
     assert_eq!(beside, Some(Code::SuspectRuns));
@@ -348,11 +343,7 @@
             if !execution.is_crashing {
                 if fleet.now >= down_until[endpoint] {
                     let suspects = fleet.hosts[execution.host].fleet_state.suspects();
-                    suspects.record_completion(
-                        now,
-                        Millis(execution.sent_at),
-                        &execution.fingerprints,
-                    );
+                    suspects.record_completion(now, &execution.fingerprints);
                 }
                 continue;
             }
--- a/crates/tidetrack-core/tests/ending_endpoints.rs
+++ b/crates/tidetrack-core/tests/ending_endpoints.rs
@@ -279,11 +279,7 @@
         let completed: Vec<Attempt> = completed;
         for attempt in completed {
             let suspects = self.fleet.hosts[attempt.host].fleet_state.suspects();
-            suspects.record_completion(
-                Millis(attempt.ends_at),
-                Millis(attempt.sent_at),
-                &attempt.fingerprints,
-            );
+            suspects.record_completion(Millis(attempt.ends_at), &attempt.fingerprints);
         }
     }
 
--- a/crates/tidetrack-core/tests/suspects.rs
+++ b/crates/tidetrack-core/tests/suspects.rs
@@ -109,10 +109,10 @@
     let (completed_before, completed_after) =
         (fingerprint_of("north", "before"), fingerprint_of("north", "after"));
 
-    suspects.record_completion(Millis(500), Millis(400), completed_before);
+    suspects.record_completion(Millis(500), completed_before);
     record_crashes(&suspects, 1_000, completed_before, 5);
     record_crashes(&suspects, 1_000, completed_after, 3);
-    suspects.record_completion(Millis(5_000), Millis(4_900), completed_after);
+    suspects.record_completion(Millis(5_000), completed_after);
 
     assert_eq!(admission_error_code(&suspects, 6_000, completed_before), None);
     assert_eq!(admission_error_code(&suspects, 6_000, completed_after), None);
@@ -324,8 +324,7 @@
             &failure_domain,
         );
     }
-    let (now, sent_at) = (Millis(fleet.now), Millis(fleet.now - 40));
-    fleet.hosts[40].fleet_state.suspects().record_completion(now, sent_at, fingerprint);
+    fleet.hosts[40].fleet_state.suspects().record_completion(Millis(fleet.now), fingerprint);
 
     fleet.run(fleet.now + PROPAGATION_MS, |_, _| {});
 
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -21,7 +21,6 @@
     may_forward_elsewhere, ForwardResult, ForwardedRequest, HolderDecline, MAX_HOSTS_PER_REQUEST,
 };
 use tidetrack_core::traffic::judge::AttemptOutcome;
-use tidetrack_core::units::Millis;
 
 use crate::attempt::{self, EndpointResponse};
 use crate::attempt_timing::{attempt_work, record_demand, record_length, record_start};
@@ -429,9 +428,7 @@
     let (body, lease) = attempt::collect(body, lease, job.deadline).await?;
     traffic.pool_of(chosen).release(chosen.peer_name(), lease, facts.idle_time);
     if proves_completion {
-        let now = traffic.shared.now();
-        let sent_at = now - Millis(job.started_at.elapsed().as_millis() as u64);
-        traffic.shared.suspects.record_completion(now, sent_at, &job.fingerprints);
+        traffic.shared.suspects.record_completion(traffic.shared.now(), &job.fingerprints);
     }
     record_response(traffic, job, chosen, model, head.status.as_u16());
     let body = match traffic.has_load_control(&job.service) {
--- a/crates/tidetrack-plane/src/relay/mod.rs
+++ b/crates/tidetrack-plane/src/relay/mod.rs
@@ -21,7 +21,6 @@
 use tidetrack_core::ids::ModelId;
 use tidetrack_core::traffic::catalog::WorkKind;
 use tidetrack_core::traffic::judge::AttemptOutcome;
-use tidetrack_core::units::Millis;
 
 use crate::attempt::EndpointResponse;
 use crate::backlog::Sent;
@@ -339,9 +338,7 @@
         self.report_progress(AttemptOutcome::Complete);
         if self.source.proves_completion {
             let shared = &self.traffic.shared;
-            let now = shared.now();
-            let sent_at = now - Millis(self.source.sent_at.elapsed().as_millis() as u64);
-            shared.suspects.record_completion(now, sent_at, &self.job.fingerprints);
+            shared.suspects.record_completion(shared.now(), &self.job.fingerprints);
         }
         self.record_generation_time();
         let StreamRelay { traffic, source, .. } = self;
--- a/crates/tidetrack-router/src/upstream.rs
+++ b/crates/tidetrack-router/src/upstream.rs
@@ -302,9 +302,7 @@
         // A 5xx status does not prove that the endpoint survives the request: it may have failed
         // before executing it.
         if !self.has_error_status {
-            let now = self.shared.now();
-            let sent_at = now - Millis(self.started_at.elapsed().as_millis() as u64);
-            self.shared.suspects.record_completion(now, sent_at, self.fingerprint);
+            self.shared.suspects.record_completion(self.shared.now(), self.fingerprint);
         }
         self.endpoint.state.record_outcome(self.shared.now(), true);
         self.endpoint
