Review: a refusal that arrives twice hides that a request has run

Cause: all attempts of a request carry one id, and a connection on which a replica refused a request is used again. The late second copy of a refusal is taken for the answer to a later attempt at the same replica, which runs it.

--- /dev/null
+++ b/review/standin-2/engine_replica.rs
@@ -0,0 +1,122 @@
+//! A model replica that answers with a stream of events, as a process of its own.
+//!
+//! `engine ID ADDRESS EVENTS PAUSE_MS PROMPT_MS` reads each prompt for PROMPT_MS, then sends the head and
+//! EVENTS events, one each PAUSE_MS, after the request's `Last-Event-Id`. It drops a request whose channel
+//! closes. It writes a line when it begins, ends and drops the work on a request.
+
+use std::io::{BufReader, ErrorKind, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use crate::http::{read_message, response_bytes, Message};
+use crate::plain_replica::{end_with_parent, log};
+
+/// Interval at which it is checked whether the channel of a request has closed.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+#[derive(Clone)]
+struct Engine {
+    id: String,
+    events: u64,
+    pause: Duration,
+    prompt_time: Duration,
+}
+
+pub fn run(args: &[&str]) -> i32 {
+    let [id, address, events, pause_ms, prompt_ms] = args else { return 2 };
+    let Ok(listener) = TcpListener::bind(address) else { return 2 };
+    end_with_parent();
+    let number = |text: &str| text.parse::<u64>().unwrap_or(0);
+    let engine = Engine {
+        id: id.to_string(),
+        events: number(events),
+        pause: Duration::from_millis(number(pause_ms)),
+        prompt_time: Duration::from_millis(number(prompt_ms)),
+    };
+    for stream in listener.incoming().flatten() {
+        let engine = engine.clone();
+        std::thread::spawn(move || engine.serve(stream));
+    }
+    0
+}
+
+impl Engine {
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(stream);
+        while let Some(req) = read_message(&mut reader) {
+            let id = req.header("tidetrack-attempt-id").unwrap_or_default().to_string();
+            let refusal = match &req {
+                _ if id.is_empty() => Some(response_bytes(400, &[("Tidetrack-Not-Executed", "1")], b"")),
+                req if self.is_for_other(req) => {
+                    let headers = [("Tidetrack-Attempt-Id", id.as_str())];
+                    Some(response_bytes(421, &headers, b""))
+                }
+                _ => None,
+            };
+            if let Some(refusal) = refusal {
+                if writer.write_all(&refusal).is_err() {
+                    return;
+                }
+                continue;
+            }
+            log(&format!("begins {id}"));
+            if !self.answer(&req, &id, &mut writer) {
+                return log(&format!("drops {id}"));
+            }
+            log(&format!("ends {id}"));
+        }
+    }
+
+    fn is_for_other(&self, req: &Message) -> bool {
+        req.header("tidetrack-expect-replica").is_some_and(|expected| expected != self.id)
+    }
+
+    /// Answers a request. Returns false if its channel closes meanwhile.
+    fn answer(&self, req: &Message, id: &str, writer: &mut TcpStream) -> bool {
+        if !wait_while_open(writer, self.prompt_time) {
+            return false;
+        }
+        let head = format!(
+            "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+             Tidetrack-Attempt-Id: {id}\r\nTidetrack-Response-Seal: seal.{id}\r\n\r\n"
+        );
+        if writer.write_all(head.as_bytes()).is_err() {
+            return false;
+        }
+        let last: u64 = req.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+        for n in last + 1..=self.events {
+            let event = format!("id: {n}\ndata: piece {n} of {id}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if writer.write_all(chunk.as_bytes()).is_err() || !wait_while_open(writer, self.pause) {
+                return false;
+            }
+        }
+        writer.write_all(b"0\r\n\r\n").is_ok()
+    }
+}
+
+/// Waits for a time. Returns false as soon as the channel is closed.
+fn wait_while_open(stream: &TcpStream, time: Duration) -> bool {
+    let end = Instant::now() + time;
+    loop {
+        if stream.set_nonblocking(true).is_err() {
+            return false;
+        }
+        let peeked = stream.peek(&mut [0; 1]);
+        if stream.set_nonblocking(false).is_err() {
+            return false;
+        }
+        match peeked {
+            Ok(0) => return false,
+            Err(e) if e.kind() != ErrorKind::WouldBlock => return false,
+            _ => {}
+        }
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return true;
+        }
+        std::thread::sleep(left.min(POLL_INTERVAL));
+    }
+}
