--- a/review/standin-2/case_abandoned_streams.rs
+++ b/review/standin-2/case_abandoned_streams.rs
@@ -1,4 +1,5 @@
-//! Callers leave while their streams are being resumed after the crash of a replica.
+//! Callers leave while their streams are being resumed after the crash of a replica. A second replica crashes
+//! a second later.
 
 use std::collections::{HashMap, HashSet};
 use std::path::Path;
@@ -13,14 +14,17 @@
 use crate::stream_client::{config, send, Next, Stream};
 
 /// Callers, each with one stream in progress.
-const CALLERS: usize = 48;
+const CALLERS: usize = 96;
 /// Share of the callers that leave: `give_up`.
 const MAX_LEAVING: usize = CALLERS * 3 / 10;
 /// Silence after which a caller leaves.
 const PATIENCE: Duration = Duration::from_millis(400);
 const CRASH_AT: Duration = Duration::from_secs(4);
-/// Time after a caller has left from which work on its request counts.
+const SECOND_CRASH_AT: Duration = Duration::from_millis(5_300);
+/// Time after a caller has left from which work on its request, and its arrival at a replica, counts.
 const WORK_BOUND_MS: u64 = 500;
+/// Requests that may reach a replica so late.
+const A_FEW: usize = 4;
 
 pub fn play(dir: &Path, program: &Path) -> i32 {
     match try_play(dir, program) {
@@ -68,6 +72,9 @@
     if has_trouble() {
         record.write("replica i-0000000a crashes");
         replicas[0].kill();
+        std::thread::sleep(SECOND_CRASH_AT.saturating_sub(start.elapsed()));
+        record.write("replica i-0000000b crashes");
+        replicas[1].kill();
     }
     callers.into_iter().for_each(|caller| drop(caller.join()));
     drop(hosts);
@@ -106,22 +113,34 @@
 fn judge(left: &HashMap<String, u64>, events: &ReplicaEvents, record: &Record) -> i32 {
     let mut working: HashMap<(String, String), u64> = HashMap::new();
     let mut late: HashSet<String> = HashSet::new();
+    let mut reached: HashSet<String> = HashSet::new();
     for event in events.lock().unwrap().iter() {
         let [word, id, ..] = event.words.as_slice() else { continue };
-        let run = (id.clone(), event.replica.clone());
+        let Some(left_at) = left.get(id) else { continue };
+        let (replica, late_by) = (&event.replica, event.at_ms.saturating_sub(*left_at));
+        let run = (id.clone(), replica.clone());
         if word == "begins" {
             working.insert(run, event.at_ms);
-        } else if let (Some(_), Some(left_at)) = (working.remove(&run), left.get(id)) {
-            if event.at_ms > left_at + WORK_BOUND_MS {
-                let ms = event.at_ms - left_at;
-                record.write(&format!("GONE: {} worked on {id} for {ms} ms after its caller had left", event.replica));
-                late.insert(id.clone());
+            if late_by > WORK_BOUND_MS {
+                record.write(&format!(
+                    "GONE: {id} reached {replica} {late_by} ms after its caller had left"
+                ));
+                reached.insert(id.clone());
             }
+        } else if working.remove(&run).is_some() && late_by > WORK_BOUND_MS {
+            record.write(&format!(
+                "GONE: {replica} worked on {id} until {late_by} ms after its caller had left"
+            ));
+            late.insert(id.clone());
         }
     }
-    let text = format!("{} callers left; replicas were at work on {} of their requests over {WORK_BOUND_MS} ms later", left.len(), late.len());
+    let text = format!(
+        "{} callers left; over {WORK_BOUND_MS} ms later {} of their requests reached a replica, and replicas were at work on {}",
+        left.len(),
+        reached.len(),
+        late.len()
+    );
     record.write(&text);
     println!("{text}");
-    // A few callers that leave say nothing.
-    i32::from(late.len() > 4 && late.len() * 4 > left.len())
+    i32::from(reached.len() > A_FEW || late.len() > A_FEW && late.len() * 4 > left.len())
 }
--- a/review/standin-2/case_large_prompts.rs
+++ b/review/standin-2/case_large_prompts.rs
@@ -67,8 +67,11 @@
     }
     record.write("all hosts are ready");
     let start = Instant::now();
-    let (stop, whole, failed) =
-        (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let (stop, whole, failed) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicUsize::new(0)),
+        Arc::new(AtomicUsize::new(0)),
+    );
     let mut callers = Vec::new();
     for (h, host) in hosts.iter().enumerate() {
         for n in 0..CALLERS + BURST_CALLERS {
--- a/review/standin-2/case_repeated_refusal.rs
+++ b/review/standin-2/case_repeated_refusal.rs
@@ -83,7 +83,8 @@
 
 fn config() -> String {
     let route = r#"{"name":"checkout","hostname":"desk.example","path-prefix":"/checkout/","route-kind":"non_idempotent","timeout-ms":1500,"objective-ms":100,"priority":0,"service":"desk","max-attempts":3,"public":false}"#;
-    let service = r#"{"name":"desk","health-path":"/healthz","max-conns":110,"protocol":"h1","tls":false}"#;
+    let service =
+        r#"{"name":"desk","health-path":"/healthz","max-conns":110,"protocol":"h1","tls":false}"#;
     let limits = r#"{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}"#;
     format!(
         r#"{{"version":7,"routes":[{route}],"services":[{service}],"limits":{limits},"tenants":[{{"name":"north","api-keys":["{KEY}"]}}]}}"#
@@ -156,7 +157,10 @@
         .collect();
     for answer in &refused {
         let (id, status) = (&answer.id, answer.status);
-        record.write(&format!("REFUSED: {id} is answered {status} and ran at {}", runs[id].join(" and ")));
+        record.write(&format!(
+            "REFUSED: {id} is answered {status} and ran at {}",
+            runs[id].join(" and ")
+        ));
     }
     record.write(&format!("TWICE {}, REFUSED {}", twice.len(), refused.len()));
     println!("TWICE {}, REFUSED {}", twice.len(), refused.len());
--- a/review/standin-2/engine_replica.rs
+++ b/review/standin-2/engine_replica.rs
@@ -48,7 +48,9 @@
         while let Some(req) = read_message(&mut reader) {
             let id = req.header("tidetrack-attempt-id").unwrap_or_default().to_string();
             let refusal = match &req {
-                _ if id.is_empty() => Some(response_bytes(400, &[("Tidetrack-Not-Executed", "1")], b"")),
+                _ if id.is_empty() => {
+                    Some(response_bytes(400, &[("Tidetrack-Not-Executed", "1")], b""))
+                }
                 req if self.is_for_other(req) => {
                     let headers = [("Tidetrack-Attempt-Id", id.as_str())];
                     Some(response_bytes(421, &headers, b""))
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -51,7 +51,11 @@
         let (name, value) = line.split_once(':')?;
         Some((name.trim().to_ascii_lowercase(), value.trim().to_string()))
     };
-    Some(Message { start, headers: lines.into_iter().filter_map(header).collect(), body: Vec::new() })
+    Some(Message {
+        start,
+        headers: lines.into_iter().filter_map(header).collect(),
+        body: Vec::new(),
+    })
 }
 
 /// Reads one chunk of a chunked body; an empty one is the last. `None` if the connection ends.
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -17,6 +17,7 @@
 
 mod case_abandoned_streams;
 mod case_large_prompts;
+mod case_raised_limit;
 mod case_repeated_refusal;
 
 use std::path::Path;
@@ -27,10 +28,15 @@
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     let code = match args.as_slice() {
         ["replica", rest @ ..] => plain_replica::run(rest),
-        ["repeated-refusal", dir, host] => case_repeated_refusal::play(Path::new(dir), Path::new(host)),
+        ["repeated-refusal", dir, host] => {
+            case_repeated_refusal::play(Path::new(dir), Path::new(host))
+        }
         ["engine", rest @ ..] => engine_replica::run(rest),
+        ["raised-limit", dir, host] => case_raised_limit::play(Path::new(dir), Path::new(host)),
         ["large-prompts", dir, host] => case_large_prompts::play(Path::new(dir), Path::new(host)),
-        ["abandoned-streams", dir, host] => case_abandoned_streams::play(Path::new(dir), Path::new(host)),
+        ["abandoned-streams", dir, host] => {
+            case_abandoned_streams::play(Path::new(dir), Path::new(host))
+        }
         _ => {
             eprintln!("usage: standin CASE DIR HOST_PROGRAM");
             2
--- a/review/standin-2/plain_replica.rs
+++ b/review/standin-2/plain_replica.rs
@@ -35,7 +35,9 @@
 }
 
 pub fn run(args: &[&str]) -> i32 {
-    let [id, address, slots, queue, work_ms, surplus_share, surplus_late_ms] = args else { return 2 };
+    let [id, address, slots, queue, work_ms, surplus_share, surplus_late_ms] = args else {
+        return 2;
+    };
     let Ok(listener) = TcpListener::bind(address) else { return 2 };
     end_with_parent();
     let number = |text: &str| text.parse::<f64>().unwrap_or(0.0);
