Review: an unframed stream that a crash cuts off looks complete

Cause: the end of a body without a length counts as the end of the stream, whatever has become of its engine, and the caller gets a proper last chunk.

--- a/review/standin-2/stream_client.rs
+++ b/review/standin-2/stream_client.rs
@@ -10,6 +10,7 @@
 /// A stream whose head has been received.
 pub struct Stream {
     reader: BufReader<TcpStream>,
+    received: String,
 }
 
 /// What a client reads next.
@@ -50,7 +51,7 @@
             None => (0, None),
             Some(head) => {
                 let is_chunked = head.header("transfer-encoding").is_some();
-                (head.status(), is_chunked.then_some(Stream { reader }))
+                (head.status(), is_chunked.then_some(Stream { reader, received: String::new() }))
             }
         }
     }
@@ -69,9 +70,17 @@
         match read_chunk(&mut self.reader) {
             None => Next::Broken,
             Some(chunk) if chunk.is_empty() => Next::End,
-            Some(_) => Next::Events,
+            Some(chunk) => {
+                self.received += &String::from_utf8_lossy(&chunk);
+                Next::Events
+            }
         }
     }
+
+    /// Returns what was received so far.
+    pub fn received(&self) -> &str {
+        &self.received
+    }
 }
 
 /// Returns the configuration with the streaming route.
