Review: a stream goes on elsewhere while its first engine still works

Cause: an event with a wrong id ends in the resumption of the stream, which keeps the sound connection to the first engine until the second one answers.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -15,9 +15,9 @@
 mod store;
 mod stream_client;
 
-mod case_abandoned_streams;
 mod case_large_prompts;
 mod case_repeated_refusal;
+mod case_spoiled_streams;
 mod case_unframed_streams;
 
 use std::path::Path;
@@ -32,13 +32,13 @@
             case_repeated_refusal::play(Path::new(dir), Path::new(host))
         }
         ["engine", rest @ ..] => engine_replica::run(rest),
+        ["spoiled-streams", dir, host] => {
+            case_spoiled_streams::play(Path::new(dir), Path::new(host))
+        }
         ["unframed-streams", dir, host] => {
             case_unframed_streams::play(Path::new(dir), Path::new(host))
         }
         ["large-prompts", dir, host] => case_large_prompts::play(Path::new(dir), Path::new(host)),
-        ["abandoned-streams", dir, host] => {
-            case_abandoned_streams::play(Path::new(dir), Path::new(host))
-        }
         _ => {
             eprintln!("usage: standin CASE DIR HOST_PROGRAM");
             2
