--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -18,11 +18,12 @@
 mod case_large_prompts;
 mod case_repeated_refusal;
 mod case_spoiled_streams;
-mod case_unframed_streams;
 
 use std::path::Path;
 use std::process::exit;
 
+use case_spoiled_streams::Check;
+
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
@@ -33,10 +34,10 @@
         }
         ["engine", rest @ ..] => engine_replica::run(rest),
         ["spoiled-streams", dir, host] => {
-            case_spoiled_streams::play(Path::new(dir), Path::new(host))
+            case_spoiled_streams::play(Path::new(dir), Path::new(host), Check::Twice)
         }
-        ["unframed-streams", dir, host] => {
-            case_unframed_streams::play(Path::new(dir), Path::new(host))
+        ["skipped-events", dir, host] => {
+            case_spoiled_streams::play(Path::new(dir), Path::new(host), Check::Order)
         }
         ["large-prompts", dir, host] => case_large_prompts::play(Path::new(dir), Path::new(host)),
         _ => {
