--- a/review/4/standins/engine_replica.rs
+++ b/review/4/standins/engine_replica.rs
@@ -2,7 +2,7 @@
 //!
 //! `engine ID ADDRESS EVENTS PAUSE_MS PROMPT_MS UNFRAMED_SHARE SPOILED_SHARE SPOILED_BY` reads each prompt for
 //! PROMPT_MS, then sends the head and EVENTS events, one each PAUSE_MS, after the request's `Last-Event-Id`. For
-//! 5.5 of each 8 seconds, UNFRAMED_SHARE of its answers have no length and end with their channel, and
+//! 5 of each 8 seconds, UNFRAMED_SHARE of its answers have no length and end with their channel, and
 //! SPOILED_SHARE have wrong bytes where the id of the event in the middle stands: a number that differs by
 //! SPOILED_BY. It drops a request whose channel closes. It writes a line when it begins, ends and drops the work
 //! on a request.
