--- a/review/4/standins/case_spoiled_streams.rs
+++ b/review/4/standins/case_spoiled_streams.rs
@@ -14,7 +14,7 @@
 const CALLERS: usize = 60;
 const EVENTS: usize = 60;
 /// Share of the faulty replicas' answers in which an event is spoiled: `garble`.
-const SPOILED_SHARE: &str = "0.05";
+const SPOILED_SHARE: &str = "0.02";
 const RUN_TIME: Duration = Duration::from_secs(45);
 
 pub fn play(dir: &Path, program: &Path) -> i32 {
