Store: a list that does not advance or does not end is a failed read

The store was asked 7,000 times a second while a page of a list led back to itself, and a list of ever new pages grew in memory until it ended. A page that said that more follows, without a name to go on from, was taken for the last one, so that everything behind it counted as removed.

Cause: StoreClient::list followed any page to the next one, and no next name meant the end.

Change: core::traffic::list_progress decides: each page leads to a position that was not used before, and a list has at most an eighth of limits.memory-mb, a page counting as 4 KiB at least. Otherwise the read fails like any other: it is logged, repeated with a pause, and the known state stays. A page continues after the last name that can be sent back: names with replaced bytes are passed over if the reply was not UTF-8, and a deeply nested entry still has its name. Positions must be new, not larger than the last: the pages don't say how the store sorts.

--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -32,6 +32,7 @@
 mod isolation;
 pub mod judge;
 pub mod latency_estimate;
+pub mod list_progress;
 pub mod load_concentration;
 pub mod outliers;
 pub mod overload;
--- a/crates/tidetrack-plane/src/dialect.rs
+++ b/crates/tidetrack-plane/src/dialect.rs
@@ -18,6 +18,7 @@
 use tidetrack_core::traffic::catalog::Catalog;
 use tidetrack_core::traffic::endpoints::EndpointRecord;
 pub use tidetrack_core::traffic::feeds::FeedKind;
+pub use tidetrack_core::traffic::list_progress::NextPage;
 use tidetrack_core::traffic::store_position::StorePosition;
 use tidetrack_core::units::{Millis, Rate, Tokens};
 
@@ -198,8 +199,8 @@
     pub objects: Vec<DecodedObject>,
     /// The objects that could not be decoded.
     pub unreadable: Vec<UnreadableObject>,
-    /// Name of the last object of the page, if more pages follow.
-    pub next_after: Option<String>,
+    /// Where the list continues.
+    pub next: NextPage,
     /// The store's revision.
     pub revision: u64,
     /// Revision of the newest change among the listed objects.
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -14,6 +14,7 @@
 use tidetrack_core::codes::Code;
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::events::Event;
+use tidetrack_core::traffic::list_progress::ListProgress;
 use tidetrack_core::traffic::store_position::era_of;
 use tidetrack_core::units::Millis;
 
@@ -201,7 +202,7 @@
         }
     }
 
-    /// Lists all objects of a kind, page by page.
+    /// Lists all objects of a kind, page by page. Fails if the list does not advance or is too large.
     pub async fn list(
         &self,
         purpose: CallPurpose,
@@ -211,6 +212,7 @@
         let dialect = &self.shared.dialect.store;
         let started_at = self.shared.now();
         let mut listing = Listing::new(started_at);
+        let mut progress = ListProgress::new(self.shared.settings.memory);
         let mut after: Option<String> = None;
         loop {
             let call = (dialect.list)(kind, after.as_deref(), age);
@@ -224,12 +226,13 @@
             listing.objects.extend(page.objects);
             listing.unreadable.extend(page.unreadable.into_iter().map(|object| object.name));
             listing.newest_change = listing.newest_change.max(page.newest_change);
+            let next = progress.record_page(reply.body.len(), page.next)?;
             listing.pages.push(reply.body);
             listing.body_time += reply.body_time;
             if after.is_none() {
                 listing.revision = page.revision;
             }
-            match page.next_after {
+            match next {
                 Some(name) => after = Some(name),
                 None => return Ok(listing),
             }
--- a/crates/tidetrack-plane/src/watch/read.rs
+++ b/crates/tidetrack-plane/src/watch/read.rs
@@ -57,7 +57,8 @@
         let newest_listed = loop {
             let listing = self.store.list(purpose, &self.reply_gate(kind, after)).await?;
             let (revision, newest) = (listing.revision, listing.newest_change);
-            let pages: Vec<Vec<u8>> = listing.pages.iter().map(|page| page.to_vec()).collect();
+            // Each page is copied into a buffer of its size, and freed.
+            let pages: Vec<Vec<u8>> = listing.pages.into_iter().map(|page| page.to_vec()).collect();
             let bytes = pages.iter().map(Vec::len).sum();
             let before = self.newest_change(kind);
             let list = ListSnapshot { revision, pages };
