Store: lists are not repeated without pauses

A host asked the store 10,000 times a second while the store answered 410 to lists also, or returned lists older than what the host knew.

Cause: follow_forever went on at once after "history gone", which a list normally cures, and read_list repeated an outdated list at once and for ever.

Change: "history gone" pauses like other failures, and the pause starts anew once the state has advanced. An outdated list is read again after a pause, and the third one is a failed read.

--- a/crates/tidetrack-plane/src/watch/follow.rs
+++ b/crates/tidetrack-plane/src/watch/follow.rs
@@ -41,6 +41,7 @@
         let mut pause = INITIAL_PAUSE;
         loop {
             store_recoveries.mark_unchanged();
+            let before = self.position(kind);
             let e = tokio::select! {
                 e = self.follow(kind) => e,
                 () = self.wait_for_recovery(&mut store_recoveries), if kind != FeedKind::Catalog => continue,
@@ -50,11 +51,10 @@
                 tokio::time::sleep(jittered(INITIAL_PAUSE)).await;
                 continue;
             }
-            if e.code == Code::HistoryGone {
-                pause = INITIAL_PAUSE;
-                continue;
-            }
-            if self.record_failure(kind, &e) {
+            // A list brings what the history lacks, unless the store refuses it for the same reason.
+            let is_history_gone = e.code == Code::HistoryGone;
+            let has_advanced = is_history_gone && self.position(kind) > before;
+            if has_advanced || (!is_history_gone && self.record_failure(kind, &e)) {
                 pause = INITIAL_PAUSE;
             }
             tokio::time::sleep(jittered(pause)).await;
--- a/crates/tidetrack-plane/src/watch/read.rs
+++ b/crates/tidetrack-plane/src/watch/read.rs
@@ -8,13 +8,18 @@
 use tidetrack_core::traffic::store_position::StorePosition;
 use tidetrack_core::units::Millis;
 
+use crate::call::unavailable_error;
 use crate::dialect::{FeedKind, ListAge};
 use crate::feed::{ChangeBatch, ListSnapshot};
 use crate::store::{CallPurpose, CallReason};
 
 use super::apply::SOURCE_STORE;
+use super::follow::{jittered, INITIAL_PAUSE};
 use super::StoreSync;
 
+/// Number of lists older than the known state after which a read has failed.
+const MAX_OLD_LISTS: u32 = 3;
+
 impl StoreSync {
     /// Reads the changes of a kind after a revision, for which the store may wait up to `wait`.
     /// Reads the whole list if the store does not keep these changes any more or if they exceed the
@@ -54,6 +59,7 @@
         let age =
             if is_first && kind != FeedKind::Catalog { ListAge::Recent } else { ListAge::Newest };
         let purpose = CallPurpose { kind, reason, age };
+        let mut old_lists = 0;
         let newest_listed = loop {
             let listing = self.store.list(purpose, &self.reply_gate(kind, after)).await?;
             let (revision, newest) = (listing.revision, listing.newest_change);
@@ -74,6 +80,11 @@
             if is_applied || kind.is_single_object() {
                 break newest;
             }
+            old_lists += 1;
+            if old_lists == MAX_OLD_LISTS {
+                return Err(unavailable_error("the lists are older than the known state"));
+            }
+            tokio::time::sleep(jittered(INITIAL_PAUSE)).await;
         };
         if age == ListAge::Recent {
             self.report_position(kind, Some(newest_listed));
