Request bodies take a bounded share of the host's memory

Cause: each connection collected up to max-body-bytes, and nothing compared the sum with limits.memory-mb.

Change: core::traffic::body_budget counts what is reserved for bodies, a quarter of the memory, before it is read; plane::request_body copies the frames into segments of up to 64 KiB, which are sent one after the other and never joined. A quarter of the bound is left to bodies of up to 64 KiB. Forwarded requests take the same way.

--- a/crates/tidetrack-core/src/codes.rs
+++ b/crates/tidetrack-core/src/codes.rs
@@ -85,6 +85,7 @@
     SuspectRuns, 2009, 503, No, "Endpoints crashed while executing this request and another attempt is running; retry later for its outcome.";
     Evacuated, 2010, 503, No, "All endpoints of the service are in evacuated failure domains.";
     NoPath, 2011, 503, No, "The host has lost its network paths to the endpoints of the service, and no other host can take the request.";
+    NoBodyMemory, 2012, 503, No, "The host has no memory left for the request's body; send the request again.";
     EndpointRefused, 3001, 503, No, "The endpoint refused the request before executing it.";
     EndpointFailed, 3002, 502, Unknown, "The endpoint failed or its response was truncated.";
     EndpointUnreachable, 3003, 502, No, "The connection to the endpoint could not be established.";
--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -103,6 +103,7 @@
     BusyAwaited, 321, "an attempt waits for a busy endpoint, because no other one is expected to respond sooner";
     StreamShed, 322, "a response was aborted because its caller read too slowly and the host's bound for held bytes was exceeded, or because the caller read nothing for as long as its request may take";
     CandidatesProbed, 323, "two candidates of a long attempt were asked for their load";
+    BodyBoundRaised, 324, "the configuration allows a request body that is larger than the share of the memory that is left to bodies; the bound was raised to it";
     SegmentWritten, 400, "a segment of the ledger was written to the object API";
     SegmentTaken, 401, "another host had already written the segment; the remaining bills were queued again";
     SegmentFailed, 402, "a segment of the ledger could not be written; the write is retried";
--- a/crates/tidetrack-core/src/traffic/fingerprint.rs
+++ b/crates/tidetrack-core/src/traffic/fingerprint.rs
@@ -52,8 +52,8 @@
     /// Parts of the prompt in order, the last of which belongs to the request itself or its session.
     /// Empty if the request names none.
     pub prompt_parts: &'a [PartId],
-    /// Complete body.
-    pub body: &'a [u8],
+    /// Complete body, in segments. The division into segments has no effect.
+    pub body: &'a [&'a [u8]],
 }
 
 impl Fingerprint {
@@ -68,7 +68,7 @@
             hash.update((field.len() as u64).to_le_bytes());
             hash.update(field.as_bytes());
         }
-        hash.update(req.body);
+        req.body.iter().for_each(|segment| hash.update(segment));
         Fingerprint { caller: caller_hash(req.workspace), hash: truncate(&hash.finalize()) }
     }
 
@@ -198,7 +198,7 @@
             method: "POST",
             path,
             prompt_parts: &[],
-            body: body.as_bytes(),
+            body: &[body.as_bytes()],
         })
     }
 
--- a/crates/tidetrack-core/src/traffic/forwarding.rs
+++ b/crates/tidetrack-core/src/traffic/forwarding.rs
@@ -172,7 +172,12 @@
 pub fn may_forward_elsewhere(e: &Error) -> bool {
     let is_host_specific = matches!(
         e.code,
-        Code::NoPath | Code::Draining | Code::NotReady | Code::Stale | Code::Overloaded
+        Code::NoPath
+            | Code::Draining
+            | Code::NotReady
+            | Code::Stale
+            | Code::Overloaded
+            | Code::NoBodyMemory
     );
     is_host_specific && e.executed == Executed::No
 }
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod baseline;
+pub mod body_budget;
 pub mod bootstrap;
 pub mod brittle_endpoints;
 pub mod budget;
--- a/crates/tidetrack-core/tests/crashing_parts.rs
+++ b/crates/tidetrack-core/tests/crashing_parts.rs
@@ -37,7 +37,7 @@
         method: "POST",
         path: "/a/x",
         prompt_parts: &prompt_parts,
-        body: b"{}",
+        body: &[b"{}"],
     };
     RequestFingerprints::of(&identity)
 }
--- a/crates/tidetrack-core/tests/ending_endpoints.rs
+++ b/crates/tidetrack-core/tests/ending_endpoints.rs
@@ -191,7 +191,7 @@
             method: "POST",
             path: "/a/x",
             prompt_parts: &parts,
-            body: b"{}",
+            body: &[b"{}"],
         })
     }
 
--- a/crates/tidetrack-core/tests/suspects.rs
+++ b/crates/tidetrack-core/tests/suspects.rs
@@ -35,7 +35,7 @@
         method: "POST",
         path: "/a/x",
         prompt_parts: &[],
-        body: body.as_bytes(),
+        body: &[body.as_bytes()],
     })
 }
 
--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 
 use tidetrack_core::codes::{Code, Executed};
@@ -18,6 +18,7 @@
 
 use crate::dialect::ResponseFacts;
 use crate::pool::{disconnect_cause, Lease, Pool};
+use crate::request_body::OutgoingBody;
 
 /// Maximum size in bytes of a response body that is buffered before it is forwarded.
 pub const MAX_COLLECTED_BYTES: usize = 1 << 20;
@@ -98,9 +99,9 @@
 /// before anything is sent, the request is sent on another one.
 ///
 /// The error states whether the request may have been executed.
-pub async fn send(
+pub async fn send<B: Into<OutgoingBody>>(
     attempt: &Attempt<'_>,
-    make_request: impl Fn() -> Request<Full<Bytes>>,
+    make_request: impl Fn() -> Request<B>,
 ) -> Result<EndpointResponse> {
     let (head, body, lease) = exchange(attempt, make_request).await?;
     check_head(attempt, head, body, lease)
@@ -110,9 +111,9 @@
 pub type RawResponse = (http::response::Parts, Incoming, Lease);
 
 /// Sends a request and waits for the head of the response, without checking it.
-pub async fn exchange(
+pub async fn exchange<B: Into<OutgoingBody>>(
     attempt: &Attempt<'_>,
-    make_request: impl Fn() -> Request<Full<Bytes>>,
+    make_request: impl Fn() -> Request<B>,
 ) -> Result<RawResponse> {
     let deadline = tokio::time::Instant::from_std(attempt.deadline);
     loop {
@@ -126,7 +127,7 @@
             e.with_disconnect_cause(DisconnectCause::TimedOut)
         })??;
         lease.set_unrepeatable(!attempt.is_repeatable);
-        let response = lease.sender.try_send_request(make_request());
+        let response = lease.sender.try_send_request(make_request().map(Into::into));
         match tokio::time::timeout_at(deadline, response).await {
             Err(_) => {
                 return Err(make_error(
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -211,7 +211,8 @@
     let host_header =
         http::HeaderValue::from_str(address).map_err(|e| unavailable_error(e.to_string()))?;
     req.headers_mut().insert(http::header::HOST, host_header);
-    let response = tokio::time::timeout_at(deadline, lease.sender.send_request(req));
+    let response =
+        tokio::time::timeout_at(deadline, lease.sender.send_request(req.map(Into::into)));
     let (head, body) = response
         .await
         .map_err(timeout_error)?
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -70,13 +70,14 @@
 ) -> (Response<ResponseBody>, ForwardResult) {
     let started_at = Instant::now();
     let in_flight = InFlight::new(traffic);
-    let facts = (traffic.shared.dialect.parse_request_head)(req.headers());
+    let (head, mut body) = req.into_parts();
+    let facts = (traffic.shared.dialect.parse_request_head)(&head.headers);
     let attempt_id = facts.as_ref().ok().and_then(|f| f.attempt_id.clone());
     let guard = DisconnectGuard::new(traffic, attempt_id.clone().unwrap_or_default());
     let mut attempts = AttemptHistory::of_forwarded(envelope.as_ref());
     let asked = envelope.as_ref().and_then(|e| e.endpoint.clone());
     let mut error = None;
-    let resp = match prepare(traffic, facts, req, started_at, envelope).await {
+    let resp = match prepare(traffic, facts, head, &mut body, started_at, envelope).await {
         Err(e) => {
             let resp = refuse(traffic, attempt_id.as_deref(), "", started_at, &e);
             error = Some(e);
--- a/crates/tidetrack-plane/src/forward.rs
+++ b/crates/tidetrack-plane/src/forward.rs
@@ -18,7 +18,6 @@
     UPGRADE,
 };
 use http::{HeaderMap, Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -45,6 +44,7 @@
 use crate::exchange::serve_forwarded;
 use crate::holders::{record_declined_endpoint, record_unreached};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, PrefixLocation, Traffic};
+use crate::request_body::OutgoingBody;
 use crate::server::StopStage;
 use crate::stall_aware_sleep::stall_aware_sleep;
 
@@ -350,8 +350,8 @@
     }
 }
 
-fn build_request(job: &Job, envelope: &ForwardedRequest) -> Request<Full<bytes::Bytes>> {
-    let mut req = Request::new(Full::new(job.body.clone()));
+fn build_request(job: &Job, envelope: &ForwardedRequest) -> Request<OutgoingBody> {
+    let mut req = Request::new(OutgoingBody::from(&job.body));
     *req.method_mut() = job.method.clone();
     *req.uri_mut() = job.uri.clone();
     *req.headers_mut() = job.headers.clone();
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use tokio::sync::Notify;
 
@@ -38,6 +37,7 @@
 use crate::forward::OutstandingForwards;
 use crate::paths::PathMonitor;
 use crate::pool::Pool;
+use crate::request_body::{BodyHold, BodyMemory, RequestBody};
 use crate::room::WaitingRequests;
 use crate::shared::SharedRef;
 
@@ -64,6 +64,8 @@
     pub service_times: RefCell<ServiceTimes>,
     /// Bytes held for callers under load control.
     pub backlog: Rc<HostBacklog>,
+    /// Memory for the bodies of requests.
+    pub body_memory: Rc<BodyMemory>,
     /// Load of services under load control.
     pub overload: RefCell<Overload>,
     /// Places at endpoints of services under load control.
@@ -101,6 +103,7 @@
         Traffic {
             reachability,
             backlog: HostBacklog::new(&shared),
+            body_memory: BodyMemory::new(&shared),
             shared,
             pool: Rc::new(Pool::for_endpoints()),
             paths: PathMonitor::default(),
@@ -234,7 +237,9 @@
     /// Headers of the caller's request.
     pub headers: HeaderMap,
     /// Complete request body.
-    pub body: Bytes,
+    pub body: RequestBody,
+    /// Guard of the memory that the body takes.
+    pub body_hold: Option<BodyHold>,
     /// Guard that counts the body against the memory bound of the host, under load control.
     pub held_body: Option<HeldBody>,
     /// When the request head had been read.
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod prepare;
 pub mod relay;
 pub mod report;
+pub mod request_body;
 pub mod room;
 pub mod second_opinion;
 pub mod send;
--- a/crates/tidetrack-plane/src/load_probe.rs
+++ b/crates/tidetrack-plane/src/load_probe.rs
@@ -93,7 +93,7 @@
     if let Ok(host) = http::HeaderValue::from_str(&endpoint.address) {
         req.headers_mut().insert(http::header::HOST, host);
     }
-    let Ok(resp) = lease.sender.try_send_request(req).await else { return };
+    let Ok(resp) = lease.sender.try_send_request(req.map(Into::into)).await else { return };
     let (head, body) = resp.into_parts();
     let facts = (traffic.shared.dialect.parse_response_head)(&head.headers);
     record_announcements(traffic, endpoint, &facts);
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -63,6 +63,7 @@
     forwards: Counter<u64>,
     refusals: Counter<u64>,
     held_bytes: Gauge<u64>,
+    request_body_bytes: Gauge<u64>,
     shed_streams: Counter<u64>,
     load_rejections: Counter<u64>,
     first_byte: Histogram<f64>,
@@ -100,6 +101,7 @@
             load_rejections: meter.u64_counter("tidetrack_load_rejections").build(),
             refusals: meter.u64_counter("tidetrack_endpoint_refusals").build(),
             held_bytes: meter.u64_gauge("tidetrack_held_bytes").build(),
+            request_body_bytes: meter.u64_gauge("tidetrack_request_body_bytes").build(),
             shed_streams: meter.u64_counter("tidetrack_shed_streams").build(),
             first_byte: histogram.with_boundaries(HISTOGRAM_BOUNDS_MS.to_vec()).build(),
             registry,
@@ -261,6 +263,11 @@
         self.refusals.add(1, &[KeyValue::new("brittle", is_brittle)]);
     }
 
+    /// Records the number of bytes reserved for request bodies.
+    pub fn record_request_body_bytes(&self, bytes: u64) {
+        self.request_body_bytes.record(bytes, &[]);
+    }
+
     /// Records the number of bytes held for callers.
     pub fn record_held_bytes(&self, bytes: u64) {
         self.held_bytes.record(bytes, &[]);
--- a/crates/tidetrack-plane/src/paths.rs
+++ b/crates/tidetrack-plane/src/paths.rs
@@ -470,7 +470,7 @@
         *req.uri_mut() = http::Uri::from_static(traffic.shared.dialect.probe_path);
         let host = HeaderValue::from_str(&endpoint.address).ok()?;
         req.headers_mut().insert(HOST, host);
-        lease.sender.send_request(req).await.ok()
+        lease.sender.send_request(req.map(Into::into)).await.ok()
     };
     let has_responded = matches!(tokio::time::timeout(PROBE_TIMEOUT, exchange).await, Ok(Some(_)));
     traffic.shared.metrics.record_path_probe(has_responded);
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -9,8 +9,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::io::AsyncWriteExt;
@@ -24,6 +22,7 @@
 
 use crate::clock::BootInstant;
 use crate::forward::CONNECTION_PREAMBLE;
+use crate::request_body::OutgoingBody;
 use crate::socket::{MonitoredSocket, PeerKind, PinnedRequestFlag};
 
 /// Maximum time for a connection to be established. Within a region this takes a few milliseconds;
@@ -67,7 +66,7 @@
 /// pool.
 pub struct Lease {
     /// Sends the request.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<OutgoingBody>,
     task: JoinHandle<()>,
     is_unrepeatable: PinnedRequestFlag,
     /// Whether the connection carried an earlier request.
--- a/crates/tidetrack-plane/src/prepare.rs
+++ b/crates/tidetrack-plane/src/prepare.rs
@@ -4,9 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::Request;
-use http_body_util::{BodyExt, Limited};
+use http::request::Parts;
 use hyper::body::Incoming;
 
 use tidetrack_core::codes::Code;
@@ -35,7 +33,8 @@
 pub async fn prepare(
     traffic: &Rc<Traffic>,
     facts: Result<RequestFacts>,
-    req: Request<Incoming>,
+    head: Parts,
+    body: &mut Incoming,
     started_at: Instant,
     envelope: Option<ForwardedRequest>,
 ) -> Result<Job> {
@@ -45,7 +44,6 @@
             Error::new(Code::Draining, "the host is stopping; send the request to another host");
         return Err(e.with_retry_after(RETRY_AFTER_STOPPING_MS));
     }
-    let (head, body) = req.into_parts();
     let mut facts = facts?;
     if let Some(envelope) = &envelope {
         facts.time_left = Some(Millis(envelope.time_left_ms));
@@ -90,14 +88,19 @@
         started_at + timeout,
         BootInstant::now().saturating_add(timeout.saturating_sub(started_at.elapsed())),
     );
-    let body = read_body(body, limits.max_body_bytes, deadline).await?;
+    let workspace = admitted.holder.as_ref().map(|h| &h.workspace);
+    let read = traffic.body_memory.read(body, workspace, limits.max_body_bytes);
+    let timed_out = |_| Error::new(Code::TooSlow, "the body did not arrive in time");
+    let read = tokio::time::timeout_at(deadline.into(), read).await.map_err(timed_out)?;
+    let (body, body_hold) = read?;
+    let segments: Vec<&[u8]> = body.segments().collect();
     let identity = RequestIdentity {
-        workspace: admitted.holder.as_ref().map(|h| &h.workspace),
+        workspace,
         hostname: admission_request.hostname,
         method: head.method.as_str(),
         path: head.uri.path_and_query().map_or(admission_request.path, |path| path.as_str()),
         prompt_parts: &facts.prompt_parts,
-        body: &body,
+        body: &segments,
     };
     let fingerprints = RequestFingerprints::of(&identity);
     let is_forwarded = envelope.is_some();
@@ -154,6 +157,7 @@
         uri: head.uri,
         headers: head.headers,
         body,
+        body_hold,
         started_at,
         deadline,
         suspend_aware_deadline,
@@ -170,21 +174,3 @@
         tokio::time::sleep(STARTUP_POLL_INTERVAL).await;
     }
 }
-
-/// Reads a whole request body. Fails if it exceeds `max_bytes`, arrives after the deadline or can't be read.
-async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<Bytes> {
-    let collected = Limited::new(body, max_bytes).collect();
-    let deadline = tokio::time::Instant::from_std(deadline);
-    let timed_out = |_| Error::new(Code::TooSlow, "the body did not arrive in time");
-    let collected = tokio::time::timeout_at(deadline, collected).await.map_err(timed_out)?;
-    let body_error =
-        |e: Box<dyn std::error::Error + Send + Sync>| match e
-            .downcast_ref::<http_body_util::LengthLimitError>()
-        {
-            Some(_) => {
-                Error::new(Code::TooLarge, format!("the body is larger than {max_bytes} bytes"))
-            }
-            None => Error::new(Code::BadBody, e.to_string()),
-        };
-    Ok(collected.map_err(body_error)?.to_bytes())
-}
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -2,9 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::Request;
-use http_body_util::Full;
 
 use tidetrack_core::codes::{Code, Executed};
 use tidetrack_core::errors::{Error, Result};
@@ -22,6 +20,7 @@
 use crate::load_control;
 use crate::pending_work::PendingWork;
 use crate::pool::max_idle_time;
+use crate::request_body::OutgoingBody;
 use crate::stall_aware_sleep::stall_aware_sleep;
 
 /// Work in response tokens that a request counts as if an endpoint reports it as running. An engine
@@ -211,7 +210,7 @@
     chosen: &ChosenEndpoint,
     model: Option<&ModelId>,
     resume_after: Option<u64>,
-) -> Request<Full<Bytes>> {
+) -> Request<OutgoingBody> {
     let remaining = job.time_left();
     let handover = EndpointRequestInfo {
         time_left: Millis(remaining.as_millis() as u64),
@@ -222,7 +221,7 @@
         last_event: resume_after.or(job.facts.last_event),
         prefix_cache_address: chosen.prefix.source_address(),
     };
-    let mut req = Request::new(Full::new(job.body.clone()));
+    let mut req = Request::new(OutgoingBody::from(&job.body));
     *req.method_mut() = job.method.clone();
     *req.uri_mut() = job.uri.clone();
     *req.headers_mut() = (traffic.shared.dialect.build_endpoint_head)(&job.headers, &handover);
--- a/crates/tidetrack-plane/tests/report_sizes.rs
+++ b/crates/tidetrack-plane/tests/report_sizes.rs
@@ -23,7 +23,7 @@
         method: "POST",
         path: "/a/x",
         prompt_parts: &[],
-        body: n.to_string().as_bytes(),
+        body: &[n.to_string().as_bytes()],
     })
 }
 
--- a/crates/tidetrack-router/src/chat/mod.rs
+++ b/crates/tidetrack-router/src/chat/mod.rs
@@ -177,7 +177,7 @@
                 method: request.method().as_str(),
                 path: request.url(),
                 prompt_parts: &[],
-                body,
+                body: &[body],
             }),
             context,
             chat,
--- a/crates/tidetrack-router/src/services.rs
+++ b/crates/tidetrack-router/src/services.rs
@@ -99,7 +99,7 @@
             method: request.method().as_str(),
             path: request.url(),
             prompt_parts: &[],
-            body: &body,
+            body: &[&body],
         });
         let mut call = Call {
             context,
