The rest of a refused body is read for a moment, so that the refusal arrives

A caller that was still sending its body when the host refused it (401, 404, 413, 503) got a reset instead of the answer.

Cause: the body was dropped with the answer, and closing a connection with unread bytes resets it, which discards what the caller has not read yet.

A connection whose body ends in that time goes on.

--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -37,6 +37,7 @@
 use crate::prepare::prepare;
 use crate::relay;
 use crate::report::{record_failed_attempt, record_response, report_attempt, AttemptObservation};
+use crate::request_body;
 use crate::room::choose_or_wait;
 use crate::second_opinion::model_for_second_opinion;
 use crate::send::{record_reported_load, send};
@@ -79,7 +80,12 @@
     let mut error = None;
     let resp = match prepare(traffic, facts, head, &mut body, started_at, envelope).await {
         Err(e) => {
-            let resp = refuse(traffic, attempt_id.as_deref(), "", started_at, &e);
+            let mut resp = refuse(traffic, attempt_id.as_deref(), "", started_at, &e);
+            if matches!(e.code, Code::TooLarge | Code::TooSlow | Code::NoBodyMemory) {
+                let close = http::HeaderValue::from_static("close");
+                resp.headers_mut().insert(http::header::CONNECTION, close);
+            }
+            request_body::discard(body);
             error = Some(e);
             resp
         }
--- a/crates/tidetrack-plane/src/request_body.rs
+++ b/crates/tidetrack-plane/src/request_body.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -34,6 +35,10 @@
 /// Maximum size of a segment in bytes.
 const MAX_SEGMENT_BYTES: usize = 64 << 10;
 
+/// Time for which the rest of a refused body is read. Closing a connection with unread bytes resets it,
+/// and the caller may then not receive the refusal.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// A complete request body. Clones share its bytes.
 #[derive(Clone, Debug, Default)]
 pub struct RequestBody {
@@ -130,7 +135,7 @@
 
     /// Reads a whole body of a workspace's request. Returns it with the guard of its memory.
     ///
-    /// Fails with `TooLarge` if the body exceeds `max_bytes`, with `NoBodyMemory` if
+    /// Fails with `TooLarge` if the body exceeds `max_bytes` or announces to, with `NoBodyMemory` if
     /// the host has no memory for it or it has to give way, and with `BadBody` if it can't be read.
     pub async fn read(
         self: &Rc<BodyMemory>,
@@ -302,3 +307,15 @@
 fn no_memory_error(text: &str) -> Error {
     Error::new(Code::NoBodyMemory, text).with_retry_after(RETRY_OVERLOADED_MS)
 }
+
+/// Reads and drops the rest of a refused body in the background. Must be called on a `LocalSet`.
+pub fn discard(mut body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    tokio::task::spawn_local(async move {
+        let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+        // Dropping the body closes the connection.
+        let _ = tokio::time::timeout(DISCARD_TIME, rest).await;
+    });
+}
