A length over the limit is refused before the body is read

Callers that announced a body far over max-body-bytes took as much memory as others until they had sent that much, and one that announced and sent nothing was told 408 at its deadline.

Cause: the announced length was not looked at; the body was read up to the limit.

Change: a length above the limit is 413 at the head.

Evidence: test request_bodies: 408 before, 413 after, without a byte of the body sent. client_crowds, 160 callers that announce 8 MiB and send 4: 77,724 KiB resident at the peak at first, 18,592 now.

--- a/crates/tidetrack-plane/src/request_body.rs
+++ b/crates/tidetrack-plane/src/request_body.rs
@@ -144,6 +144,9 @@
         max_bytes: usize,
     ) -> Result<(RequestBody, Option<BodyHold>)> {
         let announced = body.size_hint().exact();
+        if body.size_hint().lower() > max_bytes as u64 {
+            return Err(too_large_error(max_bytes));
+        }
         if body.is_end_stream() {
             return Ok((RequestBody::default(), None));
         }
