Receive buffers of callers' connections take a bounded share of the memory

Bytes that arrive on connections that the host does not read count against its machine. Callers that send bodies behind an unfinished request filled the receive buffers, which the system sizes from 128 KiB up.

Cause: nothing bounded the receive buffers over all connections; a host that refuses to hold a body moves it there.

Change: the listener for callers has a receive buffer that its connections inherit: an eighth of the memory divided by the maximum number of connections, 8 to 64 KiB. While more than 16 KiB of one request are read, it is at least 32 KiB.

--- a/crates/tidetrack-core/src/traffic/body_budget.rs
+++ b/crates/tidetrack-core/src/traffic/body_budget.rs
@@ -28,6 +28,19 @@
 /// Ratio between the arriving bytes of two workspaces above which the bodies of the larger one give way.
 const DOMINANCE: u64 = 2;
 
+/// Share of a host's memory that bytes may take which have arrived on callers' connections and are not
+/// read yet.
+const UNREAD_SHARE: f64 = 1.0 / 8.0;
+
+/// Minimum and maximum size of a connection's receive buffer, in bytes.
+const RECEIVE_BUFFER_BYTES: (f64, f64) = (8.0 * 1_024.0, 64.0 * 1_024.0);
+
+/// Returns the size in bytes of the receive buffer of each of a host's connections to callers.
+pub fn receive_buffer_bytes(memory: MemorySize, max_connections: usize) -> u32 {
+    let share = memory.bytes() * UNREAD_SHARE / max_connections.max(1) as f64;
+    share.clamp(RECEIVE_BUFFER_BYTES.0, RECEIVE_BUFFER_BYTES.1) as u32
+}
+
 /// Bounds of the memory that is held for request bodies, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BodyLimits {
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -12,6 +12,7 @@
 use tokio::task::LocalSet;
 
 use tidetrack_core::events::Event;
+use tidetrack_core::traffic::body_budget::receive_buffer_bytes;
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::suspects::Suspects;
@@ -28,7 +29,9 @@
 use crate::metrics::Metrics;
 use crate::pages::serve_readiness_and_metrics;
 use crate::paths::run_path_monitor;
-use crate::server::{accept_loop, listen, Connections, ServerOptions, StopStage};
+use crate::server::{
+    accept_loop, listen, listen_with_buffer, Connections, ServerOptions, StopStage,
+};
 use crate::settings::HostSettings;
 use crate::shared::Shared;
 use crate::signals::{SignalRequest, Signals};
@@ -112,9 +115,12 @@
         let traffic = Rc::new(Traffic::new(self.shared.clone()));
         let (stage, stage_receiver) = watch::channel(StopStage::Serving);
         let connections = Rc::new(Connections::default());
-        let caller_listener = listen(settings.caller_address)?;
         let readiness_listener = listen(settings.readiness_address)?;
         let options = server_options(&traffic);
+        let caller_listener = match options.receive_buffer {
+            Some(bytes) => listen_with_buffer(settings.caller_address, bytes)?,
+            None => listen(settings.caller_address)?,
+        };
         tokio::task::spawn_local(run_path_monitor(traffic.clone()));
         tokio::task::spawn_local(serve_connections(
             traffic.clone(),
@@ -202,12 +208,15 @@
 fn server_options(traffic: &Rc<Traffic>) -> ServerOptions {
     // Half of the file descriptors are for connections to endpoints, since each request in flight
     // needs one descriptor for its caller and one for its endpoint.
-    let max_files = traffic.shared.settings.max_files;
+    let settings = &traffic.shared.settings;
+    let max_files = settings.max_files;
     let (limits_shared, log_shared) = (traffic.shared.clone(), traffic.shared.clone());
     let (close_shared, close_log) = (traffic.shared.clone(), CloseLog::default());
     let traffic = traffic.clone();
+    let max_connections = max_files.saturating_sub(RESERVED_FILES).max(2) / 2;
     ServerOptions {
-        max_connections: max_files.saturating_sub(RESERVED_FILES).max(2) / 2,
+        max_connections,
+        receive_buffer: Some(receive_buffer_bytes(settings.memory, max_connections)),
         limits: Rc::new(move || {
             let view = limits_shared.view.load();
             view.catalog.as_ref().map(|c| c.limits).unwrap_or_default()
--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -36,6 +36,12 @@
 /// most 1 MB, and a link of 10 Mbit/s delivers the buffered bytes at 1.2 MB per second.
 const IDLE_DELIVERY_ALLOWANCE: Duration = Duration::from_millis(1_000);
 
+/// Bytes of one request above which the receive buffer is enlarged.
+const LARGE_REQUEST_BYTES: usize = 16 << 10;
+
+/// Size in bytes of the receive buffer while a large body is read.
+const LARGE_RECEIVE_BUFFER: u32 = 32 << 10;
+
 /// Smallest head buffer size in bytes that the HTTP library accepts.
 const MIN_HEAD_BUFFER: usize = 8_192;
 
@@ -158,6 +164,35 @@
 struct ObservedStream {
     stream: TcpStream,
     state: Rc<ConnectionState>,
+    /// Size in bytes of the receive buffer, except while a large body is read; `None` if the system
+    /// sizes it.
+    receive_buffer: Option<u32>,
+    /// Bytes read of the request in progress.
+    request_bytes: usize,
+}
+
+impl ObservedStream {
+    /// Enlarges the receive buffer while a large body is read, and makes it small again before the next
+    /// request. On a long path the rate of a body is limited by the size of the buffer.
+    fn adjust_receive_buffer(&mut self, read_bytes: usize) {
+        let Some(receive_buffer) = self.receive_buffer else { return };
+        if self.state.phase.get() != ConnectionPhase::HandlingRequest {
+            if std::mem::take(&mut self.request_bytes) >= LARGE_REQUEST_BYTES {
+                self.set_receive_buffer(receive_buffer);
+            }
+            return;
+        }
+        let was_large = self.request_bytes >= LARGE_REQUEST_BYTES;
+        self.request_bytes += read_bytes;
+        if !was_large && self.request_bytes >= LARGE_REQUEST_BYTES {
+            self.set_receive_buffer(receive_buffer.max(LARGE_RECEIVE_BUFFER));
+        }
+    }
+
+    fn set_receive_buffer(&self, bytes: u32) {
+        // The connection works with a buffer of any size.
+        let _ = socket2::SockRef::from(&self.stream).set_recv_buffer_size(bytes as usize);
+    }
 }
 
 impl ObservedStream {
@@ -189,7 +224,9 @@
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         match &polled {
             Poll::Ready(Ok(())) if buf.filled().len() > before => {
-                self.state.record_received_bytes()
+                self.state.record_received_bytes();
+                let read_bytes = buf.filled().len() - before;
+                self.adjust_receive_buffer(read_bytes);
             }
             Poll::Ready(_) => self.state.is_closed_by_caller.set(true),
             Poll::Pending => {}
@@ -246,7 +283,19 @@
 
 /// Opens a listening socket with address reuse. Fails if the address can't be bound.
 pub fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    listen_on(TcpSocket::new_v4()?, address)
+}
+
+/// Opens a listening socket like [`listen`]. Its connections have receive buffers of this size in bytes,
+/// which bounds what arrives on connections that are not read.
+pub fn listen_with_buffer(address: SocketAddr, bytes: u32) -> anyhow::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
+    // The connections inherit the size. Setting it later would not shrink what was offered before.
+    socket.set_recv_buffer_size(bytes)?;
+    listen_on(socket, address)
+}
+
+fn listen_on(socket: TcpSocket, address: SocketAddr) -> anyhow::Result<TcpListener> {
     socket.set_reuseaddr(true)?;
     socket.bind(address).map_err(|e| anyhow::anyhow!("listen on {address}: {e}"))?;
     Ok(socket.listen(LISTEN_BACKLOG)?)
@@ -277,6 +326,9 @@
 pub struct ServerOptions {
     /// Maximum number of open connections; further ones wait in the accept queue.
     pub max_connections: usize,
+    /// Size in bytes of the receive buffers that connections have from their listener; `None` if the
+    /// system sizes them.
+    pub receive_buffer: Option<u32>,
     /// Returns the limits in force. Open connections use new timeouts at once, but keep the head size limit
     /// with which they were accepted.
     pub limits: Rc<dyn Fn() -> CallerLimits>,
@@ -344,7 +396,12 @@
     state: &Rc<ConnectionState>,
 ) -> Option<CloseReason> {
     let service = service_fn(|req| handle_request(&opts.handler, state.clone(), req));
-    let io = TokioIo::new(ObservedStream { stream, state: state.clone() });
+    let io = TokioIo::new(ObservedStream {
+        stream,
+        state: state.clone(),
+        receive_buffer: opts.receive_buffer,
+        request_bytes: 0,
+    });
     let conn = Builder::new()
         .max_buf_size((opts.limits)().max_head_bytes.max(MIN_HEAD_BUFFER))
         .half_close(false)
--- a/crates/tidetrack-plane/tests/idle_timeouts.rs
+++ b/crates/tidetrack-plane/tests/idle_timeouts.rs
@@ -44,6 +44,7 @@
 fn options(limit: Arc<AtomicU64>, response_bytes: usize) -> ServerOptions {
     ServerOptions {
         max_connections: 8,
+        receive_buffer: None,
         limits: Rc::new(move || {
             let limit = Millis(limit.load(Ordering::Relaxed));
             CallerLimits { head_timeout: limit, idle_timeout: limit, ..CallerLimits::default() }
--- a/crates/tidetrack-plane/tests/server.rs
+++ b/crates/tidetrack-plane/tests/server.rs
@@ -67,6 +67,7 @@
 fn options(dropped: Rc<Cell<usize>>) -> ServerOptions {
     ServerOptions {
         max_connections: CONNECTIONS * 2,
+        receive_buffer: None,
         limits: Rc::new(|| {
             let limit = Millis(
                 u64::try_from(TIMEOUT.as_millis())
--- a/crates/tidetrack-router/src/server.rs
+++ b/crates/tidetrack-router/src/server.rs
@@ -149,6 +149,7 @@
         (shared.clone(), shared.clone(), CloseLog::default());
     ServerOptions {
         max_connections: limits.max_connections,
+        receive_buffer: None,
         limits: Rc::new(move || caller_limits),
         on_accept_error: Rc::new(move |err| {
             accept_shared.log(Event::AcceptFailed, &err.to_string())
