A response whose status is not a final one of HTTP is not passed on

Cause: check_head, through which heads of endpoints, of hosts that forward, of streams and of resumed streams pass, looked at 101 only.

Change: statuses outside of 200 to 599 are a failure of the endpoint, which may have run the request. The check of 101 is part of it.

Not played: hosts that forward and resumed streams, which take the same check, and the product's own router.

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -3,6 +3,7 @@
 //! Every wait of an attempt ends at its deadline. What remains of a response that is not forwarded
 //! is read in the background, only to use the connection again, and for a short time.
 
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,9 @@
 /// Maximum size in bytes of a response body that is buffered before it is forwarded.
 pub const MAX_COLLECTED_BYTES: usize = 1 << 20;
 
+/// Final statuses of HTTP. A response with another one, such as 101, is not a sound endpoint's.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Maximum size in bytes of a discarded response body after which its connection is used again.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
@@ -168,6 +172,10 @@
     lease: Lease,
 ) -> Result<EndpointResponse> {
     let facts = (attempt.read_answer)(&head.headers);
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        let text = format!("the response has status {}, which is no final one", head.status);
+        return Err(make_error(Code::EndpointFailed, text, Executed::Unknown));
+    }
     let is_id_absent_and_optional = attempt.echo == IdEcho::Optional && facts.attempt_id.is_none();
     if !is_id_absent_and_optional && facts.attempt_id.as_deref() != attempt.attempt_id {
         let text = format!("the response carries attempt id {:?}", facts.attempt_id);
@@ -194,13 +202,6 @@
         );
         return Err(make_error(Code::EndpointFailed, text, Executed::Unknown));
     }
-    if head.status == StatusCode::SWITCHING_PROTOCOLS {
-        return Err(make_error(
-            Code::EndpointFailed,
-            "the endpoint switched protocols (status 101)",
-            Executed::Unknown,
-        ));
-    }
     Ok(EndpointResponse { head, facts, body, lease })
 }
 
