Whole responses are collected and held within the host's memory

Callers that never read made a host hold whole responses of up to 1 MiB each, for ever, and it ran over its memory.

Cause: only under load control were whole responses counted over the host, and only once they were collected; the connection of a caller that reads nothing has no time limit while a response is due.

Change: plane::response_memory collects a response in segments, reserving them from a sixteenth of the memory before they are read; its first 16 KiB need none. Without memory it waits, and one response at a time goes on without reservation, so that parts don't wait for each other. Collected responses above 16 KiB are held by the backlog for all services, in segments that are freed one by one: an eighth of the memory, and no longer than the request may take without anything being read.

--- a/crates/tidetrack-core/src/traffic/reader_backlog.rs
+++ b/crates/tidetrack-core/src/traffic/reader_backlog.rs
@@ -12,6 +12,14 @@
 /// Share of the host's bound that one stream may hold.
 const STREAM_SHARE: f64 = 1.0 / 8.0;
 
+/// Share of a host's memory that whole responses may take while they are collected.
+const COLLECTED_SHARE: f64 = 1.0 / 16.0;
+
+/// Returns the bound in bytes of the whole responses that a host with this memory collects at a time.
+pub fn collected_bytes(memory: MemorySize) -> u64 {
+    (memory.bytes() * COLLECTED_SHARE) as u64
+}
+
 /// Bytes from which a stream may be shed. A stream with less is usually read by a caller that keeps
 /// up, and aborting it frees little.
 const MIN_SHED_BYTES: u64 = 16 << 10;
--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -21,9 +20,6 @@
 use crate::pool::{disconnect_cause, Lease, Pool};
 use crate::request_body::OutgoingBody;
 
-/// Maximum size in bytes of a response body that is buffered before it is forwarded.
-pub const MAX_COLLECTED_BYTES: usize = 1 << 20;
-
 /// Final statuses of HTTP. A response with another one, such as 101, is not a sound endpoint's.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
@@ -229,23 +225,3 @@
         }
     });
 }
-
-/// Reads a complete body of at most `MAX_COLLECTED_BYTES` until the deadline. Returns the body and
-/// the connection, which can be reused.
-///
-/// Fails with `Deadline` if the body is not complete in time, and with `EndpointFailed` if it breaks
-/// off or is too large.
-pub async fn collect(body: Incoming, lease: Lease, deadline: Instant) -> Result<(Bytes, Lease)> {
-    let collected = Limited::new(body, MAX_COLLECTED_BYTES).collect();
-    let collected = tokio::time::timeout_at(deadline.into(), collected).await.map_err(|_| {
-        Error::new(Code::Deadline, "the response was not complete before the deadline")
-    })?;
-    let collected = collected.map_err(|e| {
-        let error = make_error(Code::EndpointFailed, format_error_chain(e.as_ref()), Executed::Yes);
-        match e.downcast_ref::<hyper::Error>() {
-            Some(e) => error.with_disconnect_cause(disconnect_cause(e)),
-            None => error,
-        }
-    })?;
-    Ok((collected.to_bytes(), lease))
-}
--- a/crates/tidetrack-plane/src/backlog.rs
+++ b/crates/tidetrack-plane/src/backlog.rs
@@ -26,10 +26,6 @@
 /// progress wakes it at once.
 const HOST_BOUND_POLL: Duration = Duration::from_millis(50);
 
-/// Size of the chunks into which a whole response is split, so that what the connection has not
-/// taken yet is counted and can be shed.
-const WHOLE_RESPONSE_CHUNK: usize = 16 << 10;
-
 /// Bytes that the host holds for its callers.
 pub struct HostBacklog {
     shared: SharedRef,
@@ -54,18 +50,16 @@
         (BacklogSender(queue.clone()), ResponseBody::from_backlog(BacklogReceiver(queue), None))
     }
 
-    /// Creates the body of a whole response. A caller that reads nothing of it for as long as its
+    /// Creates the body of a whole response from its segments, each of which is counted until the
+    /// caller's connection takes it. A caller that reads nothing of it for as long as its
     /// request may take is disconnected.
-    pub fn whole_response(self: &Rc<HostBacklog>, job: &Job, mut bytes: Bytes) -> ResponseBody {
-        if bytes.is_empty() {
-            return ResponseBody::from_bytes(bytes);
+    pub fn whole_response(self: &Rc<HostBacklog>, job: &Job, segments: Vec<Bytes>) -> ResponseBody {
+        if segments.is_empty() {
+            return ResponseBody::from_bytes(Bytes::new());
         }
         let queue = self.open(job);
-        let length = bytes.len() as u64;
-        while !bytes.is_empty() {
-            let chunk = bytes.split_to(bytes.len().min(WHOLE_RESPONSE_CHUNK));
-            queue.push(chunk);
-        }
+        let length = segments.iter().map(|segment| segment.len() as u64).sum();
+        segments.into_iter().for_each(|segment| queue.push(segment));
         let sender = BacklogSender(queue.clone());
         sender.end();
         let limit = job.deadline.saturating_duration_since(job.started_at);
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -22,7 +22,7 @@
 };
 use tidetrack_core::traffic::judge::AttemptOutcome;
 
-use crate::attempt::{self, EndpointResponse};
+use crate::attempt::EndpointResponse;
 use crate::attempt_timing::{attempt_work, record_demand, record_length, record_start};
 use crate::body::ResponseBody;
 use crate::choose::{
@@ -42,6 +42,10 @@
 use crate::second_opinion::model_for_second_opinion;
 use crate::send::{record_reported_load, send};
 
+/// Size in bytes up to which a whole response is not counted in the memory that is held for callers,
+/// except under load control.
+const MAX_UNCOUNTED_RESPONSE: usize = 16 << 10;
+
 /// Handles one request of a caller. Errors become error responses, so this always returns a response.
 pub async fn serve(traffic: Rc<Traffic>, req: Request<Incoming>) -> Response<ResponseBody> {
     run(&traffic, req, None).await.0
@@ -432,15 +436,20 @@
 ) -> Result<Response<ResponseBody>> {
     let proves_completion = response.proves_completion();
     let EndpointResponse { head, facts, body, lease } = response;
-    let (body, lease) = attempt::collect(body, lease, job.deadline).await?;
+    let collected = traffic.response_memory.collect(body);
+    let collected =
+        tokio::time::timeout_at(job.deadline.into(), collected).await.map_err(|_| {
+            Error::new(Code::Deadline, "the response was not complete before the deadline")
+        })??;
     traffic.pool_of(chosen).release(chosen.peer_name(), lease, facts.idle_time);
     if proves_completion {
         traffic.shared.suspects.record_completion(traffic.shared.now(), &job.fingerprints);
     }
     record_response(traffic, job, chosen, model, head.status.as_u16());
-    let body = match traffic.has_load_control(&job.service) {
-        true => traffic.backlog.whole_response(job, body),
-        false => ResponseBody::from_bytes(body),
+    let is_held = collected.len > MAX_UNCOUNTED_RESPONSE || traffic.has_load_control(&job.service);
+    let body = match is_held {
+        true => traffic.backlog.whole_response(job, collected.segments),
+        false => ResponseBody::from_bytes(collected.segments.concat().into()),
     };
     let mut resp = Response::new(body);
     *resp.status_mut() = head.status;
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -38,6 +38,7 @@
 use crate::paths::PathMonitor;
 use crate::pool::Pool;
 use crate::request_body::{BodyHold, BodyMemory, RequestBody};
+use crate::response_memory::ResponseMemory;
 use crate::room::WaitingRequests;
 use crate::shared::SharedRef;
 
@@ -66,6 +67,8 @@
     pub backlog: Rc<HostBacklog>,
     /// Memory for the bodies of requests.
     pub body_memory: Rc<BodyMemory>,
+    /// Memory for whole responses while they are collected.
+    pub response_memory: ResponseMemory,
     /// Load of services under load control.
     pub overload: RefCell<Overload>,
     /// Places at endpoints of services under load control.
@@ -104,6 +107,7 @@
             reachability,
             backlog: HostBacklog::new(&shared),
             body_memory: BodyMemory::new(&shared),
+            response_memory: ResponseMemory::new(shared.settings.memory),
             shared,
             pool: Rc::new(Pool::for_endpoints()),
             paths: PathMonitor::default(),
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod relay;
 pub mod report;
 pub mod request_body;
+pub mod response_memory;
 pub mod room;
 pub mod second_opinion;
 pub mod send;
