Connections of other hosts take less memory

Bodies that arrive at the port for other hosts took a host of 64 MB over its memory although the bodies themselves are counted.

Cause: each connection there had a read buffer of up to 256 KiB, twice while a frame is in use, and a receive buffer of the system's size.

Change: read buffers of a caller's largest head and 8 KiB, receive buffers of 16 KiB.

--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -31,7 +31,7 @@
 use crate::forward::CONNECTION_PREAMBLE;
 use crate::pages::{accept, limit_unsent_bytes, serve_page_connection};
 use crate::pool::Pool;
-use crate::server::listen;
+use crate::server::listen_with_buffer;
 use crate::shared::{Shared, SharedRef};
 
 /// Maximum bytes of changes kept per kind. A configuration with a few hundred routes takes about
@@ -45,6 +45,9 @@
 /// Maximum time from the start of a connection to its first byte.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size in bytes of the receive buffers of other hosts' connections, which also carry forwarded requests.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+
 /// Maximum size of one body frame, in bytes.
 const MAX_FRAME_BYTES: usize = 32 << 10;
 
@@ -206,7 +209,7 @@
     address: SocketAddr,
     lookup: impl Fn(FeedKind, u64) -> Option<FeedReply> + 'static,
 ) {
-    let listener = match listen(address) {
+    let listener = match listen_with_buffer(address, RECEIVE_BUFFER_BYTES) {
         Ok(listener) => listener,
         Err(e) => {
             shared.journal.log(Event::PeerSocketFailed, &[("why", &e)]);
--- a/crates/tidetrack-plane/src/forward.rs
+++ b/crates/tidetrack-plane/src/forward.rs
@@ -69,9 +69,9 @@
     EXPECT,
 ];
 
-/// Maximum size in bytes of the head of a forwarded request: the largest head of a caller and the
-/// added header.
-const MAX_HEAD_BYTES: usize = 256 << 10;
+/// Bytes that the head of a forwarded request may have beside those of a caller's head, for the added
+/// header.
+const ADDED_HEAD_BYTES: usize = 8 << 10;
 
 /// Interval at which it is checked whether a host that works on a forwarded request is still heard.
 const HOST_LOSS_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -434,8 +434,9 @@
         let traffic = traffic.clone();
         async move { Ok::<_, Infallible>(serve_forwarded(traffic, req).await) }
     });
+    let limits = traffic.shared.view.load().catalog.as_ref().map(|c| c.limits).unwrap_or_default();
     let conn = Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(limits.max_head_bytes + ADDED_HEAD_BYTES)
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
