--- a/crates/tidetrack-core/src/traffic/body_budget.rs
+++ b/crates/tidetrack-core/src/traffic/body_budget.rs
@@ -19,7 +19,7 @@
 /// Size up to which a body is small, in bytes.
 pub const SMALL_BODY_BYTES: u64 = 64 << 10;
 
-/// Bytes that a body has to receive within `STALL_TIME` to make progress, in bytes.
+/// Bytes that a body has to receive within `STALL_TIME` to make progress.
 pub const PROGRESS_BYTES: u64 = 16 << 10;
 
 /// Time without progress after which a body gives way, in milliseconds.
@@ -176,8 +176,8 @@
         self.large_bytes -= body.large_bytes();
     }
 
-    /// Returns the bodies that have to give way so that a body can grow, or `None` if that makes not
-    /// enough room.
+    /// Returns the bodies that have to give way so that a body can grow, or `None` if that does not
+    /// make enough room.
     fn choose_victims(
         &self,
         now: Millis,
