Connections to endpoints take less memory

Whole responses that nobody reads took a host of 64 MB over its memory with 300 callers, although what is collected and held is bounded.

Cause: each connection to an endpoint has a read buffer of up to the largest head, 64 KiB, twice while a frame waits for room.

Change: a response's head, and so the read buffer, has 32 KiB at most.

--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -60,7 +60,7 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Maximum size in bytes of the head of a response.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+const MAX_HEAD_BYTES: usize = 32 << 10;
 
 /// A connection in use by one request. It is closed when dropped, unless it is returned to the
 /// pool.
