The number of callers' connections follows from the host's memory

A crowd of as many callers as a host accepts took it over its memory although bodies and responses are bounded, and callers that came later waited until the crowd's deadlines.

Cause: up to (max-fds - 264) / 2 connections, 1,918 on usual hosts, each with read buffers, a request and a connection to its endpoint; further callers waited until one of them closed by itself. While large bodies were read, all of these connections had enlarged receive buffers.

Change: at most five sixteenths of the memory, 48 KiB a connection: 733 on a host of 110 MB. Up to 64 receive buffers are enlarged at a time; the queue of the listener counts among the connections that share the receive buffers.

--- a/crates/tidetrack-core/src/traffic/body_budget.rs
+++ b/crates/tidetrack-core/src/traffic/body_budget.rs
@@ -35,9 +35,22 @@
 /// Minimum and maximum size of a connection's receive buffer, in bytes.
 const RECEIVE_BUFFER_BYTES: (f64, f64) = (8.0 * 1_024.0, 64.0 * 1_024.0);
 
-/// Returns the size in bytes of the receive buffer of each of a host's connections to callers.
-pub fn receive_buffer_bytes(memory: MemorySize, max_connections: usize) -> u32 {
-    let share = memory.bytes() * UNREAD_SHARE / max_connections.max(1) as f64;
+/// Share of a host's memory that callers' connections may take beside the bodies of their requests.
+const CONNECTIONS_SHARE: f64 = 5.0 / 16.0;
+
+/// Memory of a connection beside its request's body, in bytes: read buffers, a request's state and the
+/// connection to its endpoint.
+const CONNECTION_BYTES: f64 = 48.0 * 1_024.0;
+
+/// Returns the maximum number of callers' connections of a host with this memory.
+pub fn max_connections_in_memory(memory: MemorySize) -> usize {
+    ((memory.bytes() * CONNECTIONS_SHARE / CONNECTION_BYTES) as usize).max(1)
+}
+
+/// Returns the size in bytes of the receive buffer of each of a host's connections to callers, for this
+/// number of connections, accepted and waiting ones.
+pub fn receive_buffer_bytes(memory: MemorySize, connections: usize) -> u32 {
+    let share = memory.bytes() * UNREAD_SHARE / connections.max(1) as f64;
     share.clamp(RECEIVE_BUFFER_BYTES.0, RECEIVE_BUFFER_BYTES.1) as u32
 }
 
@@ -92,6 +105,11 @@
         }
     }
 
+    fn cost(&self, now: Millis) -> u128 {
+        // One millisecond more, so that the larger of two bodies without a pause is chosen.
+        u128::from(self.bytes) * u128::from((now - self.progress_at).0 + 1)
+    }
+
     fn is_stalled(&self, now: Millis) -> bool {
         !self.is_complete && now - self.progress_at >= STALL_TIME
     }
@@ -155,6 +173,15 @@
         Some(evicted)
     }
 
+    /// Removes and returns the arriving body with the most bytes times the time without progress, if it is
+    /// stalled.
+    pub fn evict_stalled(&mut self, now: Millis) -> Option<BodyNumber> {
+        let stalled = self.bodies.iter().filter(|(_, body)| body.is_stalled(now));
+        let number = stalled.max_by_key(|(n, body)| (body.cost(now), **n)).map(|(n, _)| *n)?;
+        self.close(number);
+        Some(number)
+    }
+
     /// Records that a body has received `PROGRESS_BYTES` since it was opened or this was called.
     pub fn record_progress(&mut self, now: Millis, number: BodyNumber) {
         if let Some(body) = self.bodies.get_mut(&number) {
@@ -223,10 +250,6 @@
         let dominates = |body: &Body| {
             body.workspace != asking.workspace && arriving_of(body) > own.max(1) * DOMINANCE
         };
-        let cost = |body: &Body| {
-            // One millisecond more, so that the larger of two bodies without a pause is chosen.
-            u128::from(body.bytes) * u128::from((now - body.progress_at).0 + 1)
-        };
         let is_candidate = |n: BodyNumber, body: &Body| {
             n != number && !body.is_complete && (body.is_stalled(now) || dominates(body))
         };
@@ -234,7 +257,7 @@
         let mut candidates: Vec<(BodyNumber, &Body)> =
             bodies.filter(|(n, body)| is_candidate(*n, body)).collect();
         candidates.sort_by_key(|(n, body)| {
-            let rank = (body.is_stalled(now), arriving_of(body), cost(body), *n);
+            let rank = (body.is_stalled(now), arriving_of(body), body.cost(now), *n);
             std::cmp::Reverse(rank)
         });
         candidates
--- a/crates/tidetrack-core/tests/body_budget.rs
+++ b/crates/tidetrack-core/tests/body_budget.rs
@@ -39,6 +39,21 @@
     assert_eq!(budget.held_bytes(), 3 * MIB);
 }
 
+#[test]
+fn the_largest_stalled_body_is_evicted_first_and_others_not_at_all() {
+    let mut budget = BodyBudget::new(LIMITS);
+    let small = open(&mut budget, 0, "a", 1_000).expect("there is room");
+    let large = open(&mut budget, 0, "a", MIB).expect("there is room");
+    let complete = open(&mut budget, 0, "a", MIB).expect("there is room");
+    budget.complete(complete);
+
+    let early = budget.evict_stalled(Millis(999));
+    let late: Vec<_> = (0..3).map(|_| budget.evict_stalled(STALL_TIME)).collect();
+
+    assert_eq!((early, late), (None, vec![Some(large), Some(small), None]));
+    assert_eq!(budget.held_bytes(), MIB);
+}
+
 #[test]
 fn complete_bodies_never_give_way() {
     let mut budget = BodyBudget::new(LIMITS);
--- a/crates/tidetrack-plane/src/closed_connections.rs
+++ b/crates/tidetrack-plane/src/closed_connections.rs
@@ -28,6 +28,8 @@
     BadRequest,
     /// A response was aborted.
     ResponseAborted,
+    /// The maximum number of connections was open, and another one was to be accepted.
+    NoRoom,
     /// Any other reason.
     Other,
 }
@@ -42,6 +44,7 @@
             CloseReason::ResponseComplete => "answer",
             CloseReason::BadRequest => "bad_request",
             CloseReason::ResponseAborted => "broken_off",
+            CloseReason::NoRoom => "room",
             CloseReason::Other => "other",
         }
     }
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -12,7 +12,7 @@
 use tokio::task::LocalSet;
 
 use tidetrack_core::events::Event;
-use tidetrack_core::traffic::body_budget::receive_buffer_bytes;
+use tidetrack_core::traffic::body_budget::{max_connections_in_memory, receive_buffer_bytes};
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::freshness::Freshness;
 use tidetrack_core::traffic::suspects::Suspects;
@@ -30,7 +30,7 @@
 use crate::pages::serve_readiness_and_metrics;
 use crate::paths::run_path_monitor;
 use crate::server::{
-    accept_loop, listen, listen_with_buffer, Connections, ServerOptions, StopStage,
+    accept_loop, listen, listen_with_buffer, Connections, ServerOptions, StopStage, LISTEN_BACKLOG,
 };
 use crate::settings::HostSettings;
 use crate::shared::Shared;
@@ -213,10 +213,14 @@
     let (limits_shared, log_shared) = (traffic.shared.clone(), traffic.shared.clone());
     let (close_shared, close_log) = (traffic.shared.clone(), CloseLog::default());
     let traffic = traffic.clone();
-    let max_connections = max_files.saturating_sub(RESERVED_FILES).max(2) / 2;
+    let max_connections = (max_files.saturating_sub(RESERVED_FILES).max(2) / 2)
+        .min(max_connections_in_memory(settings.memory));
+    let receiving = max_connections + LISTEN_BACKLOG as usize;
+    let body_memory = traffic.body_memory.clone();
     ServerOptions {
         max_connections,
-        receive_buffer: Some(receive_buffer_bytes(settings.memory, max_connections)),
+        on_full: Rc::new(move || body_memory.evict_stalled()),
+        receive_buffer: Some(receive_buffer_bytes(settings.memory, receiving)),
         limits: Rc::new(move || {
             let view = limits_shared.view.load();
             view.catalog.as_ref().map(|c| c.limits).unwrap_or_default()
--- a/crates/tidetrack-plane/src/request_body.rs
+++ b/crates/tidetrack-plane/src/request_body.rs
@@ -174,6 +174,20 @@
         Ok((segments.finish(), Some(hold)))
     }
 
+    /// Makes a body give way that makes no progress, if there is one.
+    pub fn evict_stalled(&self) {
+        let stalled = self.budget.borrow_mut().evict_stalled(self.shared.now());
+        self.notify(stalled);
+    }
+
+    fn notify(&self, evicted: impl IntoIterator<Item = BodyNumber>) {
+        for number in evicted {
+            if let Some(evicted) = self.evictions.borrow_mut().remove(&number) {
+                evicted.notify_one();
+            }
+        }
+    }
+
     /// Raises the bounds if a single body needs more than its share of the memory.
     fn allow_for(&self, max_bytes: usize) {
         if self.max_body_bytes.replace(max_bytes) == max_bytes {
@@ -217,11 +231,7 @@
         let reserved = self.memory.budget.borrow_mut().reserve(now, self.number, bytes as u64);
         let evicted = reserved
             .ok_or_else(|| no_memory_error("the host has no memory left for the request's body"))?;
-        for number in evicted {
-            if let Some(evicted) = self.memory.evictions.borrow_mut().remove(&number) {
-                evicted.notify_one();
-            }
-        }
+        self.memory.notify(evicted);
         self.memory.record_use();
         Ok(())
     }
--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -2,6 +2,7 @@
 //! and idle time.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io::{self, Read};
@@ -26,7 +27,7 @@
 use crate::closed_connections::{CloseReason, ClosedConnection};
 
 /// Length of the queue of connections that wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1_024;
+pub const LISTEN_BACKLOG: u32 = 1_024;
 
 /// Delay before the next `accept` after a failed one.
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -42,6 +43,12 @@
 /// Size in bytes of the receive buffer while a large body is read.
 const LARGE_RECEIVE_BUFFER: u32 = 32 << 10;
 
+/// Maximum number of connections with an enlarged receive buffer.
+const MAX_LARGE_BUFFERS: usize = 64;
+
+/// Interval at which connections are asked to give way for another one.
+const MAKE_ROOM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Smallest head buffer size in bytes that the HTTP library accepts.
 const MIN_HEAD_BUFFER: usize = 8_192;
 
@@ -64,6 +71,8 @@
     changed: Notify,
     /// Signalled when the response in progress is aborted and its caller may not be reading.
     aborted: Notify,
+    /// Signalled when the connection is to be closed for another one, unless it handles a request.
+    gives_way: Notify,
     /// Number of requests received.
     requests: Cell<u32>,
     /// When the connection was accepted or the last response was completely written.
@@ -81,6 +90,7 @@
             phase: Cell::new(ConnectionPhase::Idle(now)),
             changed: Notify::new(),
             aborted: Notify::new(),
+            gives_way: Notify::new(),
             requests: Cell::new(0),
             idle_since: Cell::new(now),
             is_closed_by_caller: Cell::new(false),
@@ -136,6 +146,16 @@
         }
     }
 
+    /// Returns since when the connection has been without a complete request head, and whether it is
+    /// idle; `None` if it handles a request.
+    fn waiting_since(&self) -> Option<(Instant, bool)> {
+        match self.phase.get() {
+            ConnectionPhase::Idle(since) => Some((since, true)),
+            ConnectionPhase::ReceivingHead(since) => Some((since, false)),
+            ConnectionPhase::HandlingRequest | ConnectionPhase::FlushingResponse => None,
+        }
+    }
+
     /// Waits until the connection has timed out under the limits in force at that time.
     async fn wait_for_timeout(&self, limits: impl Fn() -> CallerLimits) {
         loop {
@@ -169,6 +189,8 @@
     receive_buffer: Option<u32>,
     /// Bytes read of the request in progress.
     request_bytes: usize,
+    connections: Rc<Connections>,
+    has_large_buffer: bool,
 }
 
 impl ObservedStream {
@@ -177,15 +199,30 @@
     fn adjust_receive_buffer(&mut self, read_bytes: usize) {
         let Some(receive_buffer) = self.receive_buffer else { return };
         if self.state.phase.get() != ConnectionPhase::HandlingRequest {
-            if std::mem::take(&mut self.request_bytes) >= LARGE_REQUEST_BYTES {
+            self.request_bytes = 0;
+            if self.has_large_buffer {
+                self.release_large_buffer();
                 self.set_receive_buffer(receive_buffer);
             }
             return;
         }
-        let was_large = self.request_bytes >= LARGE_REQUEST_BYTES;
         self.request_bytes += read_bytes;
-        if !was_large && self.request_bytes >= LARGE_REQUEST_BYTES {
-            self.set_receive_buffer(receive_buffer.max(LARGE_RECEIVE_BUFFER));
+        let large_buffers = &self.connections.large_buffers;
+        if self.request_bytes >= LARGE_REQUEST_BYTES
+            && !self.has_large_buffer
+            && receive_buffer < LARGE_RECEIVE_BUFFER
+            && large_buffers.get() < MAX_LARGE_BUFFERS
+        {
+            large_buffers.set(large_buffers.get() + 1);
+            self.has_large_buffer = true;
+            self.set_receive_buffer(LARGE_RECEIVE_BUFFER);
+        }
+    }
+
+    fn release_large_buffer(&mut self) {
+        if std::mem::take(&mut self.has_large_buffer) {
+            let large_buffers = &self.connections.large_buffers;
+            large_buffers.set(large_buffers.get() - 1);
         }
     }
 
@@ -207,6 +244,7 @@
 
 impl Drop for ObservedStream {
     fn drop(&mut self) {
+        self.release_large_buffer();
         let socket = socket2::SockRef::from(&self.stream);
         // The socket is non-blocking: without unread bytes the read fails or returns 0.
         let has_unread = (&*socket).read(&mut [0; 1]).is_ok_and(|bytes| bytes > 0);
@@ -301,17 +339,31 @@
     Ok(socket.listen(LISTEN_BACKLOG)?)
 }
 
-/// Number of open connections of callers, and the signal that one has closed.
+/// Open connections of callers, and the signal that one has closed.
 #[derive(Default)]
 pub struct Connections {
-    open: RefCell<usize>,
+    open: RefCell<HashMap<u64, Rc<ConnectionState>>>,
+    last_number: Cell<u64>,
     slot_freed: Notify,
+    /// Number of connections with an enlarged receive buffer.
+    large_buffers: Cell<usize>,
 }
 
 impl Connections {
     /// Returns the number of open connections.
     pub fn open(&self) -> usize {
-        *self.open.borrow()
+        self.open.borrow().len()
+    }
+
+    /// Closes the connection that has been idle for longest, or else the one that has been sending a
+    /// request head for longest.
+    fn make_room(&self) {
+        let open = self.open.borrow();
+        let waiting = open.values().filter_map(|state| Some((state.waiting_since()?, state)));
+        let longest = waiting.min_by_key(|((since, is_idle), _)| (!is_idle, *since));
+        if let Some((_, state)) = longest {
+            state.gives_way.notify_one();
+        }
     }
 }
 
@@ -324,8 +376,10 @@
 /// Limits and callbacks of the server for callers.
 #[derive(Clone)]
 pub struct ServerOptions {
-    /// Maximum number of open connections; further ones wait in the accept queue.
+    /// Maximum number of open connections. Idle ones are closed for further ones.
     pub max_connections: usize,
+    /// Called while a connection waits because the maximum number is open.
+    pub on_full: Rc<dyn Fn()>,
     /// Size in bytes of the receive buffers that connections have from their listener; `None` if the
     /// system sizes them.
     pub receive_buffer: Option<u32>,
@@ -340,7 +394,8 @@
     pub on_closed: Rc<dyn Fn(&ClosedConnection)>,
 }
 
-/// Accepts connections of callers until the process ends. Waits while the maximum number is open.
+/// Accepts connections of callers until the process ends. While the maximum number is open, connections
+/// without a request give way.
 pub async fn accept_loop(
     listener: TcpListener,
     opts: ServerOptions,
@@ -348,17 +403,23 @@
     stage: watch::Receiver<StopStage>,
 ) {
     loop {
-        while connections.open() >= opts.max_connections {
-            connections.slot_freed.notified().await;
-        }
         match listener.accept().await {
             Ok((stream, _)) => {
-                *connections.open.borrow_mut() += 1;
+                while connections.open() >= opts.max_connections {
+                    connections.make_room();
+                    (opts.on_full)();
+                    let freed = connections.slot_freed.notified();
+                    let _ = tokio::time::timeout(MAKE_ROOM_INTERVAL, freed).await;
+                }
+                let number = connections.last_number.get() + 1;
+                connections.last_number.set(number);
+                let state = Rc::new(ConnectionState::new());
+                connections.open.borrow_mut().insert(number, state.clone());
                 let (opts, connections) = (opts.clone(), connections.clone());
                 let stage = stage.clone();
                 tokio::task::spawn_local(async move {
-                    run_connection(opts, stream, stage).await;
-                    *connections.open.borrow_mut() -= 1;
+                    run_connection(opts, stream, stage, state, &connections).await;
+                    connections.open.borrow_mut().remove(&number);
                     connections.slot_freed.notify_one();
                 });
             }
@@ -371,13 +432,18 @@
 }
 
 /// Serves one connection until it ends and calls `on_closed` if the host closed it.
-async fn run_connection(opts: ServerOptions, stream: TcpStream, stage: watch::Receiver<StopStage>) {
+async fn run_connection(
+    opts: ServerOptions,
+    stream: TcpStream,
+    stage: watch::Receiver<StopStage>,
+    state: Rc<ConnectionState>,
+    connections: &Rc<Connections>,
+) {
     if let Err(e) = stream.set_nodelay(true) {
         return (opts.on_accept_error)(&e);
     }
-    let state = Rc::new(ConnectionState::new());
     // The socket is closed when this call returns, which sets `has_unread`.
-    let reason = serve_until_end(&opts, stream, stage, &state).await;
+    let reason = serve_until_end(&opts, stream, stage, &state, connections).await;
     let Some(reason) = reason else { return };
     (opts.on_closed)(&ClosedConnection {
         reason,
@@ -394,6 +460,7 @@
     stream: TcpStream,
     mut stage: watch::Receiver<StopStage>,
     state: &Rc<ConnectionState>,
+    connections: &Rc<Connections>,
 ) -> Option<CloseReason> {
     let service = service_fn(|req| handle_request(&opts.handler, state.clone(), req));
     let io = TokioIo::new(ObservedStream {
@@ -401,6 +468,8 @@
         state: state.clone(),
         receive_buffer: opts.receive_buffer,
         request_bytes: 0,
+        connections: connections.clone(),
+        has_large_buffer: false,
     });
     let conn = Builder::new()
         .max_buf_size((opts.limits)().max_head_bytes.max(MIN_HEAD_BUFFER))
@@ -424,6 +493,16 @@
                 shutdown_reason = Some(CloseReason::IdleTimeout);
                 conn.as_mut().graceful_shutdown();
             }
+            () = state.gives_way.notified(), if shutdown_reason.is_none() => {
+                match state.waiting_since() {
+                    None => {}
+                    Some((_, false)) => return Some(CloseReason::NoRoom),
+                    Some((_, true)) => {
+                        shutdown_reason = Some(CloseReason::NoRoom);
+                        conn.as_mut().graceful_shutdown();
+                    }
+                }
+            }
             // A caller that reads nothing keeps the HTTP library from taking the end of the body.
             () = state.aborted.notified() => return Some(CloseReason::ResponseAborted),
             () = wait_for_closing(&mut stage), if shutdown_reason.is_none() => {
--- a/crates/tidetrack-plane/tests/idle_timeouts.rs
+++ b/crates/tidetrack-plane/tests/idle_timeouts.rs
@@ -45,6 +45,7 @@
     ServerOptions {
         max_connections: 8,
         receive_buffer: None,
+        on_full: Rc::new(|| {}),
         limits: Rc::new(move || {
             let limit = Millis(limit.load(Ordering::Relaxed));
             CallerLimits { head_timeout: limit, idle_timeout: limit, ..CallerLimits::default() }
--- a/crates/tidetrack-plane/tests/server.rs
+++ b/crates/tidetrack-plane/tests/server.rs
@@ -68,6 +68,7 @@
     ServerOptions {
         max_connections: CONNECTIONS * 2,
         receive_buffer: None,
+        on_full: Rc::new(|| {}),
         limits: Rc::new(|| {
             let limit = Millis(
                 u64::try_from(TIMEOUT.as_millis())
--- a/crates/tidetrack-router/src/server.rs
+++ b/crates/tidetrack-router/src/server.rs
@@ -150,6 +150,7 @@
     ServerOptions {
         max_connections: limits.max_connections,
         receive_buffer: None,
+        on_full: Rc::new(|| {}),
         limits: Rc::new(move || caller_limits),
         on_accept_error: Rc::new(move |err| {
             accept_shared.log(Event::AcceptFailed, &err.to_string())
