Logs and metrics tell what lost paths rest on and what ended them

A log could not tell a loss that rests on few of the listed endpoints from one that rests on all of them, nor whether what failed is remembered. E319 names the endpoints that failed, and how many are listed and ejected; E239 the endpoint that answered, the probes left unanswered and the time; E308 whether the endpoint of an attempt is ejected; tidetrack_path_probes tells refused, broken and silent probes apart.

--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -247,9 +247,11 @@
         self.lost_paths.record(services as u64, &[]);
     }
 
-    /// Counts a probe of an endpoint by whether it was answered.
-    pub fn record_path_probe(&self, has_responded: bool) {
-        self.path_probes.add(1, &[KeyValue::new("answered", has_responded)]);
+    /// Counts a probe of an endpoint by its outcome.
+    pub fn record_path_probe(&self, outcome: &'static str) {
+        let is_answered = outcome == "answered";
+        let labels = [KeyValue::new("answered", is_answered), KeyValue::new("outcome", outcome)];
+        self.path_probes.add(1, &labels);
     }
 
     /// Counts a request that was forwarded to another host, by outcome.
--- a/crates/tidetrack-plane/src/paths.rs
+++ b/crates/tidetrack-plane/src/paths.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
+use tidetrack_core::disconnect::DisconnectCause;
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::{EndpointId, EndpointKey, FailureDomain, ServiceId};
 use tidetrack_core::placement::{EndpointState, PoolEndpoint};
@@ -43,6 +44,41 @@
 /// Interval at which it is checked whether an endpoint that is not probed has responded to a request.
 const CONTACT_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
+/// What became of a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeOutcome {
+    /// The endpoint sent a response.
+    Answered,
+    /// Something refused the connection.
+    Refused,
+    /// The connection or the request broke.
+    Broken,
+    /// Nothing arrived in time.
+    Silent,
+}
+
+impl ProbeOutcome {
+    /// Returns the label used in metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            ProbeOutcome::Answered => "answered",
+            ProbeOutcome::Refused => "refused",
+            ProbeOutcome::Broken => "broken",
+            ProbeOutcome::Silent => "silent",
+        }
+    }
+}
+
+impl From<DisconnectCause> for ProbeOutcome {
+    fn from(cause: DisconnectCause) -> ProbeOutcome {
+        match cause {
+            DisconnectCause::Refused => ProbeOutcome::Refused,
+            DisconnectCause::TimedOut => ProbeOutcome::Silent,
+            _ => ProbeOutcome::Broken,
+        }
+    }
+}
+
 /// A failure that is not yet held against its endpoint.
 struct WithheldFailure {
     endpoint: EndpointId,
@@ -183,12 +219,23 @@
         }
         let contact = (endpoint.clone(), Instant::now());
         self.last_contacts.borrow_mut().insert(service.clone(), contact);
+        let lost_for = self.lost_for(traffic, service);
+        let unanswered = self.paths.borrow().unanswered_probes(service);
         let ended = self.paths.borrow_mut().record_contact(service);
         self.decided.notify_waiters();
         let withheld = self.withheld.borrow_mut().remove(service).unwrap_or_default();
         if ended == PathState::Lost {
             clear_ejections(traffic, service);
-            traffic.shared.journal.log(Event::PathsRestored, &[("service", service)]);
+            traffic.shared.journal.log(
+                Event::PathsRestored,
+                &[
+                    ("service", service),
+                    ("endpoint", endpoint),
+                    ("endpoints", &endpoints_of(traffic, service).len()),
+                    ("unanswered", &unanswered),
+                    ("lost_ms", &lost_for.as_millis()),
+                ],
+            );
             return self.publish(traffic);
         }
         withheld.iter().for_each(|failure| failure.count(traffic));
@@ -249,6 +296,24 @@
         }
     }
 
+    fn log_suspicion(&self, traffic: &Traffic, service: &ServiceId) {
+        let endpoints = endpoints_of(traffic, service);
+        let now = traffic.shared.now();
+        let paths = self.paths.borrow();
+        let failed = endpoints.iter().filter(|e| paths.has_failed(service, (&e.id).into()));
+        let failed: Vec<&str> = failed.map(|e| e.id.as_str()).collect();
+        let ejected = endpoints.iter().filter(|e| e.state.is_ejected(now)).count();
+        traffic.shared.journal.log(
+            Event::PathSuspected,
+            &[
+                ("service", service),
+                ("endpoints", &endpoints.len()),
+                ("ejected", &ejected),
+                ("failed", &failed.join(",")),
+            ],
+        );
+    }
+
     /// Tells the control thread, and thus the other hosts, which services are not reached.
     fn publish(&self, traffic: &Traffic) {
         let services = self.paths.borrow().lost_services();
@@ -374,7 +439,7 @@
 /// suspected, then one at a time with pauses.
 async fn probe_service(traffic: Rc<Traffic>, service: ServiceId) {
     let monitor = &traffic.paths;
-    traffic.shared.journal.log(Event::PathSuspected, &[("service", &service)]);
+    monitor.log_suspicion(&traffic, &service);
     loop {
         let state = monitor.state(&service);
         let endpoints = probe_order(&traffic, &service);
@@ -464,18 +529,28 @@
 /// Sends a request that runs nothing to an endpoint on a new connection. Reports whether any
 /// response arrived.
 async fn probe(traffic: &Traffic, service: &ServiceId, endpoint: &PoolEndpoint) -> bool {
-    let exchange = async {
-        let mut lease = traffic.pool.open(&endpoint.address).await.ok()?;
-        let mut req = Request::new(Full::new(Bytes::new()));
-        *req.uri_mut() = http::Uri::from_static(traffic.shared.dialect.probe_path);
-        let host = HeaderValue::from_str(&endpoint.address).ok()?;
-        req.headers_mut().insert(HOST, host);
-        lease.sender.send_request(req.map(Into::into)).await.ok()
-    };
-    let has_responded = matches!(tokio::time::timeout(PROBE_TIMEOUT, exchange).await, Ok(Some(_)));
-    traffic.shared.metrics.record_path_probe(has_responded);
+    let exchange = send_probe(traffic, endpoint);
+    let outcome =
+        tokio::time::timeout(PROBE_TIMEOUT, exchange).await.unwrap_or(ProbeOutcome::Silent);
+    traffic.shared.metrics.record_path_probe(outcome.as_str());
+    let has_responded = outcome == ProbeOutcome::Answered;
     if has_responded {
         traffic.paths.record_response(traffic, service, &endpoint.id, false);
     }
     has_responded
 }
+
+async fn send_probe(traffic: &Traffic, endpoint: &PoolEndpoint) -> ProbeOutcome {
+    let mut lease = match traffic.pool.open(&endpoint.address).await {
+        Ok(lease) => lease,
+        Err(e) => return e.disconnect_cause.map_or(ProbeOutcome::Broken, ProbeOutcome::from),
+    };
+    let Ok(host) = HeaderValue::from_str(&endpoint.address) else { return ProbeOutcome::Broken };
+    let mut req = Request::new(Full::new(Bytes::new()));
+    *req.uri_mut() = http::Uri::from_static(traffic.shared.dialect.probe_path);
+    req.headers_mut().insert(HOST, host);
+    match lease.sender.send_request(req.map(Into::into)).await {
+        Ok(_) => ProbeOutcome::Answered,
+        Err(_) => ProbeOutcome::Broken,
+    }
+}
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -100,6 +100,7 @@
             ("prefix", &chosen.prefix),
             ("load", &load),
             ("load_age_ms", &load_age),
+            ("ejected", &chosen.state.is_ejected(shared.now())),
         ],
     );
     // An attempt that resumes a stream or replaces a silent endpoint uses a new connection: once it
