A usable endpoint is found among any number of ejected ones

With one sound endpoint of 41 that is so for (40/41)^32, 45 in 100 requests.

Now the whole ring is searched before an ejected endpoint is taken, if any is usable. This costs a pass over the pool only where the usual search finds none.

--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -411,7 +411,22 @@
         };
         let local = preferred().or_else(|| self.walk_ring(request).find(is_usable_locally));
         let anywhere = || self.walk_ring(request).find(|e| is_usable(e, now, request));
-        local.or_else(anywhere).or_else(|| self.fallback_to_ejected(now, request))
+        let rest = || self.find_on_whole_ring(now, request);
+        local.or_else(anywhere).or_else(rest).or_else(|| self.fallback_to_ejected(now, request))
+    }
+
+    /// Returns the first usable endpoint on the whole ring, preferably one in the host's failure domain. The
+    /// points examined otherwise may all belong to endpoints that have ended.
+    fn find_on_whole_ring(
+        &self,
+        now: Millis,
+        request: &PlacementRequest<'_>,
+    ) -> Option<&PoolEndpoint> {
+        let usable = self.endpoints.iter().filter(|e| is_usable(e, now, request));
+        let has_local = usable.map(|e| is_local(e, request)).max()?;
+        let is_match =
+            |e: &&PoolEndpoint| is_usable(e, now, request) && is_local(e, request) == has_local;
+        self.walk_ring_steps(request, self.ring.len()).find(is_match)
     }
 
     /// Iterates over endpoints along the ring from the request's position.
@@ -419,10 +434,18 @@
         &'a self,
         request: &PlacementRequest<'_>,
     ) -> impl Iterator<Item = &'a PoolEndpoint> {
-        let start =
-            self.ring.partition_point(|(ring_position, _)| *ring_position < request.ring_position);
         let is_separated = request.timing.is_some_and(|timing| timing.separation.is_some());
         let max_steps = if is_separated { MAX_RING_STEPS_SEPARATED } else { MAX_RING_STEPS };
+        self.walk_ring_steps(request, max_steps)
+    }
+
+    fn walk_ring_steps<'a>(
+        &'a self,
+        request: &PlacementRequest<'_>,
+        max_steps: usize,
+    ) -> impl Iterator<Item = &'a PoolEndpoint> {
+        let start =
+            self.ring.partition_point(|(ring_position, _)| *ring_position < request.ring_position);
         let steps = self.ring.len().min(max_steps);
         let at = move |step: usize| self.ring[(start + step) % self.ring.len()].1 as usize;
         (0..steps).map(move |step| &self.endpoints[at(step)])
