Paths count as lost only once all listed endpoints are silent, and what failed is remembered

A loss and its end cleared all ejections, so the same endpoints were tried again and raised the next suspicion. When neither was so any more, ejections that lapse together made callers' requests find out about each ended endpoint again.

Now a round of probes covers the whole list, in growing waves 25 ms apart, those that were reached lately first; the paths are lost only if none answers. An answer makes each other probe evidence about its own endpoint. Endpoints that were not reached while others were raise no suspicion alone, stay ejected and are probed before their ejections end (after 1 to 8 s), not by callers' requests. A loss ends only those ejections that its own failures caused; afterwards all endpoints are probed again. While paths are lost an eighth of the list is probed each 0.1 to 0.2 s, those that were probed the longest ago first.

The tests of lost paths hold (15).

Tests of the core whose interface named the sample (deciding_probes) name the list now and ask for more: 17 of 18, 399 of 400 endpoints that ended do not decide.

--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -41,6 +41,10 @@
 /// Largest number of doublings of an ejection's duration.
 const MAX_EJECTION_DOUBLINGS: u32 = 5;
 
+/// Largest number of doublings of the ejection of an endpoint to which no connection was established: probes,
+/// not callers' requests, find out whether it can be reached again.
+const MAX_UNREACHABLE_DOUBLINGS: u32 = 3;
+
 /// Work, in answer tokens, that is added to every endpoint's load, so that small differences in
 /// load do not move a prefix away from the endpoint that caches it.
 const BASE_WORK: f64 = 400.0;
@@ -54,6 +58,8 @@
     capacity_tokens: AtomicU64,
     consecutive_failures: AtomicU32,
     ejected_until: AtomicU64,
+    /// Whether the last failure was that no connection to the endpoint was established.
+    is_unreachable: AtomicBool,
     is_leaving: AtomicBool,
     /// Whether a response of the endpoint said that it leaves.
     has_announced_leave: AtomicBool,
@@ -268,8 +274,7 @@
     pub fn record_outcome(&self, now: Millis, is_success: bool) {
         if is_success {
             self.succeeded.fetch_add(1, Ordering::Relaxed);
-            self.consecutive_failures.store(0, Ordering::Relaxed);
-            self.ejected_until.store(0, Ordering::Relaxed);
+            self.clear_ejection();
             return;
         }
         self.failed.fetch_add(1, Ordering::Relaxed);
@@ -283,10 +288,15 @@
     }
 
     fn eject_after_failures(&self, now: Millis) {
+        // One host alone tries a guarded endpoint again, so that its return is seen early.
+        let max_doublings = if self.guard.is_active() { 0 } else { MAX_EJECTION_DOUBLINGS };
+        self.count_failure(now, max_doublings);
+        self.is_unreachable.store(false, Ordering::Relaxed);
+    }
+
+    fn count_failure(&self, now: Millis, max_doublings: u32) {
         let consecutive_failures = self.consecutive_failures.fetch_add(1, Ordering::Relaxed) + 1;
         if consecutive_failures >= FAILURES_TO_EJECT {
-            // One host alone tries a guarded endpoint again, so that its return is seen early.
-            let max_doublings = if self.guard.is_active() { 0 } else { MAX_EJECTION_DOUBLINGS };
             let doublings = (consecutive_failures - FAILURES_TO_EJECT).min(max_doublings);
             let until = now.0 + (INITIAL_EJECTION_MS << doublings);
             self.ejected_until.store(until, Ordering::Relaxed);
@@ -320,10 +330,20 @@
     /// caused it: it counts towards an ejection, and is reported to other hosts only once
     /// `report_failure` is called.
     pub fn record_withheld_failure(&self, now: Millis, is_unreachable: bool) {
-        if is_unreachable {
-            self.consecutive_failures.fetch_max(FAILURES_TO_EJECT - 1, Ordering::Relaxed);
+        if !is_unreachable {
+            return self.eject_after_failures(now);
+        }
+        self.consecutive_failures.fetch_max(FAILURES_TO_EJECT - 1, Ordering::Relaxed);
+        let max_doublings = if self.guard.is_active() { 0 } else { MAX_UNREACHABLE_DOUBLINGS };
+        self.count_failure(now, max_doublings);
+        self.is_unreachable.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that a connection to the endpoint was established, which ends an ejection because none was.
+    pub fn record_reached(&self) {
+        if self.is_unreachable.load(Ordering::Relaxed) {
+            self.clear_ejection();
         }
-        self.eject_after_failures(now);
     }
 
     /// Reports a withheld failure to other hosts.
@@ -333,6 +353,7 @@
 
     /// Ends an ejection and forgets the failures before it, because the endpoint did not cause them.
     pub fn clear_ejection(&self) {
+        self.is_unreachable.store(false, Ordering::Relaxed);
         self.consecutive_failures.store(0, Ordering::Relaxed);
         self.ejected_until.store(0, Ordering::Relaxed);
     }
--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -10,8 +10,13 @@
 //!
 //! Until a suspicion is decided, failures are withheld: they are not reported to other hosts, which
 //! would add them up against healthy endpoints.
+//!
+//! The list of endpoints may name many that have ended, even most of them, so no sample of it decides:
+//! the paths count as lost only once every listed endpoint has left a probe unanswered. Which endpoints
+//! were reached and which were not while others were is remembered until it is refuted or the paths
+//! are lost. The former are probed first, and failures of the latter alone raise no suspicion.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use crate::ids::{EndpointKey, ServiceId};
 use crate::units::Millis;
@@ -24,9 +29,12 @@
 /// an only endpoint says nothing about the paths.
 const MIN_FAILED_ENDPOINTS: usize = 2;
 
-/// Maximum number of endpoints that have to leave a probe unanswered. Even if half of a pool has ended
-/// at once, it is unlikely that all of this many probed endpoints have.
-const MAX_DECIDING_PROBES: usize = 6;
+/// Number of endpoints that are probed first in a round, which usually end a suspicion that the paths
+/// did not cause.
+const FIRST_WAVE: usize = 6;
+
+/// Number of probes, one after the other, in which lost paths are looked for at all listed endpoints.
+const PROBES_PER_CYCLE: usize = 8;
 
 /// Longest time from the first failure to the end of an interruption that is not a partition: endpoints or
 /// links may stand still for a second and a half, and the next probe may be due a moment later.
@@ -44,10 +52,36 @@
     Lost,
 }
 
-/// Returns the number of endpoints that have to leave a probe unanswered before the paths to a service with
-/// `pool_size` endpoints count as lost. They are probed together, so that one round decides.
-pub fn deciding_probes(pool_size: usize) -> usize {
-    pool_size.min(MAX_DECIDING_PROBES)
+/// Returns the numbers of endpoints that are probed at the same time in a round. Each wave is twice as
+/// large as the one before, so that a few waves reach all endpoints of any list.
+pub fn wave_sizes() -> impl Iterator<Item = usize> {
+    std::iter::successors(Some(FIRST_WAVE), |size| Some(size.saturating_mul(2)))
+}
+
+/// Returns how many endpoints of a list are probed at the same time while the paths to all of them are
+/// lost, so that one that is back is found soon in a list of any length.
+pub fn restoring_probes(listed: usize) -> usize {
+    listed.div_ceil(PROBES_PER_CYCLE).max(1)
+}
+
+/// Order in which endpoints are probed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ProbeRank {
+    /// The endpoint was reached and has not failed since.
+    Reached,
+    /// The endpoint has neither been reached nor failed.
+    Unknown,
+    /// The endpoint failed.
+    Failed,
+}
+
+/// What a response on a new connection ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EndedState {
+    /// State of the paths before the response.
+    pub state: PathState,
+    /// Endpoints that failed while the paths were suspected or lost.
+    pub failed: BTreeSet<EndpointKey>,
 }
 
 #[derive(Debug, Default)]
@@ -57,8 +91,16 @@
     suspicious_since: Option<Millis>,
     /// Recent failures since the last response on a new connection.
     failures: Vec<(EndpointKey, Millis)>,
+    /// Endpoints that failed since the first of the failures that raised the suspicion.
+    failed: BTreeSet<EndpointKey>,
     /// Endpoints that left a probe unanswered since the suspicion began.
     unanswered: BTreeSet<EndpointKey>,
+    /// When endpoints were last probed since the suspicion began.
+    probed_at: HashMap<EndpointKey, Millis>,
+    /// Endpoints that responded on a new connection and have not failed since.
+    reached: HashSet<EndpointKey>,
+    /// Endpoints that were not reached while others were, and have not been since.
+    unreached: HashSet<EndpointKey>,
 }
 
 /// The paths from this host to the endpoints, by service.
@@ -77,9 +119,14 @@
         endpoint: EndpointKey,
     ) -> bool {
         let paths = self.services.entry(service.clone()).or_default();
+        paths.reached.remove(&endpoint);
         paths.failures.retain(|(key, at)| *key != endpoint && now < *at + CORRELATION_WINDOW);
         paths.failures.push((endpoint, now));
-        let is_suspicious = paths.failures.len() >= MIN_FAILED_ENDPOINTS;
+        if paths.state != PathState::Up {
+            paths.failed.insert(endpoint);
+        }
+        let is_news = paths.failures.iter().any(|(key, _)| !paths.unreached.contains(key));
+        let is_suspicious = is_news && paths.failures.len() >= MIN_FAILED_ENDPOINTS;
         is_suspicious && paths.suspect(now)
     }
 
@@ -101,22 +148,62 @@
         Some(since + MAX_INTERRUPTION)
     }
 
-    /// Records a response on a connection that was opened for it. Returns the state that it ends.
-    pub fn record_contact(&mut self, service: &ServiceId) -> PathState {
-        self.services.remove(service).map_or(PathState::Up, |paths| paths.state)
+    /// Records a response of an endpoint on a connection that was opened for it. Returns what it ends.
+    pub fn record_contact(&mut self, service: &ServiceId, endpoint: EndpointKey) -> EndedState {
+        let paths = self.services.entry(service.clone()).or_default();
+        let ended = EndedState { state: paths.state, failed: std::mem::take(&mut paths.failed) };
+        let (reached, unreached) = match paths.state {
+            // What was known before the loss may have changed meanwhile.
+            PathState::Lost => (HashSet::new(), HashSet::new()),
+            _ => (std::mem::take(&mut paths.reached), std::mem::take(&mut paths.unreached)),
+        };
+        *paths = ServicePaths { reached, unreached, ..ServicePaths::default() };
+        paths.unreached.remove(&endpoint);
+        paths.reached.insert(endpoint);
+        ended
+    }
+
+    /// Records that an endpoint was not reached while others were.
+    pub fn record_unreached(&mut self, service: &ServiceId, endpoint: EndpointKey) {
+        let paths = self.services.entry(service.clone()).or_default();
+        paths.reached.remove(&endpoint);
+        paths.unreached.insert(endpoint);
+    }
+
+    /// Reports whether an endpoint was not reached while others were, and has not been since.
+    pub fn is_unreached(&self, service: &ServiceId, endpoint: EndpointKey) -> bool {
+        self.services.get(service).is_some_and(|paths| paths.unreached.contains(&endpoint))
+    }
+
+    /// Returns the services that have paths, but not to all endpoints.
+    pub fn services_with_unreached(&self) -> impl Iterator<Item = &ServiceId> {
+        let is_partial =
+            |paths: &ServicePaths| paths.state == PathState::Up && !paths.unreached.is_empty();
+        self.services.iter().filter(move |(_, p)| is_partial(p)).map(|(service, _)| service)
     }
 
-    /// Records that a probe got no response. `pool_size` is the number of endpoints of the service.
+    /// Records that an endpoint is probed while the paths are suspected or lost.
+    pub fn record_probe(&mut self, now: Millis, service: &ServiceId, endpoint: EndpointKey) {
+        if let Some(paths) = self.services.get_mut(service).filter(|p| p.state != PathState::Up) {
+            paths.probed_at.insert(endpoint, now);
+        }
+    }
+
+    /// Records that a probe got no response. `listed` are all endpoints of the service that may be probed.
     /// Returns whether the paths count as lost from now on.
     pub fn record_unanswered_probe(
         &mut self,
         service: &ServiceId,
         endpoint: EndpointKey,
-        pool_size: usize,
+        listed: &[EndpointKey],
     ) -> bool {
         let Some(paths) = self.services.get_mut(service) else { return false };
+        if paths.state == PathState::Up {
+            return false;
+        }
         paths.unanswered.insert(endpoint);
-        let is_decided = paths.unanswered.len() >= deciding_probes(pool_size);
+        let is_decided =
+            !listed.is_empty() && listed.iter().all(|key| paths.unanswered.contains(key));
         if paths.state != PathState::Suspected || !is_decided {
             return false;
         }
@@ -129,11 +216,25 @@
         self.services.get(service).map_or(0, |paths| paths.unanswered.len())
     }
 
+    /// Returns the endpoints that failed since the suspicion began.
+    pub fn failed_endpoints(&self, service: &ServiceId) -> BTreeSet<EndpointKey> {
+        self.services.get(service).map_or_else(BTreeSet::new, |paths| paths.failed.clone())
+    }
+
     /// Forgets a service that has no endpoints any more.
-    pub fn remove(&mut self, service: &ServiceId) {
+    pub fn forget(&mut self, service: &ServiceId) {
         self.services.remove(service);
     }
 
+    /// Forgets what is known of endpoints that are not listed any more.
+    pub fn retain_listed(&mut self, service: &ServiceId, listed: &[EndpointKey]) {
+        if let Some(paths) = self.services.get_mut(service) {
+            let listed: HashSet<&EndpointKey> = listed.iter().collect();
+            paths.reached.retain(|key| listed.contains(key));
+            paths.unreached.retain(|key| listed.contains(key));
+        }
+    }
+
     /// Returns the state of the paths to a service.
     pub fn state(&self, service: &ServiceId) -> PathState {
         self.services.get(service).map_or(PathState::Up, |paths| paths.state)
@@ -152,12 +253,24 @@
         services
     }
 
-    /// Reports whether an endpoint failed recently, so that other endpoints are better probed first.
+    /// Reports whether an endpoint failed lately or left a probe of the present suspicion unanswered.
     pub fn has_failed(&self, service: &ServiceId, endpoint: EndpointKey) -> bool {
-        self.services.get(service).is_some_and(|paths| {
-            paths.failures.iter().any(|(key, _)| *key == endpoint)
-                || paths.unanswered.contains(&endpoint)
-        })
+        self.services.get(service).is_some_and(|paths| paths.has_failed(endpoint))
+    }
+
+    /// Returns how early an endpoint is probed, compared to the others of its service.
+    pub fn probe_rank(&self, service: &ServiceId, endpoint: EndpointKey) -> ProbeRank {
+        let Some(paths) = self.services.get(service) else { return ProbeRank::Unknown };
+        match paths.has_failed(endpoint) || paths.unreached.contains(&endpoint) {
+            true => ProbeRank::Failed,
+            false if paths.reached.contains(&endpoint) => ProbeRank::Reached,
+            false => ProbeRank::Unknown,
+        }
+    }
+
+    /// Returns when an endpoint was last probed since the suspicion began; `None` if it was not.
+    pub fn probed_at(&self, service: &ServiceId, endpoint: EndpointKey) -> Option<Millis> {
+        self.services.get(service)?.probed_at.get(&endpoint).copied()
     }
 }
 
@@ -168,8 +281,12 @@
             self.state = PathState::Suspected;
             let first_failure = self.failures.iter().map(|(_, at)| *at).min();
             self.suspicious_since = Some(first_failure.unwrap_or(now));
-            self.unanswered.clear();
+            self.failed = self.failures.iter().map(|(key, _)| *key).collect();
         }
         is_new
     }
+
+    fn has_failed(&self, endpoint: EndpointKey) -> bool {
+        self.failures.iter().any(|(key, _)| *key == endpoint) || self.unanswered.contains(&endpoint)
+    }
 }
--- a/crates/tidetrack-core/tests/endpoint_paths.rs
+++ b/crates/tidetrack-core/tests/endpoint_paths.rs
@@ -5,7 +5,9 @@
 use tidetrack_core::codes::{Code, Executed};
 use tidetrack_core::errors::Error;
 use tidetrack_core::ids::{EndpointId, EndpointKey, HostId, ServiceId};
-use tidetrack_core::traffic::endpoint_paths::{deciding_probes, EndpointPaths, PathState};
+use tidetrack_core::traffic::endpoint_paths::{
+    restoring_probes, wave_sizes, EndpointPaths, PathState, ProbeRank,
+};
 use tidetrack_core::traffic::forwarding::{may_forward_elsewhere, pick_host, ForwardTarget};
 use tidetrack_core::units::Millis;
 
@@ -23,6 +25,11 @@
     EndpointKey::from(&id)
 }
 
+/// Returns the keys of the first endpoints, as they are listed.
+fn listed(count: usize) -> Vec<EndpointKey> {
+    (0..count).map(endpoint).collect()
+}
+
 /// Returns the paths of a host to which two endpoints have just failed.
 fn suspected_paths() -> EndpointPaths {
     let mut paths = EndpointPaths::default();
@@ -78,16 +85,17 @@
 #[test]
 fn one_answered_probe_ends_a_suspicion() {
     let mut paths = suspected_paths();
-    paths.record_unanswered_probe(&service(), endpoint(2), POOL);
+    paths.record_unanswered_probe(&service(), endpoint(2), &listed(POOL));
 
-    let ended = paths.record_contact(&service());
+    let ended = paths.record_contact(&service(), endpoint(3));
 
-    assert_eq!((ended, paths.state(&service())), (PathState::Suspected, PathState::Up));
+    assert_eq!((ended.state, paths.state(&service())), (PathState::Suspected, PathState::Up));
 }
 
 /// Records unanswered probes of all endpoints of the pool, and returns for each whether it decided.
 fn leave_all_probes_unanswered(paths: &mut EndpointPaths) -> Vec<bool> {
-    let mut probe = |n: usize| paths.record_unanswered_probe(&service(), endpoint(n), POOL);
+    let listed = listed(POOL);
+    let mut probe = |n: usize| paths.record_unanswered_probe(&service(), endpoint(n), &listed);
     (0..POOL).map(&mut probe).collect()
 }
 
@@ -97,24 +105,87 @@
 
     let decided = leave_all_probes_unanswered(&mut paths);
     let lost = paths.lost_services();
-    let ended = paths.record_contact(&service());
+    let ended = paths.record_contact(&service(), endpoint(3));
 
     assert_eq!((decided, lost), (vec![false, false, false, false, false, true], vec![service()]));
-    assert_eq!((ended, paths.lost_services()), (PathState::Lost, vec![]));
+    assert_eq!((ended.state, paths.lost_services()), (PathState::Lost, vec![]));
 }
 
-/// Guards against taking paths for lost because many endpoints of a large pool have ended.
+/// Guards against taking paths for lost because most of the listed endpoints have ended.
 #[test]
-fn probes_of_a_few_endpoints_that_ended_do_not_decide_about_a_large_pool() {
-    const LARGE_POOL: usize = 18;
-    const ENDED: usize = 5;
+fn paths_are_not_lost_before_all_listed_endpoints_leave_a_probe_unanswered() {
+    for (pool, ended) in [(18, 5), (18, 17), (24, 23), (64, 63), (400, 399)] {
+        let listed = listed(pool);
+        let mut paths = suspected_paths();
+
+        let mut probe = |n: usize| paths.record_unanswered_probe(&service(), endpoint(n), &listed);
+        let is_decided = (0..ended).any(&mut probe);
+
+        assert!(!is_decided, "{ended} of {pool} have ended");
+        assert_eq!(paths.state(&service()), PathState::Suspected, "{ended} of {pool}");
+    }
+}
+
+/// Guards against verdicts on a list that has changed: an endpoint that was listed meanwhile is asked too.
+#[test]
+fn an_endpoint_that_is_listed_during_a_suspicion_has_to_be_probed_too() {
     let mut paths = suspected_paths();
 
-    let mut probe = |n: usize| paths.record_unanswered_probe(&service(), endpoint(n), LARGE_POOL);
-    let decided: Vec<bool> = (0..ENDED).map(&mut probe).collect();
+    let before = (0..POOL)
+        .map(|n| paths.record_unanswered_probe(&service(), endpoint(n), &listed(POOL + 1)));
+    let is_lost_before = before.fold(false, |any, is_lost| any | is_lost);
+    let is_lost = paths.record_unanswered_probe(&service(), endpoint(POOL), &listed(POOL + 1));
 
-    assert_eq!(decided, [false; ENDED]);
-    assert_eq!(paths.state(&service()), PathState::Suspected);
+    assert_eq!((is_lost_before, is_lost), (false, true));
+}
+
+/// Guards against hosts that try the same ended endpoints again and suspect their paths each time.
+#[test]
+fn failures_of_endpoints_that_others_were_reached_beside_raise_no_further_suspicion() {
+    let mut paths = suspected_paths();
+    paths.record_contact(&service(), endpoint(3));
+    paths.record_unreached(&service(), endpoint(0));
+    paths.record_unreached(&service(), endpoint(1));
+
+    let starts =
+        [0, 1].map(|n| paths.record_failure(NOW + Millis(n), &service(), endpoint(n as usize)));
+    let starts_with_another = paths.record_failure(NOW + Millis(2), &service(), endpoint(2));
+
+    assert_eq!((starts, starts_with_another), ([false, false], true));
+}
+
+/// Guards against what was learnt before a loss deciding after it.
+#[test]
+fn nothing_is_known_of_endpoints_after_a_loss_but_what_was_reached_since() {
+    let mut paths = suspected_paths();
+    paths.record_contact(&service(), endpoint(2));
+    paths.record_unreached(&service(), endpoint(0));
+    let rank = |paths: &EndpointPaths, n| paths.probe_rank(&service(), endpoint(n));
+    let before = [0, 1, 2].map(|n| rank(&paths, n));
+    paths.suspect(NOW, &service());
+    leave_all_probes_unanswered(&mut paths);
+
+    let ended = paths.record_contact(&service(), endpoint(1));
+
+    let after = [0, 1, 2].map(|n| rank(&paths, n));
+    assert_eq!(before, [ProbeRank::Failed, ProbeRank::Unknown, ProbeRank::Reached]);
+    assert_eq!(after, [ProbeRank::Unknown, ProbeRank::Reached, ProbeRank::Unknown]);
+    assert_eq!(ended.state, PathState::Lost);
+}
+
+/// Guards against ejections that the lost paths caused, and against the end of those that they did not cause.
+#[test]
+fn a_contact_tells_which_endpoints_failed_since_the_suspicion_began() {
+    let mut paths = suspected_paths();
+    paths.record_contact(&service(), endpoint(3));
+    paths.record_failure(NOW + Millis(5_000), &service(), endpoint(2));
+    paths.record_failure(NOW + Millis(5_001), &service(), endpoint(4));
+    leave_all_probes_unanswered(&mut paths);
+    paths.record_failure(NOW + Millis(9_000), &service(), endpoint(5));
+
+    let ended = paths.record_contact(&service(), endpoint(3));
+
+    assert_eq!(ended.failed, [2, 4, 5].map(endpoint).into());
 }
 
 /// Guards against refusals for want of a path while endpoints stand still for a moment.
@@ -125,7 +196,7 @@
     leave_all_probes_unanswered(&mut paths);
 
     let while_lost = paths.interruption_end(&service());
-    paths.record_contact(&service());
+    paths.record_contact(&service(), endpoint(0));
 
     assert_eq!((while_suspected, while_lost), (None, Some(NOW + Millis(2_000))));
     assert_eq!(paths.interruption_end(&service()), None);
@@ -134,16 +205,30 @@
 /// Guards against requests that wait for several rounds of probes, as each may take as long as they wait.
 #[test]
 fn one_round_of_probes_decides_about_pools_of_any_size() {
-    for pool in [1, 2, 3, 4, 5, 60] {
+    /// Waves begin 25 ms after each other, and a probe takes 400 ms at most: a round takes less than 600 ms.
+    const MAX_WAVES: usize = 8;
+    for pool in [1, 2, 3, 4, 5, 60, 540] {
         let mut paths = EndpointPaths::default();
         paths.suspect(NOW, &service());
+        let listed = listed(pool);
 
-        let batch = 0..deciding_probes(pool);
-        let decided: Vec<bool> =
-            batch.map(|n| paths.record_unanswered_probe(&service(), endpoint(n), pool)).collect();
+        let decided: Vec<bool> = (0..pool)
+            .map(|n| paths.record_unanswered_probe(&service(), endpoint(n), &listed))
+            .collect();
 
         assert_eq!(decided.last(), Some(&true), "pool of {pool}: {decided:?}");
         assert_eq!(decided.iter().filter(|is_lost| **is_lost).count(), 1, "pool of {pool}");
+        assert!(wave_sizes().take(MAX_WAVES).sum::<usize>() >= pool, "pool of {pool}");
+    }
+}
+
+/// Guards against endpoints that come back among many that don't, and are found late.
+#[test]
+fn lost_paths_are_looked_for_at_all_endpoints_in_the_same_time_whatever_their_number() {
+    for pool in [1, 4, 8, 9, 60, 540] {
+        assert!(restoring_probes(pool) >= 1, "pool of {pool}");
+        assert!(restoring_probes(pool) * 8 >= pool, "pool of {pool}");
+        assert!(pool > 8 || restoring_probes(pool) == 1, "pool of {pool}");
     }
 }
 
@@ -153,9 +238,9 @@
     let mut paths = EndpointPaths::default();
 
     let starts = paths.record_failure(NOW, &service(), endpoint(0));
-    let is_lost = paths.record_unanswered_probe(&service(), endpoint(0), 1);
+    let is_lost = paths.record_unanswered_probe(&service(), endpoint(0), &listed(1));
     let starts_with_others = paths.suspect(NOW, &service());
-    let is_lost_with_others = paths.record_unanswered_probe(&service(), endpoint(0), 1);
+    let is_lost_with_others = paths.record_unanswered_probe(&service(), endpoint(0), &listed(1));
 
     assert_eq!((starts, is_lost), (false, false));
     assert_eq!((starts_with_others, is_lost_with_others), (true, true));
--- a/crates/tidetrack-plane/src/metrics.rs
+++ b/crates/tidetrack-plane/src/metrics.rs
@@ -248,8 +248,7 @@
     }
 
     /// Counts a probe of an endpoint by its outcome.
-    pub fn record_path_probe(&self, outcome: &'static str) {
-        let is_answered = outcome == "answered";
+    pub fn record_path_probe(&self, outcome: &'static str, is_answered: bool) {
         let labels = [KeyValue::new("answered", is_answered), KeyValue::new("outcome", outcome)];
         self.path_probes.add(1, &labels);
     }
--- a/crates/tidetrack-plane/src/paths/mod.rs
+++ b/crates/tidetrack-plane/src/paths/mod.rs
@@ -1,35 +1,28 @@
 //! Probes of endpoints that decide whether this host has lost its network paths to a service, and the
 //! effects of that decision on what the host believes about the endpoints.
 
+mod probe;
+mod rounds;
+
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http::header::{HeaderValue, HOST};
-use http::Request;
-use http_body_util::Full;
 use tokio::sync::Notify;
-use tokio::task::JoinSet;
 
-use tidetrack_core::disconnect::DisconnectCause;
 use tidetrack_core::events::Event;
-use tidetrack_core::ids::{EndpointId, EndpointKey, FailureDomain, ServiceId};
+use tidetrack_core::ids::{EndpointId, EndpointKey, ServiceId};
 use tidetrack_core::placement::{EndpointState, PoolEndpoint};
 use tidetrack_core::traffic::control::Input;
-use tidetrack_core::traffic::endpoint_paths::{deciding_probes, EndpointPaths, PathState};
+use tidetrack_core::traffic::endpoint_paths::{EndpointPaths, PathState};
 use tidetrack_core::units::Millis;
 
 use crate::job::{ChosenEndpoint, Traffic};
 
-/// Maximum time from the start of a probe to its response.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Shortest pause between two probes of lost paths. The pause is random, up to twice as long, so that
-/// the hosts of a partition do not all return at the same instant.
-const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+use probe::{probe, ProbeSlots};
+use rounds::{probe_order, probe_round, probe_until_decided, recheck_unreached};
 
 /// How long a failure is withheld if no response on another connection decides earlier.
 const WITHHOLD_TIME: Duration = Duration::from_millis(700);
@@ -39,46 +32,11 @@
 
 /// Maximum time for which an attempt waits for the decision about the paths, which is a little more
 /// than a round of probes takes.
-const MAX_ATTEMPT_DELAY: Duration = Duration::from_millis(500);
+const MAX_ATTEMPT_DELAY: Duration = Duration::from_millis(600);
 
 /// Interval at which it is checked whether an endpoint that is not probed has responded to a request.
 const CONTACT_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
-/// What became of a probe.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ProbeOutcome {
-    /// The endpoint sent a response.
-    Answered,
-    /// Something refused the connection.
-    Refused,
-    /// The connection or the request broke.
-    Broken,
-    /// Nothing arrived in time.
-    Silent,
-}
-
-impl ProbeOutcome {
-    /// Returns the label used in metrics.
-    fn as_str(self) -> &'static str {
-        match self {
-            ProbeOutcome::Answered => "answered",
-            ProbeOutcome::Refused => "refused",
-            ProbeOutcome::Broken => "broken",
-            ProbeOutcome::Silent => "silent",
-        }
-    }
-}
-
-impl From<DisconnectCause> for ProbeOutcome {
-    fn from(cause: DisconnectCause) -> ProbeOutcome {
-        match cause {
-            DisconnectCause::Refused => ProbeOutcome::Refused,
-            DisconnectCause::TimedOut => ProbeOutcome::Silent,
-            _ => ProbeOutcome::Broken,
-        }
-    }
-}
-
 /// A failure that is not yet held against its endpoint.
 struct WithheldFailure {
     endpoint: EndpointId,
@@ -101,6 +59,10 @@
     undecided: RefCell<HashSet<ServiceId>>,
     /// Services whose probes have to start.
     suspected: RefCell<Vec<ServiceId>>,
+    /// Services whose endpoints have to be probed because their paths work again.
+    restored: RefCell<Vec<ServiceId>>,
+    /// Bounds the probes under way.
+    probe_slots: ProbeSlots,
     changed: Notify,
     /// Notified when the paths to a service turn out to work or to be lost.
     decided: Notify,
@@ -119,7 +81,7 @@
 
     /// Returns the time since the first of the failures that showed the loss of the paths to a service.
     pub fn lost_for(&self, traffic: &Traffic, service: &ServiceId) -> Duration {
-        let since = self.paths.borrow().suspicious_since(service);
+        let since = self.suspicious_since(service);
         since
             .map_or(Duration::ZERO, |since| Duration::from_millis((traffic.shared.now() - since).0))
     }
@@ -221,24 +183,39 @@
         self.last_contacts.borrow_mut().insert(service.clone(), contact);
         let lost_for = self.lost_for(traffic, service);
         let unanswered = self.paths.borrow().unanswered_probes(service);
-        let ended = self.paths.borrow_mut().record_contact(service);
-        self.decided.notify_waiters();
         let withheld = self.withheld.borrow_mut().remove(service).unwrap_or_default();
-        if ended == PathState::Lost {
-            clear_ejections(traffic, service);
-            traffic.shared.journal.log(
-                Event::PathsRestored,
-                &[
-                    ("service", service),
-                    ("endpoint", endpoint),
-                    ("endpoints", &endpoints_of(traffic, service).len()),
-                    ("unanswered", &unanswered),
-                    ("lost_ms", &lost_for.as_millis()),
-                ],
-            );
-            return self.publish(traffic);
+        if !self.is_lost(service) {
+            withheld.iter().for_each(|failure| self.count(traffic, service, failure));
+        }
+        let ended = self.paths.borrow_mut().record_contact(service, endpoint.into());
+        self.decided.notify_waiters();
+        if ended.state != PathState::Lost {
+            return;
+        }
+        clear_ejections(traffic, service, &ended.failed);
+        traffic.shared.journal.log(
+            Event::PathsRestored,
+            &[
+                ("service", service),
+                ("endpoint", endpoint),
+                ("endpoints", &endpoints_of(traffic, service).len()),
+                ("unanswered", &unanswered),
+                ("lost_ms", &lost_for.as_millis()),
+            ],
+        );
+        self.publish(traffic);
+        self.restored.borrow_mut().push(service.clone());
+        self.changed.notify_one();
+    }
+
+    /// Counts a failure against its endpoint.
+    fn count(&self, traffic: &Traffic, service: &ServiceId, failure: &WithheldFailure) {
+        failure.state.report_failure();
+        traffic.shared.send_input(Input::EndpointLost(failure.endpoint.clone()));
+        if failure.is_unreachable {
+            traffic.pool.close_idle(failure.endpoint.as_str());
+            self.paths.borrow_mut().record_unreached(service, (&failure.endpoint).into());
         }
-        withheld.iter().for_each(|failure| failure.count(traffic));
     }
 
     fn start_probes(&self, service: &ServiceId) {
@@ -265,15 +242,15 @@
             withheld.get(service).is_some_and(|all| all.iter().any(|f| f.endpoint == *endpoint))
         };
         let endpoints = probe_order(traffic, service);
-        match endpoints.iter().find(|e| !is_withheld(&e.id)) {
-            Some(other) => {
-                if !probe(traffic, service, other).await {
+        match endpoints.iter().find(|(e, _)| !is_withheld(&e.id)) {
+            Some((other, _)) => {
+                if !probe(traffic, service, other).await.is_answered() {
                     self.record_unresponsive(traffic, service, &other.id, &other.state);
                 }
             }
             None => {
                 let withheld = self.withheld.borrow_mut().remove(service).unwrap_or_default();
-                withheld.iter().for_each(|failure| failure.count(traffic));
+                withheld.iter().for_each(|failure| self.count(traffic, service, failure));
             }
         }
     }
@@ -296,6 +273,18 @@
         }
     }
 
+    /// Returns since when the paths to a service have been suspicious; `None` if they are not.
+    fn suspicious_since(&self, service: &ServiceId) -> Option<Millis> {
+        self.paths.borrow().suspicious_since(service)
+    }
+
+    /// Forgets a service that has no endpoints any more.
+    fn forget_service(&self, traffic: &Traffic, service: &ServiceId) {
+        self.paths.borrow_mut().forget(service);
+        self.publish(traffic);
+        self.decided.notify_waiters();
+    }
+
     fn log_suspicion(&self, traffic: &Traffic, service: &ServiceId) {
         let endpoints = endpoints_of(traffic, service);
         let now = traffic.shared.now();
@@ -322,13 +311,14 @@
     }
 
     fn record_loss(&self, traffic: &Traffic, service: &ServiceId) {
-        let suspicious_since = self.paths.borrow().suspicious_since(service);
+        let suspicious_since = self.suspicious_since(service);
         let responded_at = self.last_reused_responses.borrow().get(service).copied();
         let are_established_usable =
             responded_at.zip(suspicious_since).is_some_and(|(at, since)| at > since);
         let endpoints = endpoints_of(traffic, service);
         self.withheld.borrow_mut().remove(service);
-        clear_ejections(traffic, service);
+        let failed = self.paths.borrow().failed_endpoints(service);
+        clear_ejections(traffic, service, &failed);
         if !are_established_usable {
             endpoints.iter().for_each(|e| traffic.pool.close_idle(e.id.as_str()));
         }
@@ -375,7 +365,7 @@
                 PathState::Suspected => return false,
                 PathState::Up => {
                     let others = probe_order(traffic, service);
-                    let Some(other) = others.into_iter().find(|e| e.id != *ended) else {
+                    let Some((other, _)) = others.into_iter().find(|(e, _)| e.id != *ended) else {
                         if !has_unprobed(traffic, service) {
                             return true;
                         }
@@ -385,7 +375,7 @@
                         tokio::time::sleep(CONTACT_POLL_INTERVAL).await;
                         continue;
                     };
-                    if probe(traffic, service, &other).await {
+                    if probe(traffic, service, &other).await.is_answered() {
                         return true;
                     }
                     self.record_unresponsive(traffic, service, &other.id, &other.state);
@@ -398,21 +388,11 @@
     }
 }
 
-impl WithheldFailure {
-    /// Counts the failure against its endpoint.
-    fn count(&self, traffic: &Traffic) {
-        self.state.report_failure();
-        traffic.shared.send_input(Input::EndpointLost(self.endpoint.clone()));
-        if self.is_unreachable {
-            traffic.pool.close_idle(self.endpoint.as_str());
-        }
-    }
-}
-
 /// Starts the probes of suspected services, and those that decide about overdue failures, until the
 /// process ends.
 pub async fn run_path_monitor(traffic: Rc<Traffic>) {
     let monitor = &traffic.paths;
+    tokio::task::spawn_local(recheck_unreached(traffic.clone()));
     loop {
         let has_withheld = !monitor.withheld.borrow().is_empty();
         tokio::select! {
@@ -430,82 +410,13 @@
             }
         }
         for service in monitor.suspected.take() {
-            tokio::task::spawn_local(probe_service(traffic.clone(), service));
-        }
-    }
-}
-
-/// Probes the endpoints of a service until one responds: as many at a time as decide while the paths are
-/// suspected, then one at a time with pauses.
-async fn probe_service(traffic: Rc<Traffic>, service: ServiceId) {
-    let monitor = &traffic.paths;
-    monitor.log_suspicion(&traffic, &service);
-    loop {
-        let state = monitor.state(&service);
-        let endpoints = probe_order(&traffic, &service);
-        let pool_size = endpoints.len();
-        if state == PathState::Up || pool_size == 0 {
-            break;
-        }
-        let batch_size = if state == PathState::Suspected { deciding_probes(pool_size) } else { 1 };
-        let batch = &endpoints[..batch_size.min(pool_size)];
-        if has_responding_endpoint(&traffic, &service, batch).await {
-            return;
-        }
-        for endpoint in batch {
-            let key = EndpointKey::from(&endpoint.id);
-            let is_lost =
-                monitor.paths.borrow_mut().record_unanswered_probe(&service, key, pool_size);
-            if is_lost {
-                monitor.record_loss(&traffic, &service);
-            }
+            tokio::task::spawn_local(probe_until_decided(traffic.clone(), service));
         }
-        let pause = MIN_PROBE_INTERVAL.mul_f64(1.0 + rand::random::<f64>());
-        tokio::time::sleep(pause).await;
-    }
-    if monitor.state(&service) != PathState::Up {
-        // The service has no endpoints any more.
-        monitor.paths.borrow_mut().remove(&service);
-        monitor.publish(&traffic);
-    }
-}
-
-/// Probes endpoints at the same time. Reports whether one responds, as soon as one does.
-async fn has_responding_endpoint(
-    traffic: &Rc<Traffic>,
-    service: &ServiceId,
-    endpoints: &[PoolEndpoint],
-) -> bool {
-    let mut probes = JoinSet::new();
-    for endpoint in endpoints {
-        let (traffic, service, endpoint) = (traffic.clone(), service.clone(), endpoint.clone());
-        probes.spawn_local(async move { probe(&traffic, &service, &endpoint).await });
-    }
-    while let Some(response) = probes.join_next().await {
-        if matches!(response, Ok(true)) {
-            return true;
+        for service in monitor.restored.take() {
+            let traffic = traffic.clone();
+            tokio::task::spawn_local(async move { probe_round(&traffic, &service).await });
         }
     }
-    false
-}
-
-/// Returns the endpoints of a service in the order in which they are probed: those that have not
-/// failed first, and each next one in another failure domain where possible. Endpoints that fall over
-/// from refusing requests are not probed, because they may refuse a probe too.
-fn probe_order(traffic: &Traffic, service: &ServiceId) -> Vec<PoolEndpoint> {
-    let mut endpoints = endpoints_of(traffic, service);
-    endpoints.retain(|e| !e.state.guard().is_active());
-    let mut rank: HashMap<EndpointId, (bool, usize, u32)> = HashMap::new();
-    let mut seen: HashMap<FailureDomain, usize> = HashMap::new();
-    let paths = traffic.paths.paths.borrow();
-    for e in &endpoints {
-        let domain_rank = seen.entry(e.failure_domain.clone()).or_default();
-        let has_failed = paths.has_failed(service, EndpointKey::from(&e.id));
-        rank.insert(e.id.clone(), (has_failed, *domain_rank, rand::random()));
-        *domain_rank += usize::from(!has_failed);
-    }
-    endpoints.sort_by_key(|e| rank.get(&e.id).copied());
-    endpoints
 }
 
 /// Reports whether a service has endpoints that are not probed.
@@ -522,35 +433,9 @@
     endpoints.filter(|e| e.state.is_open()).cloned().collect()
 }
 
-fn clear_ejections(traffic: &Traffic, service: &ServiceId) {
-    endpoints_of(traffic, service).iter().for_each(|e| e.state.clear_ejection());
-}
-
-/// Sends a request that runs nothing to an endpoint on a new connection. Reports whether any
-/// response arrived.
-async fn probe(traffic: &Traffic, service: &ServiceId, endpoint: &PoolEndpoint) -> bool {
-    let exchange = send_probe(traffic, endpoint);
-    let outcome =
-        tokio::time::timeout(PROBE_TIMEOUT, exchange).await.unwrap_or(ProbeOutcome::Silent);
-    traffic.shared.metrics.record_path_probe(outcome.as_str());
-    let has_responded = outcome == ProbeOutcome::Answered;
-    if has_responded {
-        traffic.paths.record_response(traffic, service, &endpoint.id, false);
-    }
-    has_responded
-}
-
-async fn send_probe(traffic: &Traffic, endpoint: &PoolEndpoint) -> ProbeOutcome {
-    let mut lease = match traffic.pool.open(&endpoint.address).await {
-        Ok(lease) => lease,
-        Err(e) => return e.disconnect_cause.map_or(ProbeOutcome::Broken, ProbeOutcome::from),
-    };
-    let Ok(host) = HeaderValue::from_str(&endpoint.address) else { return ProbeOutcome::Broken };
-    let mut req = Request::new(Full::new(Bytes::new()));
-    *req.uri_mut() = http::Uri::from_static(traffic.shared.dialect.probe_path);
-    req.headers_mut().insert(HOST, host);
-    match lease.sender.send_request(req.map(Into::into)).await {
-        Ok(_) => ProbeOutcome::Answered,
-        Err(_) => ProbeOutcome::Broken,
-    }
+/// Ends the ejections of endpoints whose failures the lost paths may have caused.
+fn clear_ejections(traffic: &Traffic, service: &ServiceId, failed: &BTreeSet<EndpointKey>) {
+    let endpoints = endpoints_of(traffic, service);
+    let has_failed = |e: &&PoolEndpoint| failed.contains(&EndpointKey::from(&e.id));
+    endpoints.iter().filter(has_failed).for_each(|e| e.state.clear_ejection());
 }
--- /dev/null
+++ b/crates/tidetrack-plane/src/paths/rounds.rs
@@ -0,0 +1,319 @@
+//! Rounds of probes that decide about the paths to a service, and which of its endpoints are reached.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::{timeout_at, Instant};
+
+use tidetrack_core::ids::{EndpointId, EndpointKey, FailureDomain, ServiceId};
+use tidetrack_core::placement::PoolEndpoint;
+use tidetrack_core::traffic::endpoint_paths::{restoring_probes, wave_sizes, PathState, ProbeRank};
+use tidetrack_core::traffic::reachability::MAX_PROMPT_LATENCY;
+use tidetrack_core::units::Millis;
+
+use crate::job::Traffic;
+
+use super::endpoints_of;
+use super::probe::{probe, ProbeOutcome};
+
+/// Shortest pause between two probes of lost paths. The pause is random, up to twice as long, so that
+/// the hosts of a partition do not all return at the same instant.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Maximum time from one wave of a round to the next.
+const WAVE_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Interval at which it is checked which endpoints that were not reached have to be probed again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time before the end of an endpoint's ejection at which it is probed again: an interval and the longest
+/// time that a probe takes.
+const RECHECK_LEAD_TIME: Millis = Millis(550);
+
+/// Probes the endpoints of a service until one responds: all in one round while the paths are suspected,
+/// then some at a time with pauses.
+pub(super) async fn probe_until_decided(traffic: Rc<Traffic>, service: ServiceId) {
+    let monitor = &traffic.paths;
+    monitor.log_suspicion(&traffic, &service);
+    let listed: Vec<EndpointKey> =
+        endpoints_of(&traffic, &service).iter().map(|e| (&e.id).into()).collect();
+    monitor.paths.borrow_mut().retain_listed(&service, &listed);
+    let suspicious_since = monitor.suspicious_since(&service);
+    let mut restoring = RestoringProbes::default();
+    // A later suspicion has probes of its own.
+    while suspicious_since.is_some() && monitor.suspicious_since(&service) == suspicious_since {
+        if probed_keys(&traffic, &service).is_empty() {
+            return monitor.forget_service(&traffic, &service);
+        }
+        match monitor.state(&service) {
+            PathState::Lost => restoring.start_next(&traffic, &service),
+            _ => probe_round(&traffic, &service).await,
+        }
+        let pause = MIN_PROBE_INTERVAL.mul_f64(1.0 + rand::random::<f64>());
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Probes of endpoints to which all paths are lost.
+#[derive(Default)]
+struct RestoringProbes {
+    probes: JoinSet<EndpointKey>,
+    under_way: HashSet<EndpointKey>,
+}
+
+impl RestoringProbes {
+    /// Starts the next probes, of the endpoints whose last probe is the longest ago.
+    fn start_next(&mut self, traffic: &Rc<Traffic>, service: &ServiceId) {
+        while let Some(ended) = self.probes.try_join_next() {
+            if let Ok(key) = ended {
+                self.under_way.remove(&key);
+            }
+        }
+        let mut endpoints = probed_endpoints(traffic, service);
+        let count = restoring_probes(endpoints.len());
+        {
+            let paths = traffic.paths.paths.borrow();
+            endpoints.sort_by_cached_key(|e| {
+                (paths.probed_at(service, (&e.id).into()), rand::random::<u32>())
+            });
+        }
+        endpoints.retain(|e| !self.under_way.contains(&(&e.id).into()));
+        for endpoint in endpoints.into_iter().take(count) {
+            let key = EndpointKey::from(&endpoint.id);
+            self.under_way.insert(key);
+            let (traffic, service) = (traffic.clone(), service.clone());
+            self.probes.spawn_local(async move {
+                if !probe(&traffic, &service, &endpoint).await.is_answered() {
+                    record_unanswered(&traffic, &service, [key]);
+                }
+                key
+            });
+        }
+    }
+}
+
+/// A probe of a round that has ended.
+struct EndedProbe {
+    endpoint: PoolEndpoint,
+    rank: ProbeRank,
+    outcome: ProbeOutcome,
+    took: Duration,
+}
+
+/// A probe that was not answered.
+struct FailedProbe {
+    endpoint: PoolEndpoint,
+    /// Whether no connection was established.
+    is_unreached: bool,
+}
+
+/// A round of probes. Once one is answered, the others tell which endpoints are not reached.
+#[derive(Default)]
+struct Round {
+    probes: JoinSet<EndedProbe>,
+    failed: Vec<FailedProbe>,
+    has_answer: bool,
+    /// Whether an answer was so fast that silent endpoints are not waiting for a saturated link.
+    has_prompt_answer: bool,
+    /// Numbers of answered and of all finished probes of endpoints of which nothing was known.
+    unknown_answered: usize,
+    unknown_finished: usize,
+}
+
+/// Probes the endpoints of a service, in waves. If one responds, the round ends with those that are not
+/// known and those that are ejected: the paths work, so that each one's probe decides about it alone. If
+/// none responds, the paths are lost.
+pub(super) async fn probe_round(traffic: &Rc<Traffic>, service: &ServiceId) {
+    let mut waiting = probe_order(traffic, service);
+    let mut round = Round::default();
+    for size in wave_sizes() {
+        if round.has_answer {
+            let now = traffic.shared.now();
+            let asks_unknown = !round.are_most_unknown_reached();
+            waiting.retain(|(e, rank)| {
+                e.state.is_ejected(now) || asks_unknown && *rank == ProbeRank::Unknown
+            });
+        }
+        if waiting.is_empty() {
+            break;
+        }
+        let wave = waiting.drain(..size.min(waiting.len()));
+        wave.for_each(|(endpoint, rank)| round.start(traffic, service, endpoint, rank));
+        let next_wave_at = Instant::now() + WAVE_INTERVAL;
+        while let Ok(Some(Ok(ended))) = timeout_at(next_wave_at, round.probes.join_next()).await {
+            round.record(traffic, service, ended);
+        }
+    }
+    while let Some(Ok(ended)) = round.probes.join_next().await {
+        round.record(traffic, service, ended);
+    }
+    if !round.has_answer {
+        let keys = round.failed.iter().map(|failed| EndpointKey::from(&failed.endpoint.id));
+        record_unanswered(traffic, service, keys);
+    }
+}
+
+impl Round {
+    fn start(
+        &mut self,
+        traffic: &Rc<Traffic>,
+        service: &ServiceId,
+        endpoint: PoolEndpoint,
+        rank: ProbeRank,
+    ) {
+        let (traffic, service) = (traffic.clone(), service.clone());
+        self.probes.spawn_local(async move {
+            let started_at = Instant::now();
+            let outcome = probe(&traffic, &service, &endpoint).await;
+            EndedProbe { endpoint, rank, outcome, took: started_at.elapsed() }
+        });
+    }
+
+    fn record(&mut self, traffic: &Traffic, service: &ServiceId, ended: EndedProbe) {
+        let EndedProbe { endpoint, rank, outcome, took } = ended;
+        let is_unknown = rank == ProbeRank::Unknown;
+        self.unknown_finished += usize::from(is_unknown);
+        self.unknown_answered += usize::from(is_unknown && outcome.is_answered());
+        match outcome {
+            ProbeOutcome::Answered => {
+                self.has_answer = true;
+                self.has_prompt_answer |= took.as_millis() <= u128::from(MAX_PROMPT_LATENCY.0);
+            }
+            _ => {
+                let is_unreached = outcome != ProbeOutcome::Broken;
+                self.failed.push(FailedProbe { endpoint, is_unreached });
+            }
+        }
+        if self.has_prompt_answer {
+            self.failed.drain(..).for_each(|failed| failed.count(traffic, service));
+        }
+    }
+
+    fn are_most_unknown_reached(&self) -> bool {
+        self.unknown_finished > 0 && self.unknown_answered * 2 >= self.unknown_finished
+    }
+}
+
+impl FailedProbe {
+    /// Counts the probe against its endpoint, as others of the service are reached.
+    fn count(&self, traffic: &Traffic, service: &ServiceId) {
+        if !self.is_unreached {
+            return;
+        }
+        let now = traffic.shared.now();
+        if !self.endpoint.state.is_ejected(now) {
+            self.endpoint.state.record_withheld_failure(now, true);
+        }
+        traffic.paths.paths.borrow_mut().record_unreached(service, (&self.endpoint.id).into());
+    }
+}
+
+/// Probes the endpoints that were not reached while others were, before their ejections end, so that no
+/// caller's request has to find out. Runs until the process ends.
+pub(super) async fn recheck_unreached(traffic: Rc<Traffic>) {
+    let mut probes = JoinSet::new();
+    let under_way: Rc<RefCell<HashSet<EndpointId>>> = Rc::default();
+    loop {
+        tokio::time::sleep(RECHECK_INTERVAL).await;
+        while probes.try_join_next().is_some() {}
+        for (service, endpoint) in due_rechecks(&traffic) {
+            if !under_way.borrow_mut().insert(endpoint.id.clone()) {
+                continue;
+            }
+            let (traffic, under_way) = (traffic.clone(), under_way.clone());
+            probes.spawn_local(async move {
+                recheck(&traffic, &service, &endpoint).await;
+                under_way.borrow_mut().remove(&endpoint.id);
+            });
+        }
+    }
+}
+
+/// Returns the endpoints that have to be probed now, with their services.
+fn due_rechecks(traffic: &Traffic) -> Vec<(ServiceId, PoolEndpoint)> {
+    let due_at = traffic.shared.now() + RECHECK_LEAD_TIME;
+    let paths = traffic.paths.paths.borrow();
+    let view = traffic.shared.view.load();
+    let mut due = Vec::new();
+    for (id, service) in
+        paths.services_with_unreached().filter_map(|s| Some((s, view.services.get(s)?)))
+    {
+        let pools = [&service.stable_pool, &service.canary_pool];
+        let is_due = |e: &&PoolEndpoint| {
+            paths.is_unreached(id, (&e.id).into())
+                && e.state.ejected_until() <= due_at
+                && is_probed(e)
+        };
+        let endpoints = pools.into_iter().flat_map(|pool| pool.endpoints()).filter(is_due);
+        due.extend(endpoints.map(|e| (id.clone(), e.clone())));
+    }
+    due
+}
+
+async fn recheck(traffic: &Traffic, service: &ServiceId, endpoint: &PoolEndpoint) {
+    let outcome = probe(traffic, service, endpoint).await;
+    let is_up = traffic.paths.state(service) == PathState::Up;
+    match outcome {
+        ProbeOutcome::Refused | ProbeOutcome::Silent if is_up => {
+            endpoint.state.record_withheld_failure(traffic.shared.now(), true);
+        }
+        _ => {}
+    }
+}
+
+/// Records that probes were not answered, which decides that the paths are lost once this holds for all
+/// listed endpoints.
+fn record_unanswered(
+    traffic: &Traffic,
+    service: &ServiceId,
+    keys: impl IntoIterator<Item = EndpointKey>,
+) {
+    let listed = probed_keys(traffic, service);
+    let monitor = &traffic.paths;
+    for key in keys {
+        let is_lost = monitor.paths.borrow_mut().record_unanswered_probe(service, key, &listed);
+        if is_lost {
+            monitor.record_loss(traffic, service);
+        }
+    }
+}
+
+/// Returns the endpoints of a service in the order in which they are probed: those that were reached
+/// first and those that failed last, and each next one in another failure domain where possible.
+pub(super) fn probe_order(
+    traffic: &Traffic,
+    service: &ServiceId,
+) -> Vec<(PoolEndpoint, ProbeRank)> {
+    let mut endpoints = probed_endpoints(traffic, service);
+    endpoints.sort_by_cached_key(|_| rand::random::<u32>());
+    let paths = traffic.paths.paths.borrow();
+    let mut seen: HashMap<(ProbeRank, FailureDomain), usize> = HashMap::new();
+    let mut ranked: Vec<(usize, PoolEndpoint, ProbeRank)> = Vec::with_capacity(endpoints.len());
+    for endpoint in endpoints {
+        let rank = paths.probe_rank(service, (&endpoint.id).into());
+        let domain_rank = seen.entry((rank, endpoint.failure_domain.clone())).or_default();
+        ranked.push((*domain_rank, endpoint, rank));
+        *domain_rank += 1;
+    }
+    ranked.sort_by_key(|(domain_rank, _, rank)| (*rank, *domain_rank));
+    ranked.into_iter().map(|(_, endpoint, rank)| (endpoint, rank)).collect()
+}
+
+/// Reports whether an endpoint may be probed. One that falls over from refusing requests is not, because it
+/// may refuse a probe too.
+fn is_probed(endpoint: &PoolEndpoint) -> bool {
+    endpoint.state.is_open() && !endpoint.state.guard().is_active()
+}
+
+fn probed_endpoints(traffic: &Traffic, service: &ServiceId) -> Vec<PoolEndpoint> {
+    let mut endpoints = endpoints_of(traffic, service);
+    endpoints.retain(is_probed);
+    endpoints
+}
+
+fn probed_keys(traffic: &Traffic, service: &ServiceId) -> Vec<EndpointKey> {
+    probed_endpoints(traffic, service).iter().map(|e| EndpointKey::from(&e.id)).collect()
+}
