--- /dev/null
+++ b/crates/tidetrack-core/src/placement/ejection.rs
@@ -0,0 +1,92 @@
+//! Ejection of an endpoint after consecutive failures.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+
+use crate::units::Millis;
+
+/// Number of consecutive failures after which an endpoint is ejected.
+const FAILURES_TO_EJECT: u32 = 3;
+
+/// Duration of an endpoint's first ejection in milliseconds; it doubles with each further failure.
+const INITIAL_EJECTION_MS: u64 = 1_000;
+
+/// Largest number of doublings of an ejection's duration.
+const MAX_DOUBLINGS: u32 = 5;
+
+/// Largest number of doublings of the ejection of an endpoint to which no connection was established: probes,
+/// not callers' requests, find out whether it can be reached again.
+const MAX_UNREACHABLE_DOUBLINGS: u32 = 3;
+
+/// Consecutive failures of an endpoint, and the end of the ejection that follows from them.
+#[derive(Debug, Default)]
+pub(super) struct Ejection {
+    consecutive_failures: AtomicU32,
+    /// In milliseconds.
+    until: AtomicU64,
+    /// Whether the last failure was that no connection to the endpoint was established.
+    is_unreachable: AtomicBool,
+}
+
+impl Ejection {
+    /// Records a failure. One host alone tries a guarded endpoint again, so that its return is seen early.
+    pub(super) fn record_failure(&self, now: Millis, is_guarded: bool) {
+        self.count_failure(now, if is_guarded { 0 } else { MAX_DOUBLINGS });
+        self.is_unreachable.store(false, Ordering::Relaxed);
+    }
+
+    /// Records that no connection to the endpoint was established, which ejects it.
+    pub(super) fn record_unreachable(&self, now: Millis, is_guarded: bool) {
+        self.expect_last_failure();
+        self.count_failure(now, if is_guarded { 0 } else { MAX_UNREACHABLE_DOUBLINGS });
+        self.is_unreachable.store(true, Ordering::Relaxed);
+    }
+
+    fn count_failure(&self, now: Millis, max_doublings: u32) {
+        let consecutive_failures = self.consecutive_failures.fetch_add(1, Ordering::Relaxed) + 1;
+        if consecutive_failures >= FAILURES_TO_EJECT {
+            let doublings = (consecutive_failures - FAILURES_TO_EJECT).min(max_doublings);
+            let until = now.0 + (INITIAL_EJECTION_MS << doublings);
+            self.until.store(until, Ordering::Relaxed);
+        }
+    }
+
+    /// Makes the next failure eject the endpoint.
+    pub(super) fn expect_last_failure(&self) {
+        self.consecutive_failures.fetch_max(FAILURES_TO_EJECT - 1, Ordering::Relaxed);
+    }
+
+    /// Records that a connection to the endpoint was established, which ends an ejection because none was.
+    pub(super) fn record_reached(&self) {
+        if self.is_unreachable.load(Ordering::Relaxed) {
+            self.clear();
+        }
+    }
+
+    /// Makes an ejection because no connection was established one ordinary failure. `failures_before` is
+    /// the number of consecutive failures before it.
+    pub(super) fn undo_unreachable(&self, failures_before: u32) {
+        let consecutive_failures = failures_before + 1;
+        self.consecutive_failures.store(consecutive_failures, Ordering::Relaxed);
+        self.is_unreachable.store(false, Ordering::Relaxed);
+        if consecutive_failures < FAILURES_TO_EJECT {
+            self.until.store(0, Ordering::Relaxed);
+        }
+    }
+
+    /// Ends the ejection and forgets the failures.
+    pub(super) fn clear(&self) {
+        self.is_unreachable.store(false, Ordering::Relaxed);
+        self.consecutive_failures.store(0, Ordering::Relaxed);
+        self.until.store(0, Ordering::Relaxed);
+    }
+
+    /// Returns the number of consecutive failures.
+    pub(super) fn consecutive_failures(&self) -> u32 {
+        self.consecutive_failures.load(Ordering::Relaxed)
+    }
+
+    /// Returns the end of the ejection; in the past if there is none.
+    pub(super) fn until(&self) -> Millis {
+        Millis(self.until.load(Ordering::Relaxed))
+    }
+}
--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -5,6 +5,7 @@
 
 use crate::units::{Millis, Rate, Tokens};
 
+use super::ejection::Ejection;
 use super::refusal_guard::RefusalGuard;
 use super::speed::EndpointSpeed;
 
@@ -32,19 +33,6 @@
 /// Pace assumed before the first response, in microseconds per token of work.
 const DEFAULT_PACE_US: f64 = 20_000.0;
 
-/// Number of consecutive failures after which an endpoint is ejected.
-const FAILURES_TO_EJECT: u32 = 3;
-
-/// Duration of an endpoint's first ejection in milliseconds; it doubles with each further failure.
-const INITIAL_EJECTION_MS: u64 = 1_000;
-
-/// Largest number of doublings of an ejection's duration.
-const MAX_EJECTION_DOUBLINGS: u32 = 5;
-
-/// Largest number of doublings of the ejection of an endpoint to which no connection was established: probes,
-/// not callers' requests, find out whether it can be reached again.
-const MAX_UNREACHABLE_DOUBLINGS: u32 = 3;
-
 /// Work, in answer tokens, that is added to every endpoint's load, so that small differences in
 /// load do not move a prefix away from the endpoint that caches it.
 const BASE_WORK: f64 = 400.0;
@@ -56,10 +44,7 @@
     reported_other_work: AtomicU64,
     reported_at: AtomicU64,
     capacity_tokens: AtomicU64,
-    consecutive_failures: AtomicU32,
-    ejected_until: AtomicU64,
-    /// Whether the last failure was that no connection to the endpoint was established.
-    is_unreachable: AtomicBool,
+    ejection: Ejection,
     is_leaving: AtomicBool,
     /// Whether a response of the endpoint said that it leaves.
     has_announced_leave: AtomicBool,
@@ -274,76 +259,51 @@
     pub fn record_outcome(&self, now: Millis, is_success: bool) {
         if is_success {
             self.succeeded.fetch_add(1, Ordering::Relaxed);
-            self.clear_ejection();
+            self.ejection.clear();
             return;
         }
         self.failed.fetch_add(1, Ordering::Relaxed);
-        self.eject_after_failures(now);
+        self.ejection.record_failure(now, self.guard.is_active());
     }
 
     /// Records that an attempt was given up because the endpoint sent nothing. This may be caused
     /// by the request itself, so it is not reported to other hosts.
     pub fn record_silence(&self, now: Millis) {
-        self.eject_after_failures(now);
-    }
-
-    fn eject_after_failures(&self, now: Millis) {
-        // One host alone tries a guarded endpoint again, so that its return is seen early.
-        let max_doublings = if self.guard.is_active() { 0 } else { MAX_EJECTION_DOUBLINGS };
-        self.count_failure(now, max_doublings);
-        self.is_unreachable.store(false, Ordering::Relaxed);
+        self.ejection.record_failure(now, self.guard.is_active());
     }
 
-    fn count_failure(&self, now: Millis, max_doublings: u32) {
-        let consecutive_failures = self.consecutive_failures.fetch_add(1, Ordering::Relaxed) + 1;
-        if consecutive_failures >= FAILURES_TO_EJECT {
-            let doublings = (consecutive_failures - FAILURES_TO_EJECT).min(max_doublings);
-            let until = now.0 + (INITIAL_EJECTION_MS << doublings);
-            self.ejected_until.store(until, Ordering::Relaxed);
-        }
-    }
-
-    /// Records that the endpoint could not be reached. Unlike with failed responses, one such
+    /// Records that the endpoint could not be used at all. Unlike with failed responses, one such
     /// failure ejects the endpoint.
     pub fn record_unreachable(&self, now: Millis) {
-        self.consecutive_failures.fetch_max(FAILURES_TO_EJECT - 1, Ordering::Relaxed);
+        self.ejection.expect_last_failure();
         self.record_outcome(now, false);
     }
 
     /// Returns the number of consecutive failures.
     pub fn consecutive_failures(&self) -> u32 {
-        self.consecutive_failures.load(Ordering::Relaxed)
+        self.ejection.consecutive_failures()
     }
 
     /// Reverses the ejection caused by a single failed connect, which is withheld. `failures_before`
     /// is the number of consecutive failures before it. The failed connect then counts as one
     /// ordinary failure.
     pub fn undo_unreachable(&self, failures_before: u32) {
-        let consecutive_failures = failures_before + 1;
-        self.consecutive_failures.store(consecutive_failures, Ordering::Relaxed);
-        if consecutive_failures < FAILURES_TO_EJECT {
-            self.ejected_until.store(0, Ordering::Relaxed);
-        }
+        self.ejection.undo_unreachable(failures_before);
     }
 
     /// Records a failure of which it is not yet known whether the endpoint or the network path
     /// caused it: it counts towards an ejection, and is reported to other hosts only once
-    /// `report_failure` is called.
+    /// `report_failure` is called. One that leaves no connection ejects the endpoint.
     pub fn record_withheld_failure(&self, now: Millis, is_unreachable: bool) {
-        if !is_unreachable {
-            return self.eject_after_failures(now);
+        match is_unreachable {
+            true => self.ejection.record_unreachable(now, self.guard.is_active()),
+            false => self.ejection.record_failure(now, self.guard.is_active()),
         }
-        self.consecutive_failures.fetch_max(FAILURES_TO_EJECT - 1, Ordering::Relaxed);
-        let max_doublings = if self.guard.is_active() { 0 } else { MAX_UNREACHABLE_DOUBLINGS };
-        self.count_failure(now, max_doublings);
-        self.is_unreachable.store(true, Ordering::Relaxed);
     }
 
     /// Records that a connection to the endpoint was established, which ends an ejection because none was.
     pub fn record_reached(&self) {
-        if self.is_unreachable.load(Ordering::Relaxed) {
-            self.clear_ejection();
-        }
+        self.ejection.record_reached();
     }
 
     /// Reports a withheld failure to other hosts.
@@ -353,9 +313,7 @@
 
     /// Ends an ejection and forgets the failures before it, because the endpoint did not cause them.
     pub fn clear_ejection(&self) {
-        self.is_unreachable.store(false, Ordering::Relaxed);
-        self.consecutive_failures.store(0, Ordering::Relaxed);
-        self.ejected_until.store(0, Ordering::Relaxed);
+        self.ejection.clear();
     }
 
     /// Returns the outcomes of requests since the last call, and resets them.
@@ -375,13 +333,12 @@
 
     /// Returns the end of the endpoint's ejection; in the past if it is not ejected.
     pub fn ejected_until(&self) -> Millis {
-        Millis(self.ejected_until.load(Ordering::Relaxed))
+        self.ejection.until()
     }
 
     /// Reports whether the endpoint is ejected after failures or avoided as an outlier.
     pub fn is_ejected(&self, now: Millis) -> bool {
-        let value_of = |at: &AtomicU64| at.load(Ordering::Relaxed);
-        value_of(&self.ejected_until).max(value_of(&self.avoided_until)) > now.0
+        self.ejection.until().max(Millis(self.avoided_until.load(Ordering::Relaxed))) > now
     }
 
     /// Stores the limit that the endpoint reported. Returns whether it differs from the stored one.
--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -24,6 +24,7 @@
 use crate::ids::{EndpointId, EndpointKey, FailureDomain};
 use crate::units::{Millis, Tokens};
 
+mod ejection;
 mod endpoint_state;
 pub mod probing;
 mod refusal_guard;
