An answered probe ends an ejection because of failed connections, whatever failed last

An endpoint that ended while it ran requests (one refused connection, seven that broke) stayed ejected for 32 s although probes reached it again: only a refused connection as the last failure counted as one that a probe refutes.

--- a/crates/tidetrack-core/src/placement/ejection.rs
+++ b/crates/tidetrack-core/src/placement/ejection.rs
@@ -17,28 +17,39 @@
 /// not callers' requests, find out whether it can be reached again.
 const MAX_UNREACHABLE_DOUBLINGS: u32 = 3;
 
+/// The same for an endpoint that falls over from refusing requests, which returns after some seconds.
+const MAX_GUARDED_DOUBLINGS: u32 = 1;
+
 /// Consecutive failures of an endpoint, and the end of the ejection that follows from them.
 #[derive(Debug, Default)]
 pub(super) struct Ejection {
     consecutive_failures: AtomicU32,
     /// In milliseconds.
     until: AtomicU64,
-    /// Whether the last failure was that no connection to the endpoint was established.
-    is_unreachable: AtomicBool,
+    /// Whether the last failure was one of a connection, and not a response.
+    is_disconnect: AtomicBool,
 }
 
 impl Ejection {
     /// Records a failure. One host alone tries a guarded endpoint again, so that its return is seen early.
     pub(super) fn record_failure(&self, now: Millis, is_guarded: bool) {
         self.count_failure(now, if is_guarded { 0 } else { MAX_DOUBLINGS });
-        self.is_unreachable.store(false, Ordering::Relaxed);
+        self.is_disconnect.store(false, Ordering::Relaxed);
+    }
+
+    /// Records that a connection to the endpoint broke.
+    pub(super) fn record_disconnect(&self, now: Millis, is_guarded: bool) {
+        self.record_failure(now, is_guarded);
+        self.is_disconnect.store(true, Ordering::Relaxed);
     }
 
     /// Records that no connection to the endpoint was established, which ejects it.
     pub(super) fn record_unreachable(&self, now: Millis, is_guarded: bool) {
         self.expect_last_failure();
-        self.count_failure(now, if is_guarded { 0 } else { MAX_UNREACHABLE_DOUBLINGS });
-        self.is_unreachable.store(true, Ordering::Relaxed);
+        let max_doublings =
+            if is_guarded { MAX_GUARDED_DOUBLINGS } else { MAX_UNREACHABLE_DOUBLINGS };
+        self.count_failure(now, max_doublings);
+        self.is_disconnect.store(true, Ordering::Relaxed);
     }
 
     fn count_failure(&self, now: Millis, max_doublings: u32) {
@@ -55,9 +66,9 @@
         self.consecutive_failures.fetch_max(FAILURES_TO_EJECT - 1, Ordering::Relaxed);
     }
 
-    /// Records that a connection to the endpoint was established, which ends an ejection because none was.
+    /// Records that a probe was answered, which ends an ejection because of failed connections.
     pub(super) fn record_reached(&self) {
-        if self.is_unreachable.load(Ordering::Relaxed) {
+        if self.is_disconnect.load(Ordering::Relaxed) {
             self.clear();
         }
     }
@@ -67,7 +78,7 @@
     pub(super) fn undo_unreachable(&self, failures_before: u32) {
         let consecutive_failures = failures_before + 1;
         self.consecutive_failures.store(consecutive_failures, Ordering::Relaxed);
-        self.is_unreachable.store(false, Ordering::Relaxed);
+        self.is_disconnect.store(false, Ordering::Relaxed);
         if consecutive_failures < FAILURES_TO_EJECT {
             self.until.store(0, Ordering::Relaxed);
         }
@@ -75,11 +86,16 @@
 
     /// Ends the ejection and forgets the failures.
     pub(super) fn clear(&self) {
-        self.is_unreachable.store(false, Ordering::Relaxed);
+        self.is_disconnect.store(false, Ordering::Relaxed);
         self.consecutive_failures.store(0, Ordering::Relaxed);
         self.until.store(0, Ordering::Relaxed);
     }
 
+    /// Reports whether the last failure was one of a connection.
+    pub(super) fn is_disconnect(&self) -> bool {
+        self.is_disconnect.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of consecutive failures.
     pub(super) fn consecutive_failures(&self) -> u32 {
         self.consecutive_failures.load(Ordering::Relaxed)
--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -297,15 +297,20 @@
     pub fn record_withheld_failure(&self, now: Millis, is_unreachable: bool) {
         match is_unreachable {
             true => self.ejection.record_unreachable(now, self.guard.is_active()),
-            false => self.ejection.record_failure(now, self.guard.is_active()),
+            false => self.ejection.record_disconnect(now, self.guard.is_active()),
         }
     }
 
-    /// Records that a connection to the endpoint was established, which ends an ejection because none was.
+    /// Records that a probe was answered, which ends an ejection because of failed connections.
     pub fn record_reached(&self) {
         self.ejection.record_reached();
     }
 
+    /// Reports whether the endpoint's last failure was one of a connection, and not a response.
+    pub fn is_disconnected(&self) -> bool {
+        self.ejection.is_disconnect()
+    }
+
     /// Reports a withheld failure to other hosts.
     pub fn report_failure(&self) {
         self.failed.fetch_add(1, Ordering::Relaxed);
