Usable endpoints are found where random candidates are not, and those that cannot be connected to come last

And where half of a pool is ejected, an endpoint that cannot be connected to was tried while sound ones were only full for a moment.

If the random candidates offer no choice, the usable endpoints are searched; a home endpoint without room is not kept; an endpoint that cannot be connected to is used only if none is healthy.

--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -302,7 +302,10 @@
         let mean =
             candidates.iter().map(|e| e.state.cost(now)).sum::<f64>() / candidates.len() as f64;
         let cost = home_endpoint.state.cost(now);
-        let keeps_home = cost <= mean * MAX_HOME_COST_RATIO || cost <= least_loaded.state.cost(now);
+        // With few candidates the mean is hardly below the cost of a home endpoint that is full.
+        let has_room = home_endpoint.state.load(now) <= self.max_work;
+        let keeps_home =
+            has_room && cost <= mean * MAX_HOME_COST_RATIO || cost <= least_loaded.state.cost(now);
         Ok((
             if keeps_home { home_endpoint } else { least_loaded },
             fastest_pace.min(home_endpoint.state.pace()),
@@ -327,7 +330,24 @@
             })
         });
         let candidates = anywhere.chain(local).filter_map(|at| self.endpoints.get(at));
-        candidates.filter(|e| is_usable(e, now, request)).collect()
+        let usable: Vec<&PoolEndpoint> =
+            candidates.filter(|e| is_usable(e, now, request)).collect();
+        let has_choice = usable.iter().any(|e| e.id != usable[0].id);
+        if has_choice {
+            return usable;
+        }
+        self.usable_candidates(now, request)
+    }
+
+    /// Returns a few random ones of the usable endpoints, for pools most of whose endpoints are not.
+    fn usable_candidates(&self, now: Millis, request: &PlacementRequest<'_>) -> Vec<&PoolEndpoint> {
+        let usable: Vec<&PoolEndpoint> =
+            self.endpoints.iter().filter(|e| is_usable(e, now, request)).collect();
+        if usable.len() <= RANDOM_CANDIDATES {
+            return usable;
+        }
+        let random = |i| usable[random_index(request.salt, i, usable.len())];
+        (0..RANDOM_CANDIDATES as u64).map(random).collect()
     }
 
     /// Returns the endpoint that is expected to finish the request first, including the work of
@@ -462,8 +482,14 @@
         if ejected * EJECTED_DIVISOR < self.endpoints.len() as u32 {
             return None;
         }
+        let can_serve_now = |e: &PoolEndpoint| can_serve(e, request) && e.state.is_open();
+        let is_healthy = |e: &PoolEndpoint| can_serve_now(e) && !e.state.is_ejected(now);
+        // One that is full for a moment is better than one that cannot be connected to.
+        let has_healthy = self.endpoints.iter().any(is_healthy);
         let can_accept = |e: &&PoolEndpoint| {
-            can_serve(e, request) && e.state.is_open() && !e.state.guard().is_active()
+            can_serve_now(e)
+                && !e.state.guard().is_active()
+                && !(has_healthy && e.state.is_disconnected())
         };
         self.walk_ring(request).find(|e| can_accept(e) && e.state.can_send(now))
     }
--- a/crates/tidetrack-core/tests/mostly_ended.rs
+++ b/crates/tidetrack-core/tests/mostly_ended.rs
@@ -38,8 +38,9 @@
     let listed: Vec<EndpointKey> = (1..6).map(key).collect();
     paths.retain_listed(&service(), &listed);
 
-    let starts: Vec<bool> =
-        (1..6).map(|n| paths.record_failure(NOW + Millis(n), &service(), key(n as usize))).collect();
+    let starts: Vec<bool> = (1..6)
+        .map(|n| paths.record_failure(NOW + Millis(n), &service(), key(n as usize)))
+        .collect();
 
     assert_eq!(paths.state(&service()), PathState::Suspected, "{starts:?}");
 }
