--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -14,7 +14,8 @@
 //! The list of endpoints may name many that have ended, even most of them, so no sample of it decides:
 //! the paths count as lost only once every listed endpoint has left a probe unanswered. Which endpoints
 //! were reached and which were not while others were is remembered until it is refuted or the paths
-//! are lost. The former are probed first, and failures of the latter alone raise no suspicion.
+//! are lost. The former are probed first; the latter are probed again from time to time, so that callers'
+//! requests need not find out.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 
@@ -125,9 +126,7 @@
         if paths.state != PathState::Up {
             paths.failed.insert(endpoint);
         }
-        let is_news = paths.failures.iter().any(|(key, _)| !paths.unreached.contains(key));
-        let is_suspicious = is_news && paths.failures.len() >= MIN_FAILED_ENDPOINTS;
-        is_suspicious && paths.suspect(now)
+        paths.failures.len() >= MIN_FAILED_ENDPOINTS && paths.suspect(now)
     }
 
     /// Raises a suspicion without failures, because the paths to another service are lost. Returns
@@ -202,13 +201,13 @@
             return false;
         }
         paths.unanswered.insert(endpoint);
-        let is_decided =
-            !listed.is_empty() && listed.iter().all(|key| paths.unanswered.contains(key));
-        if paths.state != PathState::Suspected || !is_decided {
-            return false;
+        let is_lost = paths.state == PathState::Suspected
+            && !listed.is_empty()
+            && listed.iter().all(|key| paths.unanswered.contains(key));
+        if is_lost {
+            paths.state = PathState::Lost;
         }
-        paths.state = PathState::Lost;
-        true
+        is_lost
     }
 
     /// Returns the number of endpoints that left a probe unanswered since the suspicion began.
