Endpoints that fall over from refusals are connected to, and every broken probe counts

A bare connection runs nothing and cannot be refused for want of room: it is the probe of these endpoints now, and they are part of the list. Their failures start a round of probes that decides about single endpoints, once a second at most.

Probes that requests wait for have slots of their own, and the time of a probe is measured from when it has one. Rechecks are spread at random.

--- a/crates/tidetrack-plane/src/paths/mod.rs
+++ b/crates/tidetrack-plane/src/paths/mod.rs
@@ -21,8 +21,8 @@
 
 use crate::job::{ChosenEndpoint, Traffic};
 
-use probe::{probe, ProbeSlots};
-use rounds::{probe_order, probe_round, probe_until_decided, recheck_unreached};
+use probe::{probe, ProbePurpose, ProbeSlots};
+use rounds::{probe_round, probe_until_decided, recheck_unreached, responding_probe_order};
 
 /// How long a failure is withheld if no response on another connection decides earlier.
 const WITHHOLD_TIME: Duration = Duration::from_millis(700);
@@ -34,6 +34,9 @@
 /// than a round of probes takes.
 const MAX_ATTEMPT_DELAY: Duration = Duration::from_millis(600);
 
+/// Shortest interval between two rounds of probes of a service that nothing waits for.
+const MIN_SWEEP_INTERVAL: Millis = Millis(1_000);
+
 /// Interval at which it is checked whether an endpoint that is not probed has responded to a request.
 const CONTACT_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -59,8 +62,10 @@
     undecided: RefCell<HashSet<ServiceId>>,
     /// Services whose probes have to start.
     suspected: RefCell<Vec<ServiceId>>,
-    /// Services whose endpoints have to be probed because their paths work again.
-    restored: RefCell<Vec<ServiceId>>,
+    /// Services whose endpoints have to be probed, each for its own sake.
+    swept: RefCell<Vec<ServiceId>>,
+    /// When such a round was last started, by service.
+    last_sweeps: RefCell<HashMap<ServiceId, Millis>>,
     /// Bounds the probes under way.
     probe_slots: ProbeSlots,
     changed: Notify,
@@ -150,8 +155,9 @@
             traffic.shared.send_input(Input::EndpointLost(chosen.id.clone()));
             if is_unreachable {
                 traffic.pool.close_idle(chosen.id.as_str());
+                self.paths.borrow_mut().record_unreached(service, (&chosen.id).into());
             }
-            return;
+            return self.start_sweep(traffic, service);
         }
         if !self.is_lost(service) {
             let failure = WithheldFailure {
@@ -181,6 +187,11 @@
         }
         let contact = (endpoint.clone(), Instant::now());
         self.last_contacts.borrow_mut().insert(service.clone(), contact);
+        self.record_contact(traffic, service, endpoint);
+    }
+
+    /// Records that a new connection to an endpoint works, which decides about withheld failures.
+    fn record_contact(&self, traffic: &Traffic, service: &ServiceId, endpoint: &EndpointId) {
         let lost_for = self.lost_for(traffic, service);
         let unanswered = self.paths.borrow().unanswered_probes(service);
         let withheld = self.withheld.borrow_mut().remove(service).unwrap_or_default();
@@ -204,8 +215,7 @@
             ],
         );
         self.publish(traffic);
-        self.restored.borrow_mut().push(service.clone());
-        self.changed.notify_one();
+        self.start_sweep(traffic, service);
     }
 
     /// Counts a failure against its endpoint.
@@ -218,6 +228,17 @@
         }
     }
 
+    /// Starts a round of probes that decides about single endpoints, unless one was started a moment ago.
+    fn start_sweep(&self, traffic: &Traffic, service: &ServiceId) {
+        let now = traffic.shared.now();
+        let mut last_sweeps = self.last_sweeps.borrow_mut();
+        if last_sweeps.get(service).is_none_or(|at| now >= *at + MIN_SWEEP_INTERVAL) {
+            last_sweeps.insert(service.clone(), now);
+            self.swept.borrow_mut().push(service.clone());
+            self.changed.notify_one();
+        }
+    }
+
     fn start_probes(&self, service: &ServiceId) {
         self.suspected.borrow_mut().push(service.clone());
         self.changed.notify_one();
@@ -241,10 +262,11 @@
             let withheld = self.withheld.borrow();
             withheld.get(service).is_some_and(|all| all.iter().any(|f| f.endpoint == *endpoint))
         };
-        let endpoints = probe_order(traffic, service);
-        match endpoints.iter().find(|(e, _)| !is_withheld(&e.id)) {
-            Some((other, _)) => {
-                if !probe(traffic, service, other).await.is_answered() {
+        let endpoints = responding_probe_order(traffic, service);
+        match endpoints.iter().find(|e| !is_withheld(&e.id)) {
+            Some(other) => {
+                let (outcome, _) = probe(traffic, service, other, ProbePurpose::Decision).await;
+                if !outcome.is_answered() {
                     self.record_unresponsive(traffic, service, &other.id, &other.state);
                 }
             }
@@ -265,7 +287,7 @@
         state: &EndpointState,
     ) {
         if state.guard().is_active() {
-            return;
+            return self.start_sweep(traffic, service);
         }
         let (now, key) = (traffic.shared.now(), EndpointKey::from(endpoint));
         if self.paths.borrow_mut().record_failure(now, service, key) {
@@ -364,8 +386,8 @@
                 }
                 PathState::Suspected => return false,
                 PathState::Up => {
-                    let others = probe_order(traffic, service);
-                    let Some((other, _)) = others.into_iter().find(|(e, _)| e.id != *ended) else {
+                    let others = responding_probe_order(traffic, service);
+                    let Some(other) = others.into_iter().find(|e| e.id != *ended) else {
                         if !has_unprobed(traffic, service) {
                             return true;
                         }
@@ -375,7 +397,9 @@
                         tokio::time::sleep(CONTACT_POLL_INTERVAL).await;
                         continue;
                     };
-                    if probe(traffic, service, &other).await.is_answered() {
+                    let (outcome, _) =
+                        probe(traffic, service, &other, ProbePurpose::Decision).await;
+                    if outcome.is_answered() {
                         return true;
                     }
                     self.record_unresponsive(traffic, service, &other.id, &other.state);
@@ -412,7 +436,7 @@
         for service in monitor.suspected.take() {
             tokio::task::spawn_local(probe_until_decided(traffic.clone(), service));
         }
-        for service in monitor.restored.take() {
+        for service in monitor.swept.take() {
             let traffic = traffic.clone();
             tokio::task::spawn_local(async move { probe_round(&traffic, &service).await });
         }
--- a/crates/tidetrack-plane/src/paths/probe.rs
+++ b/crates/tidetrack-plane/src/paths/probe.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Semaphore;
 
 use tidetrack_core::disconnect::DisconnectCause;
-use tidetrack_core::ids::ServiceId;
+use tidetrack_core::ids::{EndpointKey, ServiceId};
 use tidetrack_core::placement::PoolEndpoint;
 
 use crate::job::Traffic;
@@ -17,8 +17,11 @@
 /// Maximum time from the start of a probe to its response.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Maximum number of probes under way, each of which needs a file descriptor.
-const MAX_PROBES: usize = 128;
+/// Maximum number of probes under way that decide about paths, each of which needs a file descriptor.
+const MAX_DECIDING_PROBES: usize = 128;
+
+/// Maximum number of other probes under way, which must not delay those.
+const MAX_OTHER_PROBES: usize = 64;
 
 /// What became of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,8 +32,10 @@
     Refused,
     /// No connection was established in time.
     Silent,
-    /// The connection broke, or no response arrived on it in time.
+    /// The connection broke.
     Broken,
+    /// A connection was established, but no response arrived on it in time.
+    Mute,
 }
 
 impl ProbeOutcome {
@@ -38,6 +43,12 @@
         self == ProbeOutcome::Answered
     }
 
+    /// Reports whether the endpoint cannot be used, if others of its service are reached. One that is mute may
+    /// be busy.
+    pub(super) fn is_unreached(self) -> bool {
+        matches!(self, ProbeOutcome::Refused | ProbeOutcome::Silent | ProbeOutcome::Broken)
+    }
+
     /// Returns the label used in metrics.
     fn as_str(self) -> &'static str {
         match self {
@@ -45,6 +56,7 @@
             ProbeOutcome::Refused => "refused",
             ProbeOutcome::Silent => "silent",
             ProbeOutcome::Broken => "broken",
+            ProbeOutcome::Mute => "mute",
         }
     }
 }
@@ -59,33 +71,62 @@
     }
 }
 
-/// Bound on the probes under way.
+/// Bounds on the probes under way.
 #[derive(Debug)]
-pub(super) struct ProbeSlots(Semaphore);
+pub(super) struct ProbeSlots {
+    deciding: Semaphore,
+    other: Semaphore,
+}
 
 impl Default for ProbeSlots {
     fn default() -> ProbeSlots {
-        ProbeSlots(Semaphore::new(MAX_PROBES))
+        ProbeSlots {
+            deciding: Semaphore::new(MAX_DECIDING_PROBES),
+            other: Semaphore::new(MAX_OTHER_PROBES),
+        }
     }
 }
 
-/// Probes an endpoint on a new connection. A response counts as contact with the service.
+/// What a probe is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProbePurpose {
+    /// Requests wait for the decision about the paths.
+    Decision,
+    /// Nothing waits for the outcome.
+    Recheck,
+}
+
+/// Probes an endpoint on a new connection, and returns the outcome with the time that the probe took. A response
+/// counts as contact with the service.
+///
+/// An endpoint that falls over from refusing requests may refuse a probe too, so it is only connected to.
 pub(super) async fn probe(
     traffic: &Traffic,
     service: &ServiceId,
     endpoint: &PoolEndpoint,
-) -> ProbeOutcome {
+    purpose: ProbePurpose,
+) -> (ProbeOutcome, Duration) {
+    let monitor = &traffic.paths;
+    let slots = match purpose {
+        ProbePurpose::Decision => &monitor.probe_slots.deciding,
+        ProbePurpose::Recheck => &monitor.probe_slots.other,
+    };
     // Fails only if the semaphore is closed, which it never is.
-    let _slot = traffic.paths.probe_slots.0.acquire().await.ok();
-    let now = traffic.shared.now();
-    traffic.paths.paths.borrow_mut().record_probe(now, service, (&endpoint.id).into());
+    let _slot = slots.acquire().await.ok();
+    let started_at = Instant::now();
+    let key = EndpointKey::from(&endpoint.id);
+    monitor.paths.borrow_mut().record_probe(traffic.shared.now(), service, key);
     let outcome = send_probe(traffic, endpoint).await;
+    let took = started_at.elapsed();
     traffic.shared.metrics.record_path_probe(outcome.as_str(), outcome.is_answered());
     if outcome.is_answered() {
         endpoint.state.record_reached();
-        traffic.paths.record_response(traffic, service, &endpoint.id, false);
+        match endpoint.state.guard().is_active() {
+            true => monitor.record_contact(traffic, service, &endpoint.id),
+            false => monitor.record_response(traffic, service, &endpoint.id, false),
+        }
     }
-    outcome
+    (outcome, took)
 }
 
 async fn send_probe(traffic: &Traffic, endpoint: &PoolEndpoint) -> ProbeOutcome {
@@ -94,6 +135,9 @@
         Ok(lease) => lease,
         Err(e) => return e.disconnect_cause.map_or(ProbeOutcome::Broken, ProbeOutcome::from),
     };
+    if endpoint.state.guard().is_active() {
+        return ProbeOutcome::Answered;
+    }
     let Ok(host) = HeaderValue::from_str(&endpoint.address) else { return ProbeOutcome::Broken };
     let mut req = Request::new(Full::new(Bytes::new()));
     *req.uri_mut() = http::Uri::from_static(traffic.shared.dialect.probe_path);
@@ -101,6 +145,7 @@
     let response = lease.sender.send_request(req.map(Into::into));
     match tokio::time::timeout_at((started_at + PROBE_TIMEOUT).into(), response).await {
         Ok(Ok(_)) => ProbeOutcome::Answered,
-        _ => ProbeOutcome::Broken,
+        Ok(Err(_)) => ProbeOutcome::Broken,
+        Err(_) => ProbeOutcome::Mute,
     }
 }
--- a/crates/tidetrack-plane/src/paths/rounds.rs
+++ b/crates/tidetrack-plane/src/paths/rounds.rs
@@ -17,7 +17,7 @@
 use crate::job::Traffic;
 
 use super::endpoints_of;
-use super::probe::{probe, ProbeOutcome};
+use super::probe::{probe, ProbeOutcome, ProbePurpose};
 
 /// Shortest pause between two probes of lost paths. The pause is random, up to twice as long, so that
 /// the hosts of a partition do not all return at the same instant.
@@ -31,7 +31,10 @@
 
 /// Time before the end of an endpoint's ejection at which it is probed again: an interval and the longest
 /// time that a probe takes.
-const RECHECK_LEAD_TIME: Millis = Millis(550);
+const MIN_RECHECK_LEAD_TIME: Millis = Millis(550);
+
+/// Bound on the time that is added to it at random.
+const MAX_RECHECK_JITTER: Millis = Millis(400);
 
 /// Probes the endpoints of a service until one responds: all in one round while the paths are suspected,
 /// then some at a time with pauses.
@@ -45,7 +48,7 @@
     let mut restoring = RestoringProbes::default();
     // A later suspicion has probes of its own.
     while suspicious_since.is_some() && monitor.suspicious_since(&service) == suspicious_since {
-        if probed_keys(&traffic, &service).is_empty() {
+        if !endpoints_of(&traffic, &service).iter().any(responds_to_probes) {
             return monitor.forget_service(&traffic, &service);
         }
         match monitor.state(&service) {
@@ -72,7 +75,7 @@
                 self.under_way.remove(&key);
             }
         }
-        let mut endpoints = probed_endpoints(traffic, service);
+        let mut endpoints = endpoints_of(traffic, service);
         let count = restoring_probes(endpoints.len());
         {
             let paths = traffic.paths.paths.borrow();
@@ -86,9 +89,7 @@
             self.under_way.insert(key);
             let (traffic, service) = (traffic.clone(), service.clone());
             self.probes.spawn_local(async move {
-                if !probe(&traffic, &service, &endpoint).await.is_answered() {
-                    record_unanswered(&traffic, &service, [key]);
-                }
+                probe(&traffic, &service, &endpoint, ProbePurpose::Recheck).await;
                 key
             });
         }
@@ -106,7 +107,7 @@
 /// A probe that was not answered.
 struct FailedProbe {
     endpoint: PoolEndpoint,
-    /// Whether no connection was established.
+    /// Whether the endpoint cannot be used, unlike one that may be busy.
     is_unreached: bool,
 }
 
@@ -166,9 +167,9 @@
     ) {
         let (traffic, service) = (traffic.clone(), service.clone());
         self.probes.spawn_local(async move {
-            let started_at = Instant::now();
-            let outcome = probe(&traffic, &service, &endpoint).await;
-            EndedProbe { endpoint, rank, outcome, took: started_at.elapsed() }
+            let (outcome, took) =
+                probe(&traffic, &service, &endpoint, ProbePurpose::Decision).await;
+            EndedProbe { endpoint, rank, outcome, took }
         });
     }
 
@@ -183,7 +184,7 @@
                 self.has_prompt_answer |= took.as_millis() <= u128::from(MAX_PROMPT_LATENCY.0);
             }
             _ => {
-                let is_unreached = outcome != ProbeOutcome::Broken;
+                let is_unreached = outcome.is_unreached();
                 self.failed.push(FailedProbe { endpoint, is_unreached });
             }
         }
@@ -234,7 +235,7 @@
 
 /// Returns the endpoints that have to be probed now, with their services.
 fn due_rechecks(traffic: &Traffic) -> Vec<(ServiceId, PoolEndpoint)> {
-    let due_at = traffic.shared.now() + RECHECK_LEAD_TIME;
+    let now = traffic.shared.now();
     let paths = traffic.paths.paths.borrow();
     let view = traffic.shared.view.load();
     let mut due = Vec::new();
@@ -244,8 +245,8 @@
         let pools = [&service.stable_pool, &service.canary_pool];
         let is_due = |e: &&PoolEndpoint| {
             paths.is_unreached(id, (&e.id).into())
-                && e.state.ejected_until() <= due_at
-                && is_probed(e)
+                && e.state.ejected_until() <= now + recheck_lead_time()
+                && e.state.is_open()
         };
         let endpoints = pools.into_iter().flat_map(|pool| pool.endpoints()).filter(is_due);
         due.extend(endpoints.map(|e| (id.clone(), e.clone())));
@@ -253,14 +254,16 @@
     due
 }
 
+/// Returns the time before the end of an ejection at which the endpoint is probed. It is random, since the
+/// ejections of all hosts may have one cause and end at the same time.
+fn recheck_lead_time() -> Millis {
+    MIN_RECHECK_LEAD_TIME + Millis(rand::random_range(0..MAX_RECHECK_JITTER.0))
+}
+
 async fn recheck(traffic: &Traffic, service: &ServiceId, endpoint: &PoolEndpoint) {
-    let outcome = probe(traffic, service, endpoint).await;
-    let is_up = traffic.paths.state(service) == PathState::Up;
-    match outcome {
-        ProbeOutcome::Refused | ProbeOutcome::Silent if is_up => {
-            endpoint.state.record_withheld_failure(traffic.shared.now(), true);
-        }
-        _ => {}
+    let (outcome, _) = probe(traffic, service, endpoint, ProbePurpose::Recheck).await;
+    if !outcome.is_answered() && traffic.paths.state(service) == PathState::Up {
+        endpoint.state.record_withheld_failure(traffic.shared.now(), true);
     }
 }
 
@@ -271,7 +274,8 @@
     service: &ServiceId,
     keys: impl IntoIterator<Item = EndpointKey>,
 ) {
-    let listed = probed_keys(traffic, service);
+    let listed: Vec<EndpointKey> =
+        endpoints_of(traffic, service).iter().map(|e| EndpointKey::from(&e.id)).collect();
     let monitor = &traffic.paths;
     for key in keys {
         let is_lost = monitor.paths.borrow_mut().record_unanswered_probe(service, key, &listed);
@@ -283,11 +287,8 @@
 
 /// Returns the endpoints of a service in the order in which they are probed: those that were reached
 /// first and those that failed last, and each next one in another failure domain where possible.
-pub(super) fn probe_order(
-    traffic: &Traffic,
-    service: &ServiceId,
-) -> Vec<(PoolEndpoint, ProbeRank)> {
-    let mut endpoints = probed_endpoints(traffic, service);
+fn probe_order(traffic: &Traffic, service: &ServiceId) -> Vec<(PoolEndpoint, ProbeRank)> {
+    let mut endpoints = endpoints_of(traffic, service);
     endpoints.sort_by_cached_key(|_| rand::random::<u32>());
     let paths = traffic.paths.paths.borrow();
     let mut seen: HashMap<(ProbeRank, FailureDomain), usize> = HashMap::new();
@@ -302,18 +303,14 @@
     ranked.into_iter().map(|(_, endpoint, rank)| (endpoint, rank)).collect()
 }
 
-/// Reports whether an endpoint may be probed. One that falls over from refusing requests is not, because it
-/// may refuse a probe too.
-fn is_probed(endpoint: &PoolEndpoint) -> bool {
-    endpoint.state.is_open() && !endpoint.state.guard().is_active()
-}
-
-fn probed_endpoints(traffic: &Traffic, service: &ServiceId) -> Vec<PoolEndpoint> {
-    let mut endpoints = endpoints_of(traffic, service);
-    endpoints.retain(is_probed);
-    endpoints
+/// Returns the endpoints in the same order that are probed with a request.
+pub(super) fn responding_probe_order(traffic: &Traffic, service: &ServiceId) -> Vec<PoolEndpoint> {
+    let ordered = probe_order(traffic, service).into_iter().map(|(endpoint, _)| endpoint);
+    ordered.filter(responds_to_probes).collect()
 }
 
-fn probed_keys(traffic: &Traffic, service: &ServiceId) -> Vec<EndpointKey> {
-    probed_endpoints(traffic, service).iter().map(|e| EndpointKey::from(&e.id)).collect()
+/// Reports whether a probe of an endpoint is a request. Those that fall over from refusing requests are only
+/// connected to.
+fn responds_to_probes(endpoint: &PoolEndpoint) -> bool {
+    !endpoint.state.guard().is_active()
 }
