Two probes in a row without a response count against an endpoint that accepts connections

A frozen endpoint accepts connections and never responds. A probe that is not answered while others are is now repeated at once, and the second one counts.

--- a/crates/tidetrack-plane/src/paths/probe.rs
+++ b/crates/tidetrack-plane/src/paths/probe.rs
@@ -43,12 +43,6 @@
         self == ProbeOutcome::Answered
     }
 
-    /// Reports whether the endpoint cannot be used, if others of its service are reached. One that is mute may
-    /// be busy.
-    pub(super) fn is_unreached(self) -> bool {
-        matches!(self, ProbeOutcome::Refused | ProbeOutcome::Silent | ProbeOutcome::Broken)
-    }
-
     /// Returns the label used in metrics.
     fn as_str(self) -> &'static str {
         match self {
--- a/crates/tidetrack-plane/src/paths/rounds.rs
+++ b/crates/tidetrack-plane/src/paths/rounds.rs
@@ -107,8 +107,7 @@
 /// A probe that was not answered.
 struct FailedProbe {
     endpoint: PoolEndpoint,
-    /// Whether the endpoint cannot be used, unlike one that may be busy.
-    is_unreached: bool,
+    outcome: ProbeOutcome,
 }
 
 /// A round of probes. Once one is answered, the others tell which endpoints are not reached.
@@ -183,10 +182,7 @@
                 self.has_answer = true;
                 self.has_prompt_answer |= took.as_millis() <= u128::from(MAX_PROMPT_LATENCY.0);
             }
-            _ => {
-                let is_unreached = outcome.is_unreached();
-                self.failed.push(FailedProbe { endpoint, is_unreached });
-            }
+            _ => self.failed.push(FailedProbe { endpoint, outcome }),
         }
         if self.has_prompt_answer {
             self.failed.drain(..).for_each(|failed| failed.count(traffic, service));
@@ -199,14 +195,13 @@
 }
 
 impl FailedProbe {
-    /// Counts the probe against its endpoint, as others of the service are reached.
+    /// Counts the probe against its endpoint, as others of the service are reached. One that was mute may be
+    /// busy, so the next probe decides about it.
     fn count(&self, traffic: &Traffic, service: &ServiceId) {
-        if !self.is_unreached {
-            return;
-        }
         let now = traffic.shared.now();
-        if !self.endpoint.state.is_ejected(now) {
-            self.endpoint.state.record_withheld_failure(now, true);
+        let state = &self.endpoint.state;
+        if self.outcome != ProbeOutcome::Mute && !state.is_ejected(now) {
+            state.record_withheld_failure(now, true);
         }
         traffic.paths.paths.borrow_mut().record_unreached(service, (&self.endpoint.id).into());
     }
