Roll-out orders without a sensible duration are not followed

Callers got nothing from a service for which an operator's tool had written an order with a negative duration: the duration was converted with saturation, so -1 s became 0 s, the cutover and the completion were due at once, and the host wrote `completed` for a version that no endpoint has. Only endpoints of that version count from then on, and the platform stops the others.

Such an order is unreadable like any other (E201 with the value), so the version in use keeps its requests.

--- a/crates/tidetrack-core/src/traffic/canary/mod.rs
+++ b/crates/tidetrack-core/src/traffic/canary/mod.rs
@@ -25,7 +25,10 @@
 
 mod order;
 
-pub use order::{ProgressWrite, ProgressWriter, RolloutOrder, RolloutProgress, RolloutState};
+pub use order::{
+    parse_rollout_duration, ProgressWrite, ProgressWriter, RolloutOrder, RolloutProgress,
+    RolloutState,
+};
 
 /// Change in the known age of an order from which the traffic view is rebuilt. Smaller changes are
 /// ignored, because message delays vary by a few milliseconds.
--- a/crates/tidetrack-core/src/traffic/canary/order.rs
+++ b/crates/tidetrack-core/src/traffic/canary/order.rs
@@ -1,5 +1,6 @@
 //! Orders of roll-outs and their progress, as they stand in the store.
 
+use crate::errors::{bad_value, Result};
 use crate::ids::{ServiceId, VersionName};
 use crate::units::Millis;
 
@@ -43,6 +44,19 @@
     pub progress: Option<RolloutProgress>,
 }
 
+/// Checks the time from an order to its deadline, in seconds. Fails if it is not above zero or is
+/// longer than [`Millis::MAX_STATED`]: an order without a time for its sample would move all
+/// requests to a version that nobody has judged.
+pub fn parse_rollout_duration(seconds: f64) -> Result<Millis> {
+    const MS_PER_SECOND: f64 = 1_000.0;
+    match Millis::from_stated("the duration of a roll-out", seconds * MS_PER_SECOND)? {
+        Millis(0) => {
+            Err(bad_value("the duration of a roll-out", &format!("{seconds} s"), "a time above 0"))
+        }
+        duration => Ok(duration),
+    }
+}
+
 /// A progress update to be written to the store, conditional on the order's revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProgressWrite {
--- a/crates/tidetrack-core/src/units.rs
+++ b/crates/tidetrack-core/src/units.rs
@@ -107,6 +107,20 @@
     }
 }
 
+impl Millis {
+    /// Longest duration that is taken from other parties: a year.
+    pub const MAX_STATED: Millis = Millis(365 * 24 * 3_600 * 1_000);
+
+    /// Converts a number of milliseconds that another party states as the value of `name`. Fails if it
+    /// is negative, not a number, or above [`Millis::MAX_STATED`].
+    pub fn from_stated(name: &'static str, ms: f64) -> Result<Millis> {
+        match ms {
+            _ if (0.0..=Millis::MAX_STATED.0 as f64).contains(&ms) => Ok(Millis(ms as u64)),
+            _ => Err(bad_value(name, &format!("{ms} ms"), "a time from 0 to a year")),
+        }
+    }
+}
+
 impl Add for Micros {
     type Output = Micros;
 
