A roll-out is completed only once its version has served

Callers got nothing from a service whose order named a version without endpoints: a sound order of 2 s was completed at its deadline although no endpoint of the version was listed. With the completion the platform stops the old endpoints, and each host passed over those that were still listed, also after a restart.

The completion depended on the order's age alone. Now the view records whether the version has an endpoint that may serve (listed, not leaving, not evacuated), and the completion waits until it has had one for the time that lies between cutover and completion in any roll-out. Until then the track of the other versions is chosen. After the deadline one more progress is written, not one each 0.4 of the duration. An order that is marked as completed keeps the other versions from serving only while its version has an endpoint. A host that has not read the list of endpoints leaves the writes to others.

The core's test of late endpoints is new; it was not run on the code before, which lacks the call.

--- a/crates/tidetrack-core/src/traffic/canary/mod.rs
+++ b/crates/tidetrack-core/src/traffic/canary/mod.rs
@@ -192,6 +192,8 @@
     pub order: RolloutOrder,
     /// Start of the order on this host's clock, as early as any known age implies.
     started_at: Millis,
+    /// Since when the version has had endpoints that may serve; `None` if it has none.
+    available_since: Option<Millis>,
     /// Value of `started_at` in the last view given to request routing.
     published_start: Millis,
     /// Time at which this host barred the version; `None` if it has not.
@@ -219,6 +221,7 @@
         let mut canary = Canary {
             order,
             started_at: now,
+            available_since: Some(Millis(0)),
             published_start: now,
             barred_at: None,
             completed_at: None,
@@ -276,6 +279,24 @@
         self.started_at + AGE_TOLERANCE <= self.published_start
     }
 
+    /// Records whether the version has an endpoint that may serve.
+    pub fn record_availability(&mut self, now: Millis, is_available: bool) {
+        match is_available {
+            true => drop(self.available_since.get_or_insert(now)),
+            false => self.available_since = None,
+        }
+    }
+
+    /// Reports whether the roll-out may be completed at this age of the order. The old endpoints
+    /// stop with the completion, so the version must have had endpoints for at least the usual time
+    /// between the cutover and the completion.
+    fn may_complete(&self, now: Millis, write_delay: Millis, hosts: usize) -> bool {
+        let completion_age = self.completion_age(hosts);
+        let min_available_time = completion_age - self.cutover_age(hosts);
+        self.age(now) >= completion_age + write_delay
+            && self.available_since.is_some_and(|since| now >= since + min_available_time)
+    }
+
     /// Returns the order's age.
     pub fn age(&self, now: Millis) -> Millis {
         now - self.started_at
@@ -437,7 +458,7 @@
     /// Reports whether this host is about to complete the roll-out.
     pub fn is_completion_due(&self, now: Millis, write_delay: Millis, hosts: usize) -> bool {
         let is_write_pending = self.write_retry_at.is_some_and(|until| now < until);
-        let is_due = self.age(now) >= self.completion_age(hosts) + write_delay;
+        let is_due = self.may_complete(now, write_delay, hosts);
         is_due && !is_write_pending && self.phase() == Phase::Sample
     }
 
@@ -487,9 +508,13 @@
             let is_write_due = now >= since + write_delay;
             return is_write_due.then(|| with_state(RolloutState::RolledBack));
         }
-        if elapsed >= self.completion_age(hosts) + write_delay {
+        if self.may_complete(now, write_delay, hosts) {
             return Some(with_state(RolloutState::Completed));
         }
+        // While the version has no endpoints, nothing follows that a host has to know.
+        if stored.is_some_and(|p| p.elapsed >= self.order.duration) {
+            return None;
+        }
         let due_after = self.fraction_of_duration(PROGRESS_WRITE_INTERVAL) + write_delay;
         let is_due = stored.is_none_or(|p| elapsed >= p.elapsed + due_after);
         let has_waited = stored.is_some() || elapsed >= write_delay;
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -378,7 +378,12 @@
         canary.write_delay(now, writer, self.host_count())
     }
 
+    /// Writes the progress of roll-outs that is due. A host that has not read the list of endpoints yet
+    /// leaves this to others.
     pub(super) fn write_progress(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if !self.has_listed_endpoints {
+            return;
+        }
         let hosts = self.host_count();
         let delay_of = |(service, canary)| self.write_delay(now, service, canary);
         let write_delay: Vec<Millis> = self.canaries.iter().map(delay_of).collect();
--- a/crates/tidetrack-core/src/traffic/control/views.rs
+++ b/crates/tidetrack-core/src/traffic/control/views.rs
@@ -6,6 +6,7 @@
 use crate::ids::{EndpointId, ServiceId};
 use crate::placement::{EndpointState, PoolEndpoint, PoolView};
 use crate::traffic::canary::{Canary, Phase};
+use crate::traffic::endpoints::EndpointRecord;
 use crate::traffic::view::{FleetView, ServiceView};
 use crate::units::Millis;
 
@@ -42,6 +43,17 @@
         self.lapsed_states.extend(lapsed.map(|(id, state)| (id, (state, now))));
     }
 
+    /// Returns the services whose version under roll-out has an endpoint that may serve.
+    fn services_with_canary_endpoints(&self) -> HashSet<ServiceId> {
+        let is_usable = |record: &&EndpointRecord| {
+            let canary = self.canaries.get(&record.service);
+            canary.is_some_and(|t| t.order.version == record.version)
+                && !record.is_leaving
+                && self.evacuations.permits(&record.failure_domain)
+        };
+        self.table.records().filter(is_usable).map(|record| record.service.clone()).collect()
+    }
+
     /// Builds a view of the current state.
     pub(super) fn build_view(&mut self, now: Millis) -> FleetView {
         let mut pools: HashMap<ServiceId, (Vec<PoolEndpoint>, Vec<PoolEndpoint>)> = HashMap::new();
@@ -49,6 +61,12 @@
         let mut evacuated_services = HashSet::new();
         let mut evacuated_endpoints: BTreeMap<_, usize> =
             self.evacuations.domains().map(|domain| (domain.clone(), 0)).collect();
+        let services_on_canary = self.services_with_canary_endpoints();
+        if self.has_listed_endpoints {
+            for (service, canary) in &mut self.canaries {
+                canary.record_availability(now, services_on_canary.contains(service));
+            }
+        }
         for record in self.table.records() {
             let canary = self.canaries.get(&record.service);
             let is_canary = canary.is_some_and(|t| t.order.version == record.version);
@@ -61,7 +79,7 @@
             let may_serve = match (is_canary, phase) {
                 _ if record.is_leaving => false,
                 (true, phase) => phase != Some(Phase::Barred),
-                (false, Some(Phase::Done)) => false,
+                (false, Some(Phase::Done)) if services_on_canary.contains(&record.service) => false,
                 (false, _) => self.versions.may_serve(record),
             };
             if !may_serve {
--- a/crates/tidetrack-core/src/traffic/exposure.rs
+++ b/crates/tidetrack-core/src/traffic/exposure.rs
@@ -169,10 +169,10 @@
         hold_for: Millis,
     ) -> ReleaseTrack {
         match canary.map(|view| view.phase_at(now)) {
-            Some(Phase::Moved | Phase::Done) => return ReleaseTrack::Canary,
+            Some(Phase::Moved | Phase::Done) if has_canary_endpoint => return ReleaseTrack::Canary,
             Some(Phase::Barred) => return ReleaseTrack::Stable,
             Some(Phase::Sample) => drop(self.total_requests.fetch_add(1, Ordering::Relaxed)),
-            None => {}
+            Some(Phase::Moved | Phase::Done) | None => {}
         }
         let sampled_canary =
             canary.filter(|view| has_canary_endpoint && self.is_sampled(now, session_hash, view));
--- a/crates/tidetrack-core/tests/traffic.rs
+++ b/crates/tidetrack-core/tests/traffic.rs
@@ -218,6 +218,22 @@
     );
 }
 
+/// Guards against a completion, with which the old endpoints stop, before the version has served.
+#[test]
+fn a_version_whose_endpoints_come_after_the_deadline_is_completed_only_after_it_has_served() {
+    let mut canary = Canary::new(Millis(0), rollout_order(1, None), DEFAULT_EXPOSURE_BOUND);
+    canary.record_availability(Millis(0), false);
+
+    let write = canary.take_due_write(Millis(25_000), Millis(0), Millis(0), 2);
+    let is_due_without_endpoints = canary.is_completion_due(Millis(30_000), Millis(0), 2);
+    canary.record_availability(Millis(30_000), true);
+    let is_due_at_once = canary.is_completion_due(Millis(30_100), Millis(0), 2);
+    let is_due_later = canary.is_completion_due(Millis(33_000), Millis(0), 2);
+
+    assert_eq!(write.map(|w| w.progress.state), Some(RolloutState::InProgress));
+    assert_eq!((is_due_without_endpoints, is_due_at_once, is_due_later), (false, false, true));
+}
+
 #[test]
 fn the_configured_bound_determines_the_sample_and_the_cutover_time() {
     let bound_with_share = |share| ExposureBound { share: Share(share), ..DEFAULT_EXPOSURE_BOUND };
