Entries with addresses that belong to no machine are not endpoints

A connection to the unspecified address even reaches the own machine.

Now the core checks the address; such an entry is unreadable (E201), like one with a port out of range.

--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -14,8 +14,9 @@
 //! within a short time. Until then what was known stays in force.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
+use crate::errors::{bad_value, Result};
 use crate::ids::{EndpointId, FailureDomain, ServiceId, VersionName};
 use crate::units::Millis;
 
@@ -34,6 +35,18 @@
 /// Maximum number of ended endpoints that are remembered.
 const MAX_ENDED: usize = 1_024;
 
+/// Checks that an address can be that of an endpoint. Fails for port 0 and for addresses that do not
+/// belong to one machine; a connection to the unspecified address would reach the own machine.
+pub fn check_address(address: SocketAddr) -> Result<SocketAddr> {
+    let ip = address.ip().to_canonical();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() || is_broadcast {
+        let expected = "the address and port of one machine";
+        return Err(bad_value("the address", &address.to_string(), expected));
+    }
+    Ok(address)
+}
+
 /// An endpoint's entry in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointRecord {
