Odd values of a configuration cost no requests

The store takes valid configurations only, but one faulty check there would have been enough: with a route's timeout of -1 ms, converted to 0, 1 of 3 requests was served; a `max-body-bytes` of 2^64 - 1 overflowed when the bound of one body was calculated (0 of 3, panic of the debug build; a release build wraps around), and so did the sum of two weights of 2^32 - 1 (0 of 3).

Now the core checks times of routes and services (0 or more, at most a year; timeouts above 0): a configuration that fails is unreadable (E201) and the one in force stays. Limits on sizes and times are reduced to values that can be added to, as large ones mean no limit. Weights are added as floating-point numbers.

One host, nine values, each with -1, 2^64 - 1, 2^32 - 1, 1e300 and 400 digits, three requests each: all are served (45 of 45 cases).

--- a/crates/tidetrack-core/src/traffic/catalog.rs
+++ b/crates/tidetrack-core/src/traffic/catalog.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use crate::errors::{bad_value, Result};
 use crate::ids::{ModelId, RouteId, ServiceId, WorkspaceId};
 use crate::traffic::cold_endpoints::ColdStart;
 use crate::units::{Millis, Tokens};
@@ -149,6 +150,32 @@
     }
 }
 
+impl CallerLimits {
+    /// Largest size that is calculated with, in bytes.
+    const MAX_BYTES: usize = 1 << 40;
+
+    /// Reduces values that stand for no limit to ones that can be added to.
+    pub fn bounded(self) -> CallerLimits {
+        CallerLimits {
+            max_head_bytes: self.max_head_bytes.min(CallerLimits::MAX_BYTES),
+            max_body_bytes: self.max_body_bytes.min(CallerLimits::MAX_BYTES),
+            head_timeout: self.head_timeout.min(Millis::MAX_STATED),
+            idle_timeout: self.idle_timeout.min(Millis::MAX_STATED),
+        }
+    }
+}
+
+/// Checks the timeout of a route, in milliseconds. Fails if it is below 1, since no request could be
+/// answered in time, or above [`Millis::MAX_STATED`].
+pub fn parse_route_timeout(ms: f64) -> Result<Millis> {
+    match Millis::from_stated("the timeout of a route", ms)? {
+        Millis(0) => {
+            Err(bad_value("the timeout of a route", &format!("{ms} ms"), "a time above 0"))
+        }
+        timeout => Ok(timeout),
+    }
+}
+
 /// A workspace that a key belongs to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyHolder {
@@ -209,8 +236,8 @@
 impl Route {
     /// Picks the service for a request. `hash_fraction` is a uniform value in `[0, 1)`.
     pub fn pick_target(&self, hash_fraction: f64) -> Option<&ServiceId> {
-        let total: u32 = self.targets.iter().map(|t| t.weight).sum();
-        let mut remaining = hash_fraction * f64::from(total);
+        let total: f64 = self.targets.iter().map(|t| f64::from(t.weight)).sum();
+        let mut remaining = hash_fraction * total;
         for target in &self.targets {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 {
