A host that starts beside an unreadable order serves

A host that started while the order of a service could not be read, and that listed two versions of the service, served none of them, for as long as the order stayed: the order may name either version, so both were withheld. On all hosts restarted beside such an order, callers got nothing.

Now the versions are released after the 5 s that a host waits for roll-outs elsewhere, but only if no version of the service is released yet: a running host keeps a version that is listed later from serving, as before.

One host started beside an order whose duration is text, with endpoints of v1 and v9: nothing served in 30 s before; served after some 5 s now. The core's cases of an unreadable order (exposure, 11) hold.

--- a/crates/tidetrack-core/src/traffic/control/versions.rs
+++ b/crates/tidetrack-core/src/traffic/control/versions.rs
@@ -110,13 +110,18 @@
             return result;
         }
         let version_counts = self.version_counts();
+        let released = self.listed.iter().filter(|(_, listed)| listed.is_released);
+        let served: BTreeSet<ServiceId> = released.map(|(key, _)| key.service.clone()).collect();
         for (key, listed) in self.listed.iter_mut().filter(|(_, listed)| !listed.is_released) {
             let is_covered = listed
                 .endpoints_revision
                 .is_some_and(|endpoints_revision| endpoints_revision <= rollouts_revision);
             let has_timed_out = now >= listed.first_listed_at + MAX_ROLLOUT_WAIT;
-            let is_not_under_rollout =
-                (is_covered || has_timed_out) && !self.unreadable.contains(&key.service);
+            let is_not_under_rollout = match self.unreadable.contains(&key.service) {
+                false => is_covered || has_timed_out,
+                // No version is known to be stable, and the order may stay as it is.
+                true => has_timed_out && !served.contains(&key.service),
+            };
             let is_only_version = version_counts.get(&key.service) == Some(&1);
             if is_not_under_rollout || is_only_version {
                 listed.is_released = true;
