A stopping host answers what is not complete at the end of its grace

Callers saw: a planned stop of one host in calm; requests that it had taken and passed on, not repeatable ones among them, lost their connection at the end of the grace, without a word about whether they ran.

Cause: at the end of the stop the process left its loop and dropped what was in flight; nothing told the callers.

Change: a stop has a third stage, 0.25 s before the process ends (0.6 s before it would be killed; at most an eighth of a short stop). Whether an attempt is written and its outcome open is kept with the attempts, since dropping it leaves no result. Dropping it closes its connection, which stops the endpoint's work. Streams that have begun are aborted after their last event (E311), so that callers can resume them. A host that forwarded the request gets the same error and asks another host if it may. The times of a stop and these errors are now in tidetrack-core (traffic/stop.rs).

Considered: passing such requests on to a host that is not stopping. It does not help: the response would have to come back through this host, which ends first.

--- a/crates/tidetrack-core/src/codes.rs
+++ b/crates/tidetrack-core/src/codes.rs
@@ -92,6 +92,7 @@
     Deadline, 3004, 504, Unknown, "The request's deadline expired.";
     WrongAnswer, 3005, 502, Unknown, "The attempt ID in the response does not match the request.";
     EndpointMoved, 3006, 503, No, "Another endpoint now has the address and refused the request.";
+    HostStopped, 3007, 502, Unknown, "The host stopped before the response was complete.";
     PlatformDown, 4001, 503, No, "The object API cannot be reached.";
     Conflict, 4002, 409, No, "The object was changed by another writer.";
     PlatformBusy, 4003, 503, No, "The rate limit of the object API is exceeded.";
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -47,6 +47,7 @@
 pub mod scarcity;
 pub mod service_times;
 pub mod stagger;
+pub mod stop;
 pub mod store_position;
 pub mod suspects;
 pub mod verdict_basis;
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -21,6 +21,7 @@
     may_forward_elsewhere, ForwardResult, ForwardedRequest, HolderDecline, MAX_HOSTS_PER_REQUEST,
 };
 use tidetrack_core::traffic::judge::AttemptOutcome;
+use tidetrack_core::traffic::stop;
 
 use crate::attempt::EndpointResponse;
 use crate::attempt_timing::{attempt_work, record_demand, record_length, record_start};
@@ -82,7 +83,12 @@
     let mut attempts = AttemptHistory::of_forwarded(envelope.as_ref());
     let asked = envelope.as_ref().and_then(|e| e.endpoint.clone());
     let mut error = None;
-    let resp = match prepare(traffic, facts, head, &mut body, started_at, envelope).await {
+    let prepared = tokio::select! {
+        biased;
+        job = prepare(traffic, facts, head, &mut body, started_at, envelope) => job,
+        () = traffic.wait_for_interruption() => Err(stop::refusal()),
+    };
+    let resp = match prepared {
         Err(e) => {
             let mut resp = refuse(traffic, attempt_id.as_deref(), "", started_at, &e);
             if matches!(e.code, Code::TooLarge | Code::TooSlow | Code::NoBodyMemory) {
@@ -98,7 +104,14 @@
             if !job.is_forwarded {
                 record_demand(traffic, &job);
             }
-            let result = run_attempts(traffic, &job, &mut attempts).await;
+            let result = tokio::select! {
+                biased;
+                result = run_attempts(traffic, &job, &mut attempts) => result,
+                // Dropping the attempt in progress closes its connection, which stops its endpoint's work.
+                () = traffic.wait_for_interruption() => {
+                    Err(stop::interruption(attempts.executed_so_far()))
+                }
+            };
             result.unwrap_or_else(|e| {
                 let route = job.admitted.route.name.as_str();
                 let resp = refuse(traffic, attempt_id.as_deref(), route, started_at, &e);
--- a/crates/tidetrack-plane/src/forward.rs
+++ b/crates/tidetrack-plane/src/forward.rs
@@ -36,6 +36,7 @@
     may_forward_elsewhere, pick_host, ForwardResult, ForwardedRequest, HolderDecline,
     MAX_HOSTS_PER_REQUEST, NO_LOSS_MS,
 };
+use tidetrack_core::traffic::stop::StopStage;
 use tidetrack_core::units::Millis;
 
 use crate::attempt::{self, Attempt, EndpointResponse, IdEcho};
@@ -45,7 +46,6 @@
 use crate::holders::{record_declined_endpoint, record_unreached};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, PrefixLocation, Traffic};
 use crate::request_body::OutgoingBody;
-use crate::server::StopStage;
 use crate::stall_aware_sleep::stall_aware_sleep;
 
 /// First byte of a connection that carries forwarded requests.
@@ -212,7 +212,9 @@
         max_idle: Duration::MAX,
         deadline: job.deadline,
     };
+    let is_open = attempts.is_open.clone();
     let make_request = || {
+        is_open.set(true);
         let mut envelope = build_envelope(traffic, job, attempts, model, resume_after);
         envelope.endpoint = chosen.asked_endpoint().cloned();
         envelope.is_next_charged = charge.is_acquired;
@@ -440,7 +442,7 @@
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
-    let is_closing = |stage: &StopStage| *stage == StopStage::Closing;
+    let is_closing = |stage: &StopStage| *stage >= StopStage::Closing;
     tokio::select! {
         // A host whose connection breaks sees the error itself.
         _ = conn.as_mut() => return,
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -8,15 +8,16 @@
 use anyhow::Result;
 use arc_swap::ArcSwap;
 use tokio::runtime::Builder;
-use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 use tidetrack_core::events::Event;
 use tidetrack_core::traffic::body_budget::{max_connections_in_memory, receive_buffer_bytes};
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::freshness::Freshness;
+use tidetrack_core::traffic::stop::{StopSchedule, StopStage};
 use tidetrack_core::traffic::suspects::Suspects;
 use tidetrack_core::traffic::view::FleetView;
+use tidetrack_core::units::Millis;
 
 use crate::clock::Clock;
 use crate::closed_connections::CloseLog;
@@ -30,22 +31,12 @@
 use crate::pages::serve_readiness_and_metrics;
 use crate::paths::run_path_monitor;
 use crate::server::{
-    accept_loop, listen, listen_with_buffer, Connections, ServerOptions, StopStage, LISTEN_BACKLOG,
+    accept_loop, listen, listen_with_buffer, Connections, ServerOptions, LISTEN_BACKLOG,
 };
 use crate::settings::HostSettings;
 use crate::shared::Shared;
 use crate::signals::{SignalRequest, Signals};
 
-/// Time after a stop signal in which requests are still accepted. A load balancer checks readiness
-/// once a second and removes the host after the second failed check.
-const ACCEPT_TIME_AFTER_STOP: Duration = Duration::from_millis(2_300);
-
-/// Minimum time from a stop signal to the end of the process.
-const MIN_STOP_TIME: Duration = Duration::from_millis(3_000);
-
-/// Time reserved before the moment at which the process would be killed.
-const FORCED_STOP_MARGIN: Duration = Duration::from_millis(350);
-
 /// Interval at which a stop checks whether all requests and connections have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -113,7 +104,6 @@
     ) -> Result<()> {
         let settings = &self.shared.settings;
         let traffic = Rc::new(Traffic::new(self.shared.clone()));
-        let (stage, stage_receiver) = watch::channel(StopStage::Serving);
         let connections = Rc::new(Connections::default());
         let readiness_listener = listen(settings.readiness_address)?;
         let options = server_options(&traffic);
@@ -125,13 +115,13 @@
         tokio::task::spawn_local(serve_connections(
             traffic.clone(),
             forwarded_connections,
-            stage_receiver.clone(),
+            traffic.stop_stage.subscribe(),
         ));
         tokio::task::spawn_local(accept_loop(
             caller_listener,
             options,
             connections.clone(),
-            stage_receiver,
+            traffic.stop_stage.subscribe(),
         ));
         tokio::task::spawn_local(serve_readiness_and_metrics(
             self.shared.clone(),
@@ -154,7 +144,7 @@
                 SignalRequest::Stop => break,
             }
         }
-        self.stop(&traffic, &connections, &stage).await;
+        self.stop(&traffic, &connections).await;
         Ok(())
     }
 
@@ -171,35 +161,34 @@
         self.shared.journal.log(Event::SettingsReloaded, &[("outcome", &outcome)]);
     }
 
-    /// Stops gracefully: reports the host as not ready, gives load balancers time to notice, and
-    /// then waits for requests in flight.
-    async fn stop(
-        &self,
-        traffic: &Traffic,
-        connections: &Connections,
-        stage: &watch::Sender<StopStage>,
-    ) {
+    /// Stops gracefully: reports the host as not ready, gives load balancers time to notice, waits
+    /// for requests in flight, and interrupts those that are not complete in time.
+    async fn stop(&self, traffic: &Traffic, connections: &Connections) {
         let started_at = Instant::now();
         let shared = &self.shared;
         shared.is_leaving.store(true, Ordering::Release);
         shared.send_input(Input::Leaving);
         shared.journal.log(Event::Stopping, &[("in_flight", &traffic.in_flight.get())]);
-        let max_stop_time = Duration::from_millis(shared.settings.bounds.stop_timeout.0);
-        let deadline = started_at + max_stop_time.saturating_sub(FORCED_STOP_MARGIN);
+        let schedule = StopSchedule::new(shared.settings.bounds.stop_timeout);
+        let mut interrupted_count = 0;
         loop {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
-            let elapsed = started_at.elapsed();
-            if elapsed >= ACCEPT_TIME_AFTER_STOP && *stage.borrow() == StopStage::Serving {
-                traffic.is_refusing.set(true);
-                stage.send_replace(StopStage::Closing);
+            let elapsed = Millis(started_at.elapsed().as_millis() as u64);
+            let stage = schedule.stage(elapsed);
+            let is_new =
+                traffic.stop_stage.send_if_modified(|s| std::mem::replace(s, stage) != stage);
+            if is_new && stage == StopStage::Interrupting {
+                interrupted_count = traffic.in_flight.get();
             }
             let is_idle = traffic.in_flight.get() == 0 && connections.open() == 0;
-            if (elapsed >= MIN_STOP_TIME && is_idle) || Instant::now() >= deadline {
+            if schedule.is_over(elapsed, is_idle) {
                 break;
             }
         }
-        let interrupted_count = traffic.in_flight.get();
-        shared.journal.log(Event::Stopped, &[("cut", &interrupted_count)]);
+        let cut_count = traffic.in_flight.get();
+        let fields: [(&'static str, &dyn std::fmt::Display); 2] =
+            [("interrupted", &interrupted_count), ("cut", &cut_count)];
+        shared.journal.log(Event::Stopped, &fields);
         shared.journal.flush(LOG_FLUSH_TIMEOUT);
     }
 }
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Method, Uri};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 
 use tidetrack_core::codes::Executed;
 use tidetrack_core::ids::{EndpointId, FailureDomain, HostId, ModelId, ServiceId, VersionName};
@@ -27,6 +27,7 @@
 use tidetrack_core::traffic::reachability::ReachabilityTracker;
 use tidetrack_core::traffic::scarcity::DemandTracker;
 use tidetrack_core::traffic::service_times::ServiceTimes;
+use tidetrack_core::traffic::stop::StopStage;
 use tidetrack_core::traffic::suspects::RunningRequest;
 use tidetrack_core::units::{Millis, Tokens};
 
@@ -93,8 +94,8 @@
     pub crash_checks: EndpointProbes,
     /// Number of requests whose responses are not complete.
     pub in_flight: Cell<usize>,
-    /// Whether new requests are refused because the host is stopping.
-    pub is_refusing: Cell<bool>,
+    /// Stage of the planned stop.
+    pub stop_stage: watch::Sender<StopStage>,
     last_request_number: Cell<u64>,
 }
 
@@ -125,7 +126,7 @@
             services_with_reported_speed: RefCell::default(),
             crash_checks: EndpointProbes::default(),
             in_flight: Cell::new(0),
-            is_refusing: Cell::new(false),
+            stop_stage: watch::Sender::new(StopStage::Serving),
             last_request_number: Cell::new(0),
         }
     }
@@ -138,6 +139,13 @@
         }
     }
 
+    /// Waits until a planned stop interrupts the requests that are not complete.
+    pub async fn wait_for_interruption(&self) {
+        let mut stage = self.stop_stage.subscribe();
+        // The wait fails only if the sender was dropped, which this borrow excludes.
+        let _ = stage.wait_for(|stage| *stage == StopStage::Interrupting).await;
+    }
+
     /// Returns a new number for a request without an id, starting at 1.
     pub fn next_request_number(&self) -> u64 {
         self.last_request_number.set(self.last_request_number.get() + 1);
@@ -499,6 +507,8 @@
     pub unreachable: Vec<EndpointId>,
     /// Whether the request was executed, as far as is known; `None` before the first attempt has ended.
     pub executed: Option<Executed>,
+    /// Whether an attempt was written and it is not recorded yet whether it was executed.
+    pub is_open: Rc<Cell<bool>>,
     /// Whether the next attempt is already charged to the retry budget. An attempt in progress is only
     /// abandoned once the next one is certain to be allowed.
     pub is_next_charged: bool,
@@ -541,8 +551,19 @@
         })
     }
 
+    /// Returns whether the request has been executed so far, by an attempt in progress or before.
+    pub fn executed_so_far(&self) -> Executed {
+        match self.executed {
+            Some(Executed::Yes) => Executed::Yes,
+            Some(Executed::Unknown) => Executed::Unknown,
+            _ if self.is_open.get() => Executed::Unknown,
+            _ => Executed::No,
+        }
+    }
+
     /// Merges whether an attempt was executed: `Yes` outweighs `Unknown`, which outweighs `No`.
     pub fn record_executed(&mut self, executed: Executed) {
+        self.is_open.set(false);
         let worst = match (self.executed, executed) {
             (Some(Executed::Yes), _) | (_, Executed::Yes) => Executed::Yes,
             (Some(Executed::Unknown), _) | (_, Executed::Unknown) => Executed::Unknown,
--- a/crates/tidetrack-plane/src/prepare.rs
+++ b/crates/tidetrack-plane/src/prepare.rs
@@ -15,16 +15,13 @@
 use tidetrack_core::traffic::bootstrap::hold_time;
 use tidetrack_core::traffic::fingerprint::{RequestFingerprints, RequestIdentity};
 use tidetrack_core::traffic::forwarding::ForwardedRequest;
+use tidetrack_core::traffic::stop::{self, StopStage};
 use tidetrack_core::units::Millis;
 
 use crate::clock::BootInstant;
 use crate::dialect::RequestFacts;
 use crate::job::{Job, Traffic};
 
-/// `Retry-After` in milliseconds of a refusal by a stopping host. It is short because other hosts can accept
-/// the request immediately.
-const RETRY_AFTER_STOPPING_MS: u64 = 50;
-
 /// Interval at which a request that arrived during startup checks whether the host can serve.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -39,10 +36,8 @@
     envelope: Option<ForwardedRequest>,
 ) -> Result<Job> {
     let shared = &traffic.shared;
-    if traffic.is_refusing.get() {
-        let e =
-            Error::new(Code::Draining, "the host is stopping; send the request to another host");
-        return Err(e.with_retry_after(RETRY_AFTER_STOPPING_MS));
+    if *traffic.stop_stage.borrow() >= StopStage::Closing {
+        return Err(stop::refusal());
     }
     let mut facts = facts?;
     if let Some(envelope) = &envelope {
--- a/crates/tidetrack-plane/src/relay/mod.rs
+++ b/crates/tidetrack-plane/src/relay/mod.rs
@@ -21,6 +21,7 @@
 use tidetrack_core::ids::ModelId;
 use tidetrack_core::traffic::catalog::WorkKind;
 use tidetrack_core::traffic::judge::AttemptOutcome;
+use tidetrack_core::traffic::stop;
 
 use crate::attempt::EndpointResponse;
 use crate::backlog::Sent;
@@ -119,6 +120,7 @@
         first_item: StreamItem,
         mut tries: AttemptHistory,
     ) {
+        let traffic = self.traffic.clone();
         let mut next = Ok(first_item);
         let time_limit = self.job.deadline.saturating_duration_since(self.job.started_at);
         loop {
@@ -139,7 +141,12 @@
                     return tx.finish(time_limit).await;
                 }
                 Err(e) => {
-                    if let Err(e) = self.resume(&mut tries, e).await {
+                    let resumed = tokio::select! {
+                        biased;
+                        resumed = self.resume(&mut tries, e) => resumed,
+                        () = traffic.wait_for_interruption() => Err(stop::interruption(Executed::Yes)),
+                    };
+                    if let Err(e) = resumed {
                         self.abort_response(&e);
                         return tx.abort(time_limit).await;
                     }
@@ -148,6 +155,10 @@
             next = tokio::select! {
                 next = self.next(&mut tries) => next,
                 () = tx.closed() => return self.record_caller_left(&tx),
+                () = traffic.wait_for_interruption() => {
+                    self.abort_response(&stop::interruption(Executed::Yes));
+                    return tx.abort(time_limit).await;
+                }
             };
         }
     }
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -146,7 +146,9 @@
     if let Some(silent_endpoint) = &silent_endpoint {
         silent_endpoint.record_connect_start();
     }
+    let is_open = tries.is_open.clone();
     let make_request = || {
+        is_open.set(true);
         pending_work.record_written(shared.now());
         if let Some(silent_endpoint) = &silent_endpoint {
             silent_endpoint.record_write_start();
--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{watch, Notify};
 
 use tidetrack_core::traffic::catalog::CallerLimits;
+pub use tidetrack_core::traffic::stop::StopStage;
 
 use crate::body::ResponseBody;
 use crate::closed_connections::{CloseReason, ClosedConnection};
@@ -310,15 +311,6 @@
     }
 }
 
-/// Stages of a planned stop that matter to connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum StopStage {
-    /// Requests are accepted.
-    Serving,
-    /// Requests are refused and idle connections are closed.
-    Closing,
-}
-
 /// Opens a listening socket with address reuse. Fails if the address can't be bound.
 pub fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
     listen_on(TcpSocket::new_v4()?, address)
@@ -526,7 +518,7 @@
 /// Waits until the host closes its idle connections.
 async fn wait_for_closing(stage: &mut watch::Receiver<StopStage>) {
     // The wait fails only if the sender was dropped, which happens at the end of the process.
-    let _ = stage.wait_for(|stage| *stage == StopStage::Closing).await;
+    let _ = stage.wait_for(|stage| *stage >= StopStage::Closing).await;
 }
 
 /// Passes a request to the handler and tracks the phase of its connection.
