A stopping host refuses at once what usually takes longer than it has left

Callers saw: in a planned stop of one host in calm, requests that came while it still accepted any (up to 2.3 s after SIGTERM) were passed on although their route usually takes longer than the rest of the grace.

Cause: whether a stopping host accepts a request depended only on the time since the signal.

This is checked before and after the waits of an attempt (paths, places, endpoints), so it also holds for second attempts begun late. What is unknown is sent as before; what is quick is served as before.

Considered: passing them on to a host that is not stopping (the response would have to come back through this one); refusing everything from the signal on (load balancers send here for two seconds more, and quick requests end in time); the objective or the route's timeout as the usual time (the first says nothing about slow services, the second is far too long for most requests). A resumed stream is judged by the time of a whole one: at worst it resumes at another host.

--- a/crates/tidetrack-core/src/traffic/stop.rs
+++ b/crates/tidetrack-core/src/traffic/stop.rs
@@ -1,11 +1,13 @@
 //! Course of a planned stop of a host.
 //!
 //! The platform kills the process some time after its stop signal. The host accepts requests until
-//! load balancers have noticed that it is not ready, and finishes those that it has. What is not
-//! complete shortly before the end is interrupted, early enough for its caller to be told.
+//! load balancers have noticed that it is not ready, except those that usually take longer than the
+//! time that remains: another host can serve them from the start. It finishes what it has accepted.
+//! What is not complete shortly before the end is interrupted, early enough for its caller to be
+//! told.
 
 use crate::codes::{Code, Executed};
-use crate::errors::Error;
+use crate::errors::{Error, Result};
 use crate::units::Millis;
 
 /// Time from the stop signal in which requests are accepted. A load balancer checks readiness once
@@ -65,6 +67,21 @@
         }
     }
 
+    /// Fails if a request that is about to be sent will be interrupted. `usual_time` is how long
+    /// such requests usually take, if it is known, and `time_left` the time until the deadline.
+    pub fn check_time(
+        &self,
+        elapsed: Millis,
+        usual_time: Option<Millis>,
+        time_left: Millis,
+    ) -> Result<()> {
+        let end_after = usual_time.map_or(Millis(0), |usual| usual.min(time_left));
+        match elapsed + end_after > self.interrupt_at {
+            true => Err(refusal()),
+            false => Ok(()),
+        }
+    }
+
     /// Reports whether the process ends now. `is_idle` says that no request and no connection is
     /// left.
     pub fn is_over(&self, elapsed: Millis, is_idle: bool) -> bool {
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -293,6 +293,11 @@
     attempts: &mut AttemptHistory,
     model: Option<&ModelId>,
 ) -> std::result::Result<AttemptResponse, AttemptError> {
+    let check_stop_time = |attempts: &AttemptHistory| {
+        let checked = traffic.check_stop_time(job);
+        checked.map_err(|e| AttemptError::Final(final_error(job, attempts, e)))
+    };
+    check_stop_time(attempts)?;
     wait_for_crash_reports(traffic, job).await;
     traffic.paths.wait_for_decision(&job.service, job.deadline).await;
     load_control::wait_for_place(traffic, job, attempts).await;
@@ -301,6 +306,7 @@
         Err(e) => return Err(AttemptError::Final(final_error(job, attempts, e))),
     };
     let chosen = probe_candidates(traffic, job, attempts, model, chosen).await;
+    check_stop_time(attempts)?;
     record_prefix_use(traffic, job, model, &chosen);
     if let Err(e) = check_before_send(traffic, job, attempts, &chosen) {
         return Err(AttemptError::Final(final_error(job, attempts, e)));
@@ -431,6 +437,7 @@
             return Err(e);
         }
     };
+    traffic.record_response_time(job);
     chosen.state.record_outcome(traffic.shared.now(), true);
     let observation =
         AttemptObservation::from_elapsed(AttemptOutcome::Complete, started_at.elapsed());
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -170,6 +170,7 @@
         shared.send_input(Input::Leaving);
         shared.journal.log(Event::Stopping, &[("in_flight", &traffic.in_flight.get())]);
         let schedule = StopSchedule::new(shared.settings.bounds.stop_timeout);
+        traffic.stop.set(Some((schedule, started_at)));
         let mut interrupted_count = 0;
         loop {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{watch, Notify};
 
 use tidetrack_core::codes::Executed;
+use tidetrack_core::errors::Result;
 use tidetrack_core::ids::{EndpointId, FailureDomain, HostId, ModelId, ServiceId, VersionName};
 use tidetrack_core::placement::{request_work, EndpointState, LengthMix};
 use tidetrack_core::traffic::admission::AdmittedRequest;
@@ -25,9 +26,10 @@
 use tidetrack_core::traffic::places::Places;
 use tidetrack_core::traffic::prefix_index::PrefixKey;
 use tidetrack_core::traffic::reachability::ReachabilityTracker;
+use tidetrack_core::traffic::response_times::ResponseTimes;
 use tidetrack_core::traffic::scarcity::DemandTracker;
 use tidetrack_core::traffic::service_times::ServiceTimes;
-use tidetrack_core::traffic::stop::StopStage;
+use tidetrack_core::traffic::stop::{StopSchedule, StopStage};
 use tidetrack_core::traffic::suspects::RunningRequest;
 use tidetrack_core::units::{Millis, Tokens};
 
@@ -94,6 +96,10 @@
     pub crash_checks: EndpointProbes,
     /// Number of requests whose responses are not complete.
     pub in_flight: Cell<usize>,
+    /// Usual times of complete responses.
+    pub response_times: RefCell<ResponseTimes>,
+    /// Schedule and start of the planned stop; `None` before it.
+    pub stop: Cell<Option<(StopSchedule, Instant)>>,
     /// Stage of the planned stop.
     pub stop_stage: watch::Sender<StopStage>,
     last_request_number: Cell<u64>,
@@ -126,6 +132,8 @@
             services_with_reported_speed: RefCell::default(),
             crash_checks: EndpointProbes::default(),
             in_flight: Cell::new(0),
+            response_times: RefCell::default(),
+            stop: Cell::new(None),
             stop_stage: watch::Sender::new(StopStage::Serving),
             last_request_number: Cell::new(0),
         }
@@ -139,6 +147,19 @@
         }
     }
 
+    /// Fails if a request that is about to be sent usually takes longer than a planned stop leaves it.
+    pub fn check_stop_time(&self, job: &Job) -> Result<()> {
+        let Some((schedule, started_at)) = self.stop.get() else { return Ok(()) };
+        let elapsed = Millis(started_at.elapsed().as_millis() as u64);
+        let usual_time = self.response_times.borrow().usual(&job.admitted.route.name);
+        schedule.check_time(elapsed, usual_time, Millis(job.time_left().as_millis() as u64))
+    }
+
+    /// Records how long a complete response took.
+    pub fn record_response_time(&self, job: &Job) {
+        self.response_times.borrow_mut().record(&job.admitted.route.name, job.elapsed());
+    }
+
     /// Waits until a planned stop interrupts the requests that are not complete.
     pub async fn wait_for_interruption(&self) {
         let mut stage = self.stop_stage.subscribe();
@@ -300,6 +321,11 @@
         (work as u64).max(1)
     }
 
+    /// Returns the time since the request head had been read.
+    pub fn elapsed(&self) -> Millis {
+        Millis(self.started_at.elapsed().as_millis() as u64)
+    }
+
     /// Returns the latency objective of the route.
     pub fn objective(&self) -> Duration {
         Duration::from_millis(self.admitted.route.objective.0)
--- a/crates/tidetrack-plane/src/relay/mod.rs
+++ b/crates/tidetrack-plane/src/relay/mod.rs
@@ -346,6 +346,7 @@
 
     /// Completes a stream that has ended, and returns its connection to the pool.
     fn finish(mut self) {
+        self.traffic.record_response_time(&self.job);
         self.report_progress(AttemptOutcome::Complete);
         if self.source.proves_completion {
             let shared = &self.traffic.shared;
