A stopping host keeps a response that it has no time to replace

Cause: the response was dropped for an attempt on a larger model, and that attempt was then refused because it usually takes longer than the stop leaves it.

Change: the second opinion is asked for only if it would be sent.

--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -225,10 +225,16 @@
         let AttemptResponse { response, chosen, pending_work, started_at } = attempt_response;
         let status = response.head.status;
         if status.is_success() {
-            if let Some(larger) =
-                model_for_second_opinion(traffic, job, attempts, model.as_ref(), &chosen, &response)
-                    .await
-            {
+            let larger = match traffic.check_stop_time(job) {
+                Ok(()) => {
+                    let model = model.as_ref();
+                    model_for_second_opinion(traffic, job, attempts, model, &chosen, &response)
+                        .await
+                }
+                // A larger model would not answer in time, and the present response would be lost.
+                Err(_) => None,
+            };
+            if let Some(larger) = larger {
                 // The attempt on the larger model has already been charged to the retry budget, and its
                 // endpoint was reached, before the present response is dropped.
                 attempts.is_next_charged = true;
