A stopping host awaits a slow attempt if there is no time for another

Cause: the attempt was abandoned as silent for a further one, which was then refused because it usually takes longer than the stop leaves it.

Change: an attempt is abandoned as slow only if the further one would be sent; otherwise it has until the interruption.

--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -266,7 +266,9 @@
                 continue;
             }
         }
-        if reserve_next_attempt(traffic, job, tries, model) {
+        // The attempt in progress may end in time although a further one would not.
+        let may_abandon = traffic.check_stop_time(job).is_ok();
+        if may_abandon && reserve_next_attempt(traffic, job, tries, model) {
             return;
         }
     }
