A host waits for addresses that are in use or not assigned yet

What callers saw: nothing from that host until someone started it again. A host whose address for callers or readiness could not be bound at its start ended at once with status 1 and without a log event. If only the address for other hosts was in use, it ran without contact to others until its end (E224).

Cause: each address was tried once. After a restart the sockets of the former process may exist for some time, a port may serve an outgoing connection of another process, and the address of a machine that has just started may not be assigned.

Errors other than these two still end the host. That this was the users' cause is not shown.

--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -39,6 +39,7 @@
     ThreadPanicked, 104, "the thread of a request panicked; the process continues";
     AcceptFailed, 105, "accepting a connection failed; the listener continues";
     Suspended, 106, "the machine was suspended; the host's information is older by the duration of the suspension";
+    AddressUnavailable, 107, "an address of the host cannot be bound yet; the host tries again";
     ConfigApplied, 200, "a newer configuration is in effect";
     ConfigRejected, 201, "an object of the configuration cannot be parsed";
     EndpointsListed, 202, "the full list of endpoints was read";
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -95,8 +95,7 @@
     shared: SharedRef,
     store: Rc<StoreClient>,
     store_sync: Rc<StoreSync>,
-    /// `None` if the socket for messages between hosts could not be bound.
-    peers: Option<PeerSocket>,
+    peers: PeerSocket,
 }
 
 impl ActionExecutor {
@@ -108,9 +107,7 @@
                 shared.freshness.record_proof(read_started_at)
             }
             Action::SendMessages(messages) => {
-                if let Some(peers) = &self.peers {
-                    peers.send(&messages);
-                }
+                self.peers.send(&messages);
             }
             Action::Fetch(fetch) => {
                 tokio::task::spawn_local(self.store_sync.clone().fetch(fetch));
--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -27,6 +27,7 @@
 use tidetrack_core::traffic::feeds::{FeedKind, ReplyLimiter};
 use tidetrack_core::units::Millis;
 
+use crate::bind::bind_when_available;
 use crate::call::{call, unavailable_error, CallTimeouts, LargeReplyControl, Reply};
 use crate::forward::CONNECTION_PREAMBLE;
 use crate::pages::{accept, limit_unsent_bytes, serve_page_connection};
@@ -209,7 +210,8 @@
     address: SocketAddr,
     lookup: impl Fn(FeedKind, u64) -> Option<FeedReply> + 'static,
 ) {
-    let listener = match listen_with_buffer(address, RECEIVE_BUFFER_BYTES) {
+    let bind = async || listen_with_buffer(address, RECEIVE_BUFFER_BYTES);
+    let listener = match bind_when_available(&shared.journal, address, bind).await {
         Ok(listener) => listener,
         Err(e) => {
             shared.journal.log(Event::PeerSocketFailed, &[("why", &e)]);
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -1,5 +1,6 @@
 //! The process of a host: starts the threads and performs graceful stops.
 
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -7,6 +8,7 @@
 
 use anyhow::Result;
 use arc_swap::ArcSwap;
+use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
@@ -19,6 +21,7 @@
 use tidetrack_core::traffic::view::FleetView;
 use tidetrack_core::units::Millis;
 
+use crate::bind::bind_when_available;
 use crate::clock::Clock;
 use crate::closed_connections::CloseLog;
 use crate::control;
@@ -56,7 +59,8 @@
 
 impl Host {
     /// Serves callers until a stop signal. `reload` reads the settings again and is called on a
-    /// reload signal. Fails if the threads cannot be started or an address cannot be bound.
+    /// reload signal. Waits for addresses that are in use or not
+    /// assigned to the machine. Fails if the threads cannot be started or an address cannot be bound for another reason.
     pub fn run(
         settings: HostSettings,
         dialect: Dialect,
@@ -105,43 +109,43 @@
         let settings = &self.shared.settings;
         let traffic = Rc::new(Traffic::new(self.shared.clone()));
         let connections = Rc::new(Connections::default());
-        let readiness_listener = listen(settings.readiness_address)?;
-        let options = server_options(&traffic);
-        let caller_listener = match options.receive_buffer {
-            Some(bytes) => listen_with_buffer(settings.caller_address, bytes)?,
-            None => listen(settings.caller_address)?,
-        };
+        let (failure_sender, failures) = flume::unbounded();
         tokio::task::spawn_local(run_path_monitor(traffic.clone()));
         tokio::task::spawn_local(serve_connections(
             traffic.clone(),
             forwarded_connections,
             traffic.stop_stage.subscribe(),
         ));
-        tokio::task::spawn_local(accept_loop(
-            caller_listener,
-            options,
-            connections.clone(),
-            traffic.stop_stage.subscribe(),
-        ));
-        tokio::task::spawn_local(serve_readiness_and_metrics(
-            self.shared.clone(),
-            readiness_listener,
-        ));
-        if let Some(address) = settings.metrics_address {
-            tokio::task::spawn_local(serve_readiness_and_metrics(
-                self.shared.clone(),
-                listen(address)?,
-            ));
+        let options = server_options(&traffic);
+        let (shared, accepted) = (self.shared.clone(), connections.clone());
+        let stage = traffic.stop_stage.subscribe();
+        spawn_reporting(&failure_sender, async move {
+            let listener = listen_for_callers(&shared, &options).await?;
+            let address = shared.settings.caller_address;
+            shared.journal.log(Event::Started, &[("address", &address)]);
+            accept_loop(listener, options, accepted, stage).await;
+            Ok(())
+        });
+        for address in std::iter::once(settings.readiness_address).chain(settings.metrics_address) {
+            let shared = self.shared.clone();
+            spawn_reporting(&failure_sender, async move {
+                let bind = async || listen(address);
+                let listener = bind_when_available(&shared.journal, address, bind).await?;
+                serve_readiness_and_metrics(shared, listener).await;
+                Ok(())
+            });
         }
         tokio::task::spawn_local(remove_unused_connections(traffic.clone()));
         let host_traffic = traffic.clone();
         tokio::task::spawn_local(async move { host_traffic.host_pool.run_expiry(|_| true).await });
-        let address = settings.caller_address;
-        self.shared.journal.log(Event::Started, &[("address", &address)]);
-        while let Some(signal_request) = signals.next().await {
+        loop {
+            let signal_request = tokio::select! {
+                signal_request = signals.next() => signal_request,
+                Ok(e) = failures.recv_async() => return Err(e),
+            };
             match signal_request {
-                SignalRequest::Reload => self.log_reload(reload()),
-                SignalRequest::Stop => break,
+                Some(SignalRequest::Reload) => self.log_reload(reload()),
+                Some(SignalRequest::Stop) | None => break,
             }
         }
         self.stop(&traffic, &connections).await;
@@ -194,6 +198,30 @@
     }
 }
 
+/// Runs a task of the host and reports its failure.
+fn spawn_reporting(
+    failure_sender: &flume::Sender<anyhow::Error>,
+    task: impl Future<Output = Result<()>> + 'static,
+) {
+    let failure_sender = failure_sender.clone();
+    tokio::task::spawn_local(async move {
+        if let Err(e) = task.await {
+            // The receiver is gone only while the host stops.
+            drop(failure_sender.send(e));
+        }
+    });
+}
+
+/// Opens the listening socket for callers once its address is available.
+async fn listen_for_callers(shared: &Shared, opts: &ServerOptions) -> Result<TcpListener> {
+    let address = shared.settings.caller_address;
+    let bind = async || match opts.receive_buffer {
+        Some(bytes) => listen_with_buffer(address, bytes),
+        None => listen(address),
+    };
+    bind_when_available(&shared.journal, address, bind).await
+}
+
 /// Builds the options for serving callers.
 fn server_options(traffic: &Rc<Traffic>) -> ServerOptions {
     // Half of the file descriptors are for connections to endpoints, since each request in flight
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod attempt;
 mod attempt_timing;
 pub mod backlog;
+pub mod bind;
 pub mod body;
 pub mod call;
 pub mod choose;
--- a/crates/tidetrack-plane/src/peers.rs
+++ b/crates/tidetrack-plane/src/peers.rs
@@ -3,6 +3,7 @@
 //! Each message contains the current state of its sender, so lost and late messages need no special
 //! handling. Datagrams are used instead of calls for this reason.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -12,6 +13,7 @@
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::peers::PeerMessage;
 
+use crate::bind::bind_when_available;
 use crate::shared::SharedRef;
 
 /// Maximum size of a message, in bytes. Larger messages are not sent.
@@ -20,22 +22,18 @@
 /// The socket for messages between hosts.
 pub struct PeerSocket {
     shared: SharedRef,
-    socket: Rc<UdpSocket>,
+    /// Empty until the address is available.
+    socket: Rc<OnceCell<UdpSocket>>,
 }
 
 impl PeerSocket {
-    /// Binds the socket and starts to receive messages. Returns `None` if the socket cannot be
-    /// bound; the host then runs without contact to others.
-    pub async fn start(shared: SharedRef) -> Option<PeerSocket> {
-        let socket = match UdpSocket::bind(shared.settings.peer_address).await {
-            Ok(socket) => Rc::new(socket),
-            Err(e) => {
-                shared.journal.log(Event::PeerSocketFailed, &[("why", &e)]);
-                return None;
-            }
-        };
+    /// Binds the socket and starts to receive messages. If the address is not available yet, the host runs
+    /// without contact to others until it is.
+    pub async fn start(shared: SharedRef) -> PeerSocket {
+        let bound = UdpSocket::bind(shared.settings.peer_address).await;
+        let socket = Rc::new(bound.map(OnceCell::from).unwrap_or_default());
         tokio::task::spawn_local(receive_messages(shared.clone(), socket.clone()));
-        Some(PeerSocket { shared, socket })
+        PeerSocket { shared, socket }
     }
 
     /// Sends messages without waiting. A message that cannot be sent now is counted and dropped,
@@ -50,7 +48,8 @@
                             bytes.len()
                         ));
                     }
-                    self.socket.try_send_to(&bytes, *address).map_err(|e| e.to_string())
+                    let socket = self.socket.get().ok_or("the socket is not bound")?;
+                    socket.try_send_to(&bytes, *address).map_err(|e| e.to_string())
                 });
             if result.is_err() {
                 self.shared.metrics.record_peer_message("not_sent");
@@ -60,7 +59,19 @@
     }
 }
 
-async fn receive_messages(shared: SharedRef, socket: Rc<UdpSocket>) {
+async fn receive_messages(shared: SharedRef, socket: Rc<OnceCell<UdpSocket>>) {
+    let address = shared.settings.peer_address;
+    let bind = async || Ok(UdpSocket::bind(address).await?);
+    let socket = match socket.get() {
+        Some(bound) => bound,
+        None => match bind_when_available(&shared.journal, address, bind).await {
+            Ok(bound) => socket.get_or_init(|| bound),
+            Err(e) => {
+                shared.journal.log(Event::PeerSocketFailed, &[("why", &e)]);
+                return;
+            }
+        },
+    };
     let mut buf = vec![0; MAX_MESSAGE_BYTES];
     loop {
         let len = match socket.recv_from(&mut buf).await {
--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -12,6 +12,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use anyhow::Context as _;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
@@ -327,8 +328,8 @@
 
 fn listen_on(socket: TcpSocket, address: SocketAddr) -> anyhow::Result<TcpListener> {
     socket.set_reuseaddr(true)?;
-    socket.bind(address).map_err(|e| anyhow::anyhow!("listen on {address}: {e}"))?;
-    Ok(socket.listen(LISTEN_BACKLOG)?)
+    let listener = socket.bind(address).and_then(|()| socket.listen(LISTEN_BACKLOG));
+    listener.with_context(|| format!("cannot listen on {address}"))
 }
 
 /// Open connections of callers, and the signal that one has closed.
