An entry whose address another endpoint has gets no second request for some seconds

Cause: a refusal with 421 ejected the entry for 1 s, then 2 s, 4 s and so on; each host tried all former entries again in each such round.

An address belongs to one endpoint at a time and each lifetime has an id of its own, so such a refusal means that the entry's endpoint has ended. It is now ejected for 8 s at once (16 s and 32 s after further ones). If another entry at that address has completed a request, all others there that have not are ejected with it. For model engines without such proof the ejection stays at 1 s, because an engine without the model refuses in the same way. Ejected entries are still used if nothing else is usable.

--- a/crates/tidetrack-core/src/placement/ejection.rs
+++ b/crates/tidetrack-core/src/placement/ejection.rs
@@ -17,7 +17,11 @@
 /// not callers' requests, find out whether it can be reached again.
 const MAX_UNREACHABLE_DOUBLINGS: u32 = 3;
 
-/// The same for an endpoint that falls over from refusing requests, which returns after some seconds.
+/// Number of doublings of the first ejection of an endpoint whose address another one has: it has ended, and
+/// its entry is about to be removed unless the store is away.
+const MOVED_DOUBLINGS: u32 = 3;
+
+/// The largest number for an endpoint that falls over from refusing requests, which returns after some seconds.
 const MAX_GUARDED_DOUBLINGS: u32 = 1;
 
 /// Consecutive failures of an endpoint, and the end of the ejection that follows from them.
@@ -37,6 +41,13 @@
         self.is_disconnect.store(false, Ordering::Relaxed);
     }
 
+    /// Records that another endpoint has the address.
+    pub(super) fn record_moved(&self, now: Millis, is_guarded: bool) {
+        let failures_before = FAILURES_TO_EJECT - 1 + MOVED_DOUBLINGS;
+        self.consecutive_failures.fetch_max(failures_before, Ordering::Relaxed);
+        self.record_failure(now, is_guarded);
+    }
+
     /// Records that a connection to the endpoint broke.
     pub(super) fn record_disconnect(&self, now: Millis, is_guarded: bool) {
         self.record_failure(now, is_guarded);
--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -61,6 +61,8 @@
     /// given up are not counted.
     succeeded: AtomicU32,
     failed: AtomicU32,
+    /// Whether a request has ever succeeded.
+    has_succeeded: AtomicBool,
     /// End of the avoidance as an outlier of its pool, in milliseconds.
     avoided_until: AtomicU64,
     /// Limit that the endpoint last reported, in requests per 1,000 seconds; 0 if none.
@@ -259,6 +261,7 @@
     pub fn record_outcome(&self, now: Millis, is_success: bool) {
         if is_success {
             self.succeeded.fetch_add(1, Ordering::Relaxed);
+            self.has_succeeded.store(true, Ordering::Relaxed);
             self.ejection.clear();
             return;
         }
@@ -279,6 +282,17 @@
         self.record_outcome(now, false);
     }
 
+    /// Records that another endpoint has the address now. It is reported to other hosts only once
+    /// `report_failure` is called.
+    pub fn record_moved(&self, now: Millis) {
+        self.ejection.record_moved(now, self.guard.is_active());
+    }
+
+    /// Reports whether the endpoint has completed a request and not failed since.
+    pub fn has_served(&self) -> bool {
+        self.has_succeeded.load(Ordering::Relaxed) && self.consecutive_failures() == 0
+    }
+
     /// Returns the number of consecutive failures.
     pub fn consecutive_failures(&self) -> u32 {
         self.ejection.consecutive_failures()
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -7,6 +7,7 @@
 use tidetrack_core::errors::Error;
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::ModelId;
+use tidetrack_core::placement::PoolEndpoint;
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::judge::{AttemptOutcome, ObservedResponse};
 use tidetrack_core::traffic::reachability::{FailedConnect, FailureCause};
@@ -76,7 +77,7 @@
             traffic.paths.record_failure(traffic, &job.service, chosen, true);
         }
         Code::EndpointMoved => {
-            chosen.state.record_unreachable(shared.now());
+            record_moved(traffic, job, chosen, model);
             shared.send_input(Input::EndpointLost(chosen.id.clone()));
             traffic.pool.close_idle(chosen.id.as_str());
         }
@@ -94,6 +95,28 @@
     }
 }
 
+/// Records that another endpoint has the address of the chosen one. If it has served requests, all other entries at
+/// the address are of ended endpoints too, and no request has to find that out.
+fn record_moved(traffic: &Traffic, job: &Job, chosen: &ChosenEndpoint, model: Option<&ModelId>) {
+    let now = traffic.shared.now();
+    let view = traffic.shared.view.load();
+    let pools = view.services.get(&job.service).map(|s| [&s.stable_pool, &s.canary_pool]);
+    let endpoints = pools.iter().flatten().flat_map(|pool| pool.endpoints());
+    let at_address: Vec<&PoolEndpoint> =
+        endpoints.filter(|e| e.address == chosen.address && e.id != chosen.id).collect();
+    let is_replaced = at_address.iter().any(|e| e.state.has_served());
+    // An endpoint without the model refuses in the same way.
+    if model.is_some() && !is_replaced {
+        return chosen.state.record_unreachable(now);
+    }
+    chosen.state.record_moved(now);
+    chosen.state.report_failure();
+    let is_former = |e: &&&PoolEndpoint| !e.state.has_served() && !e.state.is_ejected(now);
+    for former in at_address.iter().filter(is_former).filter(|_| is_replaced) {
+        former.state.record_moved(now);
+    }
+}
+
 /// Records a connect that timed out without any response, either against its endpoint or against
 /// the network path.
 fn record_connect_timeout(
