Replies being received share a bounded part of the host's memory

A starting host failed too.

Cause: one reply might have 8 MB on any host, whatever limits.memory-mb, each kind of objects has several calls under way, and nothing bounded their sum. The buffer of a reply doubled as it grew, so it took up to twice its bytes and the copy. An announced length of any size was read up to the bound.

Change: replies reserve memory as they grow (reply_memory), in segments of 64 KiB at most, within a sixteenth of limits.memory-mb for all of them, replies of other hosts included. Where it is used up, a reply isn't read until there is memory, for 5 s at most; one at a time goes on without, so that replies which hold a part each don't wait for each other. The first 64 KiB need no reservation: ordinary changes pass beside large replies.

--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -42,6 +42,7 @@
 pub mod prefix_index;
 pub mod reachability;
 pub mod reader_backlog;
+pub mod reply_limits;
 pub mod response_times;
 pub mod retired_keys;
 pub mod samples;
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -16,9 +16,7 @@
 use tidetrack_core::traffic::feeds::LARGE_REPLY_BYTES;
 
 use crate::pool::Pool;
-
-/// Maximum size of a reply in bytes; a page of the store has about 1 MB.
-const MAX_REPLY_BYTES: usize = 8 << 20;
+use crate::reply_memory::{ReplyHold, Segments};
 
 /// Interval of reports that a reply is arriving: half of the time after which a request without any
 /// sign of a reply is repeated.
@@ -35,9 +33,9 @@
 /// continue. A smaller ratio does not save enough time to justify blocking other replies.
 const MIN_SPEEDUP: f64 = 2.0;
 
-/// Returns the error for a reply that exceeds `MAX_REPLY_BYTES`.
-fn too_large_error() -> Error {
-    let text = format!("the reply is larger than {MAX_REPLY_BYTES} bytes");
+/// Returns the error for a reply that exceeds the maximum size.
+fn too_large_error(max_bytes: usize) -> Error {
+    let text = format!("the reply is larger than {max_bytes} bytes");
     Error::new(Code::ReplyTooLarge, text).with_executed(Executed::Unknown)
 }
 
@@ -191,7 +189,8 @@
 }
 
 /// Sends a request to `address` and returns the complete reply. `name` is the key of the
-/// connections in the pool. A large reply is subject to `control` if there is one.
+/// connections in the pool. A large reply is subject to `control` if there is one. The memory of the
+/// body is reserved in `hold`, which the caller keeps until the body is dropped.
 ///
 /// The connection returns to the pool after a complete reply. Otherwise it is closed, because
 /// unread data may still arrive on it.
@@ -202,6 +201,7 @@
     mut req: Request<Full<Bytes>>,
     timeouts: CallTimeouts,
     control: Option<&LargeReplyControl<'_>>,
+    hold: &mut ReplyHold<'_>,
 ) -> Result<Reply> {
     let deadline = Instant::now() + timeouts.head;
     let timeout_error = |_| unavailable_error("no reply within the time limit");
@@ -219,7 +219,7 @@
         .map_err(|e| unavailable_error(format_error_chain(&e)))?
         .into_parts();
     let head_received_at = Instant::now();
-    let body = collect(body, timeouts.part, control).await?;
+    let body = collect(body, timeouts.part, control, hold).await?;
     pool.release(name, lease, None);
     Ok(Reply {
         status: head.status,
@@ -235,10 +235,15 @@
     body: Incoming,
     part_timeout: Duration,
     control: Option<&LargeReplyControl<'_>>,
+    hold: &mut ReplyHold<'_>,
 ) -> Result<Bytes> {
     let min_len = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let mut body = std::pin::pin!(Limited::new(body, MAX_REPLY_BYTES));
-    let mut collected = BytesMut::new();
+    let max_len = hold.max_reply_bytes();
+    if min_len > max_len {
+        return Err(too_large_error(max_len));
+    }
+    let mut body = std::pin::pin!(Limited::new(body, max_len));
+    let mut collected = Segments::default();
     let mut permit: Option<ReplyPermit<'_>> = None;
     let mut permit_start_len = 0;
     let mut last_progress_at = Instant::now();
@@ -278,11 +283,12 @@
             unavailable_error("the body of the reply stalled for longer than the time limit")
         })? {
             Some(Ok(frame)) => {
-                collected.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()))
+                let data = frame.data_ref().map_or(&[][..], |data| data);
+                collected.append(data, hold).await?;
             }
-            Some(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large_error()),
+            Some(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large_error(max_len)),
             Some(Err(e)) => return Err(unavailable_error(format_error_chain(e.as_ref()))),
-            None => return Ok(collected.freeze()),
+            None => return Ok(collected.finish()),
         }
     }
 }
--- a/crates/tidetrack-plane/src/control.rs
+++ b/crates/tidetrack-plane/src/control.rs
@@ -158,7 +158,8 @@
     let call = (shared.dialect.store.write_progress)(&write);
     let purpose =
         CallPurpose { kind: FeedKind::Rollouts, reason: CallReason::Write, age: ListAge::Newest };
-    let result = store.call(&call, purpose, Duration::ZERO, None).await;
+    let mut hold = store.reply_memory.open();
+    let result = store.call(&call, purpose, Duration::ZERO, None, &mut hold).await;
     match result {
         Ok(_) => shared.journal.log(Event::ProgressWritten, &fields),
         Err(e) if e.code == Code::Conflict => {
--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -32,6 +32,7 @@
 use crate::forward::CONNECTION_PREAMBLE;
 use crate::pages::{accept, limit_unsent_bytes, serve_page_connection};
 use crate::pool::Pool;
+use crate::reply_memory::ReplyHold;
 use crate::server::listen_with_buffer;
 use crate::shared::{Shared, SharedRef};
 
@@ -183,6 +184,7 @@
     kind: FeedKind,
     after: u64,
     gate: &LargeReplyControl<'_>,
+    hold: &mut ReplyHold<'_>,
 ) -> Result<(FeedReply, Reply)> {
     let mut req = Request::new(Full::new(Bytes::new()));
     let path = format!("/changes/{kind:?}/{after}");
@@ -190,7 +192,7 @@
         path.parse().map_err(|e| unavailable_error(format!("invalid path {path}: {e}")))?;
     let address = address.to_string();
     let patience = CallTimeouts { head: REPLY_STALL_TIMEOUT, part: REPLY_STALL_TIMEOUT };
-    let response = call(pool, &address, &address, req, patience, Some(gate)).await?;
+    let response = call(pool, &address, &address, req, patience, Some(gate), hold).await?;
     if response.status != StatusCode::OK {
         return Err(unavailable_error(format!("the host returned status {}", response.status)));
     }
--- a/crates/tidetrack-plane/src/lib.rs
+++ b/crates/tidetrack-plane/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod pool;
 pub mod prepare;
 pub mod relay;
+pub mod reply_memory;
 pub mod report;
 pub mod request_body;
 pub mod response_memory;
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -21,6 +21,7 @@
 use crate::call::{self, unavailable_error, CallTimeouts, LargeReplyControl, Reply};
 use crate::dialect::{DecodedObject, FeedKind, ListAge, Page, StoreCall, UnreadableObject};
 use crate::pool::Pool;
+use crate::reply_memory::{ReplyHold, ReplyMemory};
 use crate::shared::SharedRef;
 
 /// Timeout for the head of a reply, and between two parts of its body. The store normally responds
@@ -83,12 +84,14 @@
     shared: SharedRef,
     pool: Pool,
     address: String,
+    /// Memory for replies of the store, and of other hosts in its place.
+    pub reply_memory: ReplyMemory,
     /// Latest era that the store has reported; `None` before its first reply.
     era: Cell<Option<u64>>,
 }
 
 /// All objects of a kind at one revision.
-pub struct Listing {
+pub struct Listing<'a> {
     /// The objects that could be decoded.
     pub objects: Vec<DecodedObject>,
     /// Names of the objects that could not be decoded.
@@ -103,10 +106,12 @@
     pub started_at: Millis,
     /// Total time in which the bodies of the replies were received.
     pub body_time: Duration,
+    /// Memory of the pages.
+    pub hold: ReplyHold<'a>,
 }
 
-impl Listing {
-    fn new(started_at: Millis) -> Listing {
+impl<'a> Listing<'a> {
+    fn new(started_at: Millis, hold: ReplyHold<'a>) -> Listing<'a> {
         Listing {
             objects: Vec::new(),
             unreadable: Vec::new(),
@@ -115,6 +120,7 @@
             newest_change: 0,
             started_at,
             body_time: Duration::ZERO,
+            hold,
         }
     }
 }
@@ -123,19 +129,22 @@
     /// Creates a client for the store address of the settings.
     pub fn new(shared: SharedRef) -> StoreClient {
         let address = shared.settings.store_address.to_string();
-        StoreClient { shared, pool: Pool::default(), address, era: Cell::new(None) }
+        let reply_memory = ReplyMemory::new(shared.settings.memory);
+        let (pool, era) = (Pool::default(), Cell::new(None));
+        StoreClient { shared, pool, address, reply_memory, era }
     }
 
     /// Calls the store and counts the result. `wait` is the time for which the store may hold back
-    /// its reply. Fails if the store is unreachable or returns an error status.
+    /// its reply, and `hold` the reservation of its memory. Fails if the store is unreachable or returns an error status.
     pub async fn call(
         &self,
         call: &StoreCall,
         purpose: CallPurpose,
         wait: Duration,
         gate: Option<&LargeReplyControl<'_>>,
+        hold: &mut ReplyHold<'_>,
     ) -> Result<Reply> {
-        let result = self.call_uncounted(call, wait, gate).await;
+        let result = self.call_uncounted(call, wait, gate, hold).await;
         let outcome = match &result {
             Ok(_) => "answered",
             Err(e) if e.code == Code::PlatformDown => "failed",
@@ -151,6 +160,7 @@
         call: &StoreCall,
         wait: Duration,
         gate: Option<&LargeReplyControl<'_>>,
+        hold: &mut ReplyHold<'_>,
     ) -> Result<Reply> {
         let patience = CallTimeouts { head: wait + CALL_TIMEOUT, part: CALL_TIMEOUT };
         let mut req = Request::new(Full::new(call.body.clone()));
@@ -163,7 +173,8 @@
             let json_type = http::HeaderValue::from_static("application/json");
             req.headers_mut().insert(http::header::CONTENT_TYPE, json_type);
         }
-        let reply = call::call(&self.pool, POOL_KEY, &self.address, req, patience, gate).await?;
+        let reply =
+            call::call(&self.pool, POOL_KEY, &self.address, req, patience, gate, hold).await?;
         self.record_era((self.shared.dialect.store.read_era)(&reply.headers));
         match reply.status {
             StatusCode::OK | StatusCode::CREATED => Ok(reply),
@@ -207,16 +218,17 @@
         &self,
         purpose: CallPurpose,
         gate: &LargeReplyControl<'_>,
-    ) -> Result<Listing> {
+    ) -> Result<Listing<'_>> {
         let CallPurpose { kind, age, .. } = purpose;
         let dialect = &self.shared.dialect.store;
         let started_at = self.shared.now();
-        let mut listing = Listing::new(started_at);
+        let mut listing = Listing::new(started_at, self.reply_memory.open());
         let mut progress = ListProgress::new(self.shared.settings.memory);
         let mut after: Option<String> = None;
         loop {
             let call = (dialect.list)(kind, after.as_deref(), age);
-            let reply = self.call(&call, purpose, Duration::ZERO, Some(gate)).await?;
+            let hold = &mut listing.hold;
+            let reply = self.call(&call, purpose, Duration::ZERO, Some(gate), hold).await?;
             let era = (dialect.read_era)(&reply.headers);
             if after.is_some() && era != era_of(listing.revision) {
                 return Err(unavailable_error("the store was restored while it was listed"));
--- a/crates/tidetrack-plane/src/watch/fetch.rs
+++ b/crates/tidetrack-plane/src/watch/fetch.rs
@@ -96,8 +96,9 @@
     async fn fetch_from_host(&self, kind: FeedKind, after: u64, address: SocketAddr) -> Result<()> {
         let gate = self.reply_gate(kind, Some(after));
         let requested_at = self.shared.now();
+        let mut hold = self.store.reply_memory.open();
         let (feed_reply, response) =
-            feed::fetch_changes(&self.host_pool, address, kind, after, &gate).await?;
+            feed::fetch_changes(&self.host_pool, address, kind, after, &gate, &mut hold).await?;
         let before = self.newest_change(kind);
         if let Some(list) = feed_reply.list {
             let (mut objects, mut unreadable, mut newest) = (Vec::new(), Vec::new(), 0);
--- a/crates/tidetrack-plane/src/watch/read.rs
+++ b/crates/tidetrack-plane/src/watch/read.rs
@@ -111,7 +111,8 @@
         let gate = self.reply_gate(kind, Some(after));
         let purpose = CallPurpose { kind, reason, age: ListAge::Newest };
         let wait = Duration::from_millis(wait.0);
-        let reply = self.store.call(&call, purpose, wait, Some(&gate)).await?;
+        let mut hold = self.store.reply_memory.open();
+        let reply = self.store.call(&call, purpose, wait, Some(&gate), &mut hold).await?;
         let era = (dialect.read_era)(&reply.headers);
         // The revision after which the changes were requested stands for another state in this era.
         if era != position.era {
--- a/crates/tidetrack-plane/tests/call.rs
+++ b/crates/tidetrack-plane/tests/call.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant};
 
 use tidetrack_core::traffic::feeds::{FeedKind, FeedTracker, Fetch, FetchSource, Revisions};
-use tidetrack_core::units::Millis;
+use tidetrack_core::units::{MemorySize, Millis};
 use tidetrack_plane::call::{LargeReplyControl, LargeReplyLimiter};
 use tidetrack_plane::feed;
 use tidetrack_plane::pool::Pool;
+use tidetrack_plane::reply_memory::ReplyMemory;
 use tokio::task::LocalSet;
 
 /// Revision that this host already has, and the newer one that another host reports.
@@ -77,6 +78,8 @@
         }),
     };
     let pool = Pool::default();
+    let memory = ReplyMemory::new(MemorySize(64.0));
+    let mut hold = memory.open();
     let mut fetches = Vec::new();
     let reporting = async {
         while start.elapsed() < duration {
@@ -90,7 +93,7 @@
         }
     };
     tokio::select! {
-        result = feed::fetch_changes(&pool, address, FeedKind::Endpoints, KNOWN_REVISION, &reply_control) => {
+        result = feed::fetch_changes(&pool, address, FeedKind::Endpoints, KNOWN_REVISION, &reply_control, &mut hold) => {
             panic!("the slow reply ended before the test did: {:?}", result.err());
         }
         () = reporting => fetches,
