Lists kept for other hosts share a bounded part of the host's memory

A store whose lists are large but end (two pages of 3.5 MB for each of the four kinds, each list within its own bound of an eighth of limits.memory-mb) took a host of 64 MB (65,536 KiB) to 68,268 KiB resident when it was listed twice.

Cause: a host keeps the pages of the last list of each kind for other hosts. Only the list of one kind was bounded, so all of them took up to half of the memory, and more while one was replaced.

Change: the lists of all kinds that are kept take an eighth of limits.memory-mb together. Above that a list is applied and not kept (E215); hosts that ask for it get 404 as for changes that are not kept any more, and read the store.

--- a/crates/tidetrack-core/src/events.rs
+++ b/crates/tidetrack-core/src/events.rs
@@ -55,6 +55,7 @@
     HistoryGone, 212, "the object API no longer has the change history; all objects of a kind are read again";
     ChangesNotGot, 213, "changes of the object API could not be fetched from this source; another source is tried";
     LargeReplyCame, 214, "a large or slow reply with changes of the object API arrived";
+    ListNotKept, 215, "a list is not kept for other hosts, since all lists take too much memory";
     PeerAlive, 220, "a host is alive";
     PeerSuspect, 221, "a host is suspect";
     PeerDead, 222, "a host is considered dead";
--- a/crates/tidetrack-core/src/traffic/reply_limits.rs
+++ b/crates/tidetrack-core/src/traffic/reply_limits.rs
@@ -12,6 +12,14 @@
 /// 1 MB.
 const MAX_REPLY_BYTES: f64 = 8.0 * 1_048_576.0;
 
+/// Share of a host's memory that the lists may take which it keeps for other hosts.
+const KEPT_LISTS_SHARE: f64 = 1.0 / 8.0;
+
+/// Returns the bound in bytes of the lists that a host with this memory keeps for other hosts.
+pub fn kept_list_bytes(memory: MemorySize) -> usize {
+    (memory.bytes() * KEPT_LISTS_SHARE) as usize
+}
+
 /// Bounds in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReplyLimits {
--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -71,6 +71,13 @@
     pub pages: Vec<Vec<u8>>,
 }
 
+impl ListSnapshot {
+    /// Returns the number of bytes of its pages.
+    pub fn len_bytes(&self) -> usize {
+        self.pages.iter().map(Vec::len).sum()
+    }
+}
+
 /// The latest changes of a kind, with the list that they follow if it is still kept.
 #[derive(Clone, Debug, Default)]
 pub struct FeedLog {
@@ -115,6 +122,16 @@
         true
     }
 
+    /// Returns the number of bytes of the list that the batches follow, if it is still kept.
+    pub fn list_bytes(&self) -> usize {
+        self.list.as_ref().map_or(0, ListSnapshot::len_bytes)
+    }
+
+    /// Drops the list that the batches follow. Hosts that need it read it from the store.
+    pub fn drop_list(&mut self) {
+        self.list = None;
+    }
+
     /// Records that there are no further changes up to `newest_revision`.
     pub fn advance(&mut self, newest_revision: u64) {
         self.newest_revision = self.newest_revision.max(newest_revision);
--- a/crates/tidetrack-plane/src/watch/apply.rs
+++ b/crates/tidetrack-plane/src/watch/apply.rs
@@ -8,10 +8,11 @@
 use tidetrack_core::traffic::catalog::Catalog;
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::feeds::LARGE_REPLY_BYTES;
+use tidetrack_core::traffic::reply_limits::kept_list_bytes;
 use tidetrack_core::traffic::store_position::era_of;
 
 use crate::dialect::{Change, ChangeSet, DecodedObject, FeedKind, UnreadableObject};
-use crate::feed::{ChangeBatch, ListSnapshot};
+use crate::feed::{ChangeBatch, FeedLog, ListSnapshot};
 
 use super::StoreSync;
 
@@ -121,6 +122,7 @@
         if !self.with_log(kind, |log| log.reset_to_list(list)) {
             return false;
         }
+        self.limit_kept_lists(kind);
         self.newest_changes.borrow_mut().raise(kind, newest);
         let mut endpoints = Vec::new();
         let mut rollouts = Vec::new();
@@ -148,6 +150,20 @@
         true
     }
 
+    /// Drops the list of a kind if the lists of all kinds take more memory than they may.
+    fn limit_kept_lists(&self, kind: FeedKind) {
+        let max_bytes = kept_list_bytes(self.shared.settings.memory);
+        let mut logs = self.logs.borrow_mut();
+        let bytes: usize = logs.iter().map(FeedLog::list_bytes).sum();
+        if bytes > max_bytes {
+            logs[kind as usize].drop_list();
+            drop(logs);
+            let fields: [(&'static str, &dyn std::fmt::Display); 3] =
+                [("kind", &kind.as_str()), ("bytes", &bytes), ("max_bytes", &max_bytes)];
+            self.shared.journal.log(Event::ListNotKept, &fields);
+        }
+    }
+
     fn apply_catalog(&self, catalog: Catalog) {
         self.catalog_version.set(self.catalog_version.get().max(catalog.version));
         self.shared.send_input(Input::Catalog(Arc::new(catalog)));
--- a/crates/tidetrack-plane/tests/feed.rs
+++ b/crates/tidetrack-plane/tests/feed.rs
@@ -99,3 +99,17 @@
     );
     assert!(log.changes_after(30).expect("the log covers the revision").batches.is_empty());
 }
+
+#[test]
+fn a_log_without_its_list_reports_changes_before_it_as_missing() {
+    let mut log = FeedLog::new(FeedKind::Endpoints);
+    let list = ListSnapshot { revision: 5, pages: vec![vec![0; 10], vec![0; 20]] };
+    assert!(log.reset_to_list(list));
+    assert_eq!(log.list_bytes(), 30);
+
+    log.drop_list();
+
+    assert_eq!(log.list_bytes(), 0);
+    assert!(log.changes_after(0).is_none());
+    assert_eq!(log.changes_after(5).map(|reply| reply.complete_to), Some(5));
+}
