A round of probes goes on while most unknown endpoints are silent

Beside former entries at the addresses of returned endpoints and silent ones, 87 of 123 requests were served from 3 s on: a round ended once half of the finished probes of unknown endpoints were answered, but silent ones are not finished for 0.4 s, and one endpoint answers for all entries at its address. Probes that were started count now, and an address counts once.

--- a/crates/tidetrack-plane/src/paths/rounds.rs
+++ b/crates/tidetrack-plane/src/paths/rounds.rs
@@ -118,9 +118,10 @@
     has_answer: bool,
     /// Whether an answer was so fast that silent endpoints are not waiting for a saturated link.
     has_prompt_answer: bool,
-    /// Numbers of answered and of all finished probes of endpoints of which nothing was known.
-    unknown_answered: usize,
-    unknown_finished: usize,
+    /// Number of probes of endpoints of which nothing was known.
+    unknown_started: usize,
+    /// Addresses at which such probes were answered. One endpoint may answer for several entries.
+    unknown_answered: HashSet<String>,
 }
 
 /// Probes the endpoints of a service, in waves. If one responds, the round ends with those that are not
@@ -164,6 +165,7 @@
         endpoint: PoolEndpoint,
         rank: ProbeRank,
     ) {
+        self.unknown_started += usize::from(rank == ProbeRank::Unknown);
         let (traffic, service) = (traffic.clone(), service.clone());
         self.probes.spawn_local(async move {
             let (outcome, took) =
@@ -174,12 +176,12 @@
 
     fn record(&mut self, traffic: &Traffic, service: &ServiceId, ended: EndedProbe) {
         let EndedProbe { endpoint, rank, outcome, took } = ended;
-        let is_unknown = rank == ProbeRank::Unknown;
-        self.unknown_finished += usize::from(is_unknown);
-        self.unknown_answered += usize::from(is_unknown && outcome.is_answered());
         match outcome {
             ProbeOutcome::Answered => {
                 self.has_answer = true;
+                if rank == ProbeRank::Unknown {
+                    self.unknown_answered.insert(endpoint.address);
+                }
                 self.has_prompt_answer |= took.as_millis() <= u128::from(MAX_PROMPT_LATENCY.0);
             }
             _ => self.failed.push(FailedProbe { endpoint, outcome }),
@@ -190,7 +192,7 @@
     }
 
     fn are_most_unknown_reached(&self) -> bool {
-        self.unknown_finished > 0 && self.unknown_answered * 2 >= self.unknown_finished
+        self.unknown_started > 0 && self.unknown_answered.len() * 2 >= self.unknown_started
     }
 }
 
