--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -16,6 +16,10 @@
 //! were reached and which were not while others were is remembered until it is refuted or the paths
 //! are lost. The former are probed first; the latter are probed again from time to time, so that callers'
 //! requests need not find out.
+//!
+//! In what follows, an endpoint has *failed* if a connection or request did lately, whatever the cause; a
+//! probe is *unanswered* while the paths are in doubt, which says nothing about its endpoint alone; and an
+//! endpoint is *unreached* if it failed or left a probe unanswered while others of its service answered.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 
--- a/crates/tidetrack-plane/src/host.rs
+++ b/crates/tidetrack-plane/src/host.rs
@@ -59,8 +59,8 @@
 
 impl Host {
     /// Serves callers until a stop signal. `reload` reads the settings again and is called on a
-    /// reload signal. Waits for addresses that are in use or not
-    /// assigned to the machine. Fails if the threads cannot be started or an address cannot be bound for another reason.
+    /// reload signal. Waits for addresses that are in use or not assigned to the machine. Fails if the
+    /// threads cannot be started or an address cannot be bound for another reason.
     pub fn run(
         settings: HostSettings,
         dialect: Dialect,
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -135,7 +135,8 @@
     }
 
     /// Calls the store and counts the result. `wait` is the time for which the store may hold back
-    /// its reply, and `hold` the reservation of its memory. Fails if the store is unreachable or returns an error status.
+    /// its reply, and `hold` the reservation of its memory. Fails if the store is unreachable or returns an
+    /// error status.
     pub async fn call(
         &self,
         call: &StoreCall,
