Probes start while the first attempt at an endpoint waits, not when it fails

Cause: a host learned of an endpoint that does not respond only from attempts that ran into their time, 0.5 to 1.5 s each, and two of them had to fail before others were probed. A round of probes asked for within a second of the last one was dropped, and the next failure had to ask again.

Change: an attempt at an endpoint that this host has not reached yet starts a round of probes after 0.2 s without a response, which decides about all others that are not known either. A round that is asked for too early is deferred instead of dropped. Endpoints that were reached start nothing, so usual operation is unchanged.

--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -178,6 +178,11 @@
         self.services.get(service).is_some_and(|paths| paths.unreached.contains(&endpoint))
     }
 
+    /// Reports whether an endpoint has responded on a new connection and not failed since.
+    pub fn is_reached(&self, service: &ServiceId, endpoint: EndpointKey) -> bool {
+        self.services.get(service).is_some_and(|paths| paths.reached.contains(&endpoint))
+    }
+
     /// Returns the services that have paths, but not to all endpoints.
     pub fn services_with_unreached(&self) -> impl Iterator<Item = &ServiceId> {
         let is_partial =
--- a/crates/tidetrack-plane/src/paths/mod.rs
+++ b/crates/tidetrack-plane/src/paths/mod.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap, HashSet};
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,6 +21,7 @@
 use tidetrack_core::units::Millis;
 
 use crate::job::{ChosenEndpoint, Traffic};
+use crate::stall_aware_sleep::stall_aware_sleep;
 
 use probe::{probe, ProbePurpose, ProbeSlots};
 use rounds::{probe_round, probe_until_decided, recheck_unreached, responding_probe_order};
@@ -34,6 +36,10 @@
 /// than a round of probes takes.
 const MAX_ATTEMPT_DELAY: Duration = Duration::from_millis(600);
 
+/// Time after which an attempt at an endpoint that this host has not reached yet starts probes, if there is no
+/// response.
+const MAX_FIRST_RESPONSE_TIME: Duration = Duration::from_millis(200);
+
 /// Shortest interval between two rounds of probes of a service that nothing waits for.
 const MIN_SWEEP_INTERVAL: Millis = Millis(1_000);
 
@@ -62,9 +68,9 @@
     undecided: RefCell<HashSet<ServiceId>>,
     /// Services whose probes have to start.
     suspected: RefCell<Vec<ServiceId>>,
-    /// Services whose endpoints have to be probed, each for its own sake.
-    swept: RefCell<Vec<ServiceId>>,
-    /// When such a round was last started, by service.
+    /// Services whose endpoints have to be probed, each for its own sake, and when.
+    sweeps: RefCell<Vec<(ServiceId, Millis)>>,
+    /// When the last such round of each service was or will be started.
     last_sweeps: RefCell<HashMap<ServiceId, Millis>>,
     /// Bounds the probes under way.
     probe_slots: ProbeSlots,
@@ -141,6 +147,24 @@
         self.record_unresponsive(traffic, service, &chosen.id, &chosen.state);
     }
 
+    /// Starts probes if an attempt at an endpoint that this host has not reached yet gets no response for a time,
+    /// since the endpoint may have ended, and others with it. Never returns.
+    pub async fn watch_first_response(
+        &self,
+        traffic: &Traffic,
+        service: &ServiceId,
+        endpoint: &EndpointId,
+    ) -> Infallible {
+        let is_reached = || self.paths.borrow().is_reached(service, endpoint.into());
+        if !is_reached() {
+            stall_aware_sleep(MAX_FIRST_RESPONSE_TIME).await;
+            if !is_reached() && self.state(service) == PathState::Up {
+                self.start_sweep(traffic, service);
+            }
+        }
+        std::future::pending().await
+    }
+
     /// Records that a connection to an endpoint failed, which counts against the endpoint once it
     /// is clear that the path is not the cause.
     pub fn record_failure(
@@ -228,15 +252,18 @@
         }
     }
 
-    /// Starts a round of probes that decides about single endpoints, unless one was started a moment ago.
+    /// Starts a round of probes that decides about single endpoints, later if one was started a moment ago.
     fn start_sweep(&self, traffic: &Traffic, service: &ServiceId) {
         let now = traffic.shared.now();
         let mut last_sweeps = self.last_sweeps.borrow_mut();
-        if last_sweeps.get(service).is_none_or(|at| now >= *at + MIN_SWEEP_INTERVAL) {
-            last_sweeps.insert(service.clone(), now);
-            self.swept.borrow_mut().push(service.clone());
-            self.changed.notify_one();
+        let last = last_sweeps.get(service).copied();
+        if last.is_some_and(|at| at > now) {
+            return;
         }
+        let start_at = last.map_or(now, |at| now.max(at + MIN_SWEEP_INTERVAL));
+        last_sweeps.insert(service.clone(), start_at);
+        self.sweeps.borrow_mut().push((service.clone(), start_at));
+        self.changed.notify_one();
     }
 
     fn start_probes(&self, service: &ServiceId) {
@@ -436,9 +463,13 @@
         for service in monitor.suspected.take() {
             tokio::task::spawn_local(probe_until_decided(traffic.clone(), service));
         }
-        for service in monitor.swept.take() {
+        for (service, start_at) in monitor.sweeps.take() {
             let traffic = traffic.clone();
-            tokio::task::spawn_local(async move { probe_round(&traffic, &service).await });
+            tokio::task::spawn_local(async move {
+                let pause = start_at - traffic.shared.now();
+                tokio::time::sleep(Duration::from_millis(pause.0)).await;
+                probe_round(&traffic, &service).await;
+            });
         }
     }
 }
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -163,6 +163,7 @@
             Err(Error::new(Code::Deadline, "the endpoint did not respond in time")
                 .with_executed(Executed::Unknown))
         }
+        never = traffic.paths.watch_first_response(traffic, &job.service, &chosen.id) => match never {},
     };
     match &response {
         Ok(_) => {
