Endpoints that cannot be connected to are no measure of outliers

What callers would see: 3 of 4 endpoints in use were avoided although all of them failed as often, in a pool of 8 listed: the four ended ones, which get no requests, counted as never failing in the median, and as remaining in the third that may be avoided.

Change: endpoints that are ejected because of failed connections are left out of the comparison.

The test listed the ended endpoints without a state, which no listed endpoint lacks in a host; they have one now, of an endpoint whose connection failed. What it asserts is unchanged.

--- a/crates/tidetrack-core/src/traffic/outliers.rs
+++ b/crates/tidetrack-core/src/traffic/outliers.rs
@@ -4,11 +4,12 @@
 //! that loses every third response. Each host therefore counts the outcomes of its requests,
 //! reports its counts for endpoints with recent failures to the other hosts, and judges by the sum.
 //! An endpoint is compared with the other endpoints of its pool, because failures that all of them
-//! share are caused by the requests or by the version. An outlier is avoided for a few seconds and
+//! share are caused by the requests or by the version. Those that are ejected because of failed connections get no
+//! requests and are left out. An outlier is avoided for a few seconds and
 //! then judged by what happens afterwards. The report of one host alone never makes other hosts
 //! avoid an endpoint, and part of each pool always stays in use.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -163,6 +164,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct OutlierDetector {
     histories: HashMap<EndpointId, EndpointHistory>,
+    /// Endpoints that are ejected because of failed connections.
+    disconnected: HashSet<EndpointId>,
 }
 
 impl OutlierDetector {
@@ -174,7 +177,11 @@
         endpoint_states: impl Iterator<Item = (&'a EndpointId, &'a EndpointState)>,
         peer_counts: &HashMap<EndpointKey, RequestCounts>,
     ) {
+        self.disconnected.clear();
         for (id, state) in endpoint_states {
+            if state.is_disconnected() && state.ejected_until() > now {
+                self.disconnected.insert(id.clone());
+            }
             let outcomes = state.take_outcomes();
             let others = peer_counts.get(&EndpointKey::from(id)).copied();
             if outcomes == Outcomes::default() && others.is_none() {
@@ -209,19 +216,26 @@
     /// Returns the endpoints of a pool that have to be avoided from now on, and starts to avoid
     /// them.
     pub fn find_outliers(&mut self, now: Millis, pool: &[EndpointId]) -> Vec<Outlier> {
+        let pool: Vec<&EndpointId> =
+            pool.iter().filter(|id| !self.disconnected.contains(*id)).collect();
         if pool.len() < MIN_POOL_SIZE {
             return Vec::new();
         }
-        let median = self.median(now, pool);
+        let median = self.median(now, &pool);
         let mut outliers: Vec<Outlier> = Vec::new();
         let mut avoided_count = 0;
-        for id in pool {
-            let Some(history) = self.histories.get(id) else { continue };
+        for id in &pool {
+            let Some(history) = self.histories.get(*id) else { continue };
             let counts = history.current_counts(now);
             if history.is_avoided(now) {
                 avoided_count += 1;
             } else if counts.exceeds(median) {
-                outliers.push(Outlier { endpoint: id.clone(), counts, median, avoided_until: now });
+                outliers.push(Outlier {
+                    endpoint: (*id).clone(),
+                    counts,
+                    median,
+                    avoided_until: now,
+                });
             }
         }
         outliers.sort_by(|a, b| b.counts.failed_share().total_cmp(&a.counts.failed_share()));
@@ -235,9 +249,11 @@
     }
 
     /// Returns the median share of failed requests in a pool.
-    fn median(&self, now: Millis, pool: &[EndpointId]) -> f32 {
-        let share = |id: &EndpointId| {
-            self.histories.get(id).map_or(0.0, |history| history.current_counts(now).failed_share())
+    fn median(&self, now: Millis, pool: &[&EndpointId]) -> f32 {
+        let share = |id: &&EndpointId| {
+            self.histories
+                .get(*id)
+                .map_or(0.0, |history| history.current_counts(now).failed_share())
         };
         let mut shares: Vec<f32> = pool.iter().map(share).collect();
         shares.sort_by(f32::total_cmp);
--- a/crates/tidetrack-core/tests/mostly_ended.rs
+++ b/crates/tidetrack-core/tests/mostly_ended.rs
@@ -51,9 +51,13 @@
 fn endpoints_that_all_fail_as_often_are_no_outliers_beside_ended_ones() {
     for listed in [SOUND, 8, 12, 24, 64] {
         let states: HashMap<EndpointId, EndpointState> =
-            (0..SOUND).map(|n| (id(n), EndpointState::default())).collect();
-        for state in states.values() {
-            (0..30).for_each(|n| state.record_outcome(NOW, n % 4 != 0));
+            (0..listed).map(|n| (id(n), EndpointState::default())).collect();
+        for n in 0..listed {
+            let state = &states[&id(n)];
+            match n < SOUND {
+                true => (0..30).for_each(|n| state.record_outcome(NOW, n % 4 != 0)),
+                false => state.record_withheld_failure(NOW, true),
+            }
         }
         let mut detector = OutlierDetector::default();
         detector.record(NOW, states.iter(), &HashMap::new());
