Decisions of probe rounds in core, without I/O

Which endpoints a round asks and in which order, what an outcome says about its endpoint, when a round that nothing waits for starts, and when an endpoint that was not reached is probed again were decided beside the sockets in the plane.

Names: a round that nothing waits for is scheduled, not "swept"; WithheldFailure and FailedProbe no longer share the name "count" for different things.

--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -34,12 +34,8 @@
 /// an only endpoint says nothing about the paths.
 const MIN_FAILED_ENDPOINTS: usize = 2;
 
-/// Number of endpoints that are probed first in a round, which usually end a suspicion that the paths
-/// did not cause.
-const FIRST_WAVE: usize = 6;
-
-/// Number of probes, one after the other, in which lost paths are looked for at all listed endpoints.
-const PROBES_PER_CYCLE: usize = 8;
+/// Shortest interval between two rounds of probes of a service that nothing waits for.
+const MIN_ROUND_INTERVAL: Millis = Millis(1_000);
 
 /// Longest time from the first failure to the end of an interruption that is not a partition: endpoints or
 /// links may stand still for a second and a half, and the next probe may be due a moment later.
@@ -57,18 +53,6 @@
     Lost,
 }
 
-/// Returns the numbers of endpoints that are probed at the same time in a round. Each wave is twice as
-/// large as the one before, so that a few waves reach all endpoints of any list.
-pub fn wave_sizes() -> impl Iterator<Item = usize> {
-    std::iter::successors(Some(FIRST_WAVE), |size| Some(size.saturating_mul(2)))
-}
-
-/// Returns how many endpoints of a list are probed at the same time while the paths to all of them are
-/// lost, so that one that is back is found soon in a list of any length.
-pub fn restoring_probes(listed: usize) -> usize {
-    listed.div_ceil(PROBES_PER_CYCLE).max(1)
-}
-
 /// Order in which endpoints are probed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ProbeRank {
@@ -112,6 +96,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointPaths {
     services: HashMap<ServiceId, ServicePaths>,
+    /// When the last round of probes that nothing waits for was or will be started, by service.
+    last_rounds: HashMap<ServiceId, Millis>,
 }
 
 impl EndpointPaths {
@@ -190,6 +176,17 @@
         self.services.iter().filter(move |(_, p)| is_partial(p)).map(|(service, _)| service)
     }
 
+    /// Returns when a round of probes that nothing waits for has to start; `None` if one will start anyway.
+    pub fn schedule_round(&mut self, now: Millis, service: &ServiceId) -> Option<Millis> {
+        let last = self.last_rounds.get(service).copied();
+        if last.is_some_and(|at| at > now) {
+            return None;
+        }
+        let start_at = last.map_or(now, |at| now.max(at + MIN_ROUND_INTERVAL));
+        self.last_rounds.insert(service.clone(), start_at);
+        Some(start_at)
+    }
+
     /// Records that an endpoint is probed while the paths are suspected or lost.
     pub fn record_probe(&mut self, now: Millis, service: &ServiceId, endpoint: EndpointKey) {
         if let Some(paths) = self.services.get_mut(service).filter(|p| p.state != PathState::Up) {
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -40,6 +40,7 @@
 pub mod peers;
 pub mod places;
 pub mod prefix_index;
+pub mod probe_rounds;
 pub mod reachability;
 pub mod reader_backlog;
 pub mod reply_limits;
--- a/crates/tidetrack-core/tests/endpoint_paths.rs
+++ b/crates/tidetrack-core/tests/endpoint_paths.rs
@@ -5,10 +5,9 @@
 use tidetrack_core::codes::{Code, Executed};
 use tidetrack_core::errors::Error;
 use tidetrack_core::ids::{EndpointId, EndpointKey, HostId, ServiceId};
-use tidetrack_core::traffic::endpoint_paths::{
-    restoring_probes, wave_sizes, EndpointPaths, PathState, ProbeRank,
-};
+use tidetrack_core::traffic::endpoint_paths::{EndpointPaths, PathState, ProbeRank};
 use tidetrack_core::traffic::forwarding::{may_forward_elsewhere, pick_host, ForwardTarget};
+use tidetrack_core::traffic::probe_rounds::{restoring_probes, wave_sizes};
 use tidetrack_core::units::Millis;
 
 const NOW: Millis = Millis(10_000);
--- a/crates/tidetrack-plane/src/paths/mod.rs
+++ b/crates/tidetrack-plane/src/paths/mod.rs
@@ -40,9 +40,6 @@
 /// response.
 const MAX_FIRST_RESPONSE_TIME: Duration = Duration::from_millis(200);
 
-/// Shortest interval between two rounds of probes of a service that nothing waits for.
-const MIN_SWEEP_INTERVAL: Millis = Millis(1_000);
-
 /// Interval at which it is checked whether an endpoint that is not probed has responded to a request.
 const CONTACT_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -69,9 +66,7 @@
     /// Services whose probes have to start.
     suspected: RefCell<Vec<ServiceId>>,
     /// Services whose endpoints have to be probed, each for its own sake, and when.
-    sweeps: RefCell<Vec<(ServiceId, Millis)>>,
-    /// When the last such round of each service was or will be started.
-    last_sweeps: RefCell<HashMap<ServiceId, Millis>>,
+    scheduled: RefCell<Vec<(ServiceId, Millis)>>,
     /// Bounds the probes under way.
     probe_slots: ProbeSlots,
     changed: Notify,
@@ -159,7 +154,7 @@
         if !is_reached() {
             stall_aware_sleep(MAX_FIRST_RESPONSE_TIME).await;
             if !is_reached() && self.state(service) == PathState::Up {
-                self.start_sweep(traffic, service);
+                self.schedule_round(traffic, service);
             }
         }
         std::future::pending().await
@@ -181,7 +176,7 @@
                 traffic.pool.close_idle(chosen.id.as_str());
                 self.paths.borrow_mut().record_unreached(service, (&chosen.id).into());
             }
-            return self.start_sweep(traffic, service);
+            return self.schedule_round(traffic, service);
         }
         if !self.is_lost(service) {
             let failure = WithheldFailure {
@@ -220,7 +215,7 @@
         let unanswered = self.paths.borrow().unanswered_probes(service);
         let withheld = self.withheld.borrow_mut().remove(service).unwrap_or_default();
         if !self.is_lost(service) {
-            withheld.iter().for_each(|failure| self.count(traffic, service, failure));
+            withheld.iter().for_each(|failure| self.count_failure(traffic, service, failure));
         }
         let ended = self.paths.borrow_mut().record_contact(service, endpoint.into());
         self.decided.notify_waiters();
@@ -239,11 +234,11 @@
             ],
         );
         self.publish(traffic);
-        self.start_sweep(traffic, service);
+        self.schedule_round(traffic, service);
     }
 
     /// Counts a failure against its endpoint.
-    fn count(&self, traffic: &Traffic, service: &ServiceId, failure: &WithheldFailure) {
+    fn count_failure(&self, traffic: &Traffic, service: &ServiceId, failure: &WithheldFailure) {
         failure.state.report_failure();
         traffic.shared.send_input(Input::EndpointLost(failure.endpoint.clone()));
         if failure.is_unreachable {
@@ -253,17 +248,12 @@
     }
 
     /// Starts a round of probes that decides about single endpoints, later if one was started a moment ago.
-    fn start_sweep(&self, traffic: &Traffic, service: &ServiceId) {
-        let now = traffic.shared.now();
-        let mut last_sweeps = self.last_sweeps.borrow_mut();
-        let last = last_sweeps.get(service).copied();
-        if last.is_some_and(|at| at > now) {
-            return;
+    fn schedule_round(&self, traffic: &Traffic, service: &ServiceId) {
+        let start_at = self.paths.borrow_mut().schedule_round(traffic.shared.now(), service);
+        if let Some(start_at) = start_at {
+            self.scheduled.borrow_mut().push((service.clone(), start_at));
+            self.changed.notify_one();
         }
-        let start_at = last.map_or(now, |at| now.max(at + MIN_SWEEP_INTERVAL));
-        last_sweeps.insert(service.clone(), start_at);
-        self.sweeps.borrow_mut().push((service.clone(), start_at));
-        self.changed.notify_one();
     }
 
     fn start_probes(&self, service: &ServiceId) {
@@ -299,7 +289,7 @@
             }
             None => {
                 let withheld = self.withheld.borrow_mut().remove(service).unwrap_or_default();
-                withheld.iter().for_each(|failure| self.count(traffic, service, failure));
+                withheld.iter().for_each(|failure| self.count_failure(traffic, service, failure));
             }
         }
     }
@@ -314,7 +304,7 @@
         state: &EndpointState,
     ) {
         if state.guard().is_active() {
-            return self.start_sweep(traffic, service);
+            return self.schedule_round(traffic, service);
         }
         let (now, key) = (traffic.shared.now(), EndpointKey::from(endpoint));
         if self.paths.borrow_mut().record_failure(now, service, key) {
@@ -463,7 +453,7 @@
         for service in monitor.suspected.take() {
             tokio::task::spawn_local(probe_until_decided(traffic.clone(), service));
         }
-        for (service, start_at) in monitor.sweeps.take() {
+        for (service, start_at) in monitor.scheduled.take() {
             let traffic = traffic.clone();
             tokio::task::spawn_local(async move {
                 let pause = start_at - traffic.shared.now();
--- a/crates/tidetrack-plane/src/paths/probe.rs
+++ b/crates/tidetrack-plane/src/paths/probe.rs
@@ -8,9 +8,9 @@
 use http_body_util::Full;
 use tokio::sync::Semaphore;
 
-use tidetrack_core::disconnect::DisconnectCause;
 use tidetrack_core::ids::{EndpointKey, ServiceId};
 use tidetrack_core::placement::PoolEndpoint;
+use tidetrack_core::traffic::probe_rounds::ProbeOutcome;
 
 use crate::job::Traffic;
 
@@ -23,48 +23,6 @@
 /// Maximum number of other probes under way, which must not delay those.
 const MAX_OTHER_PROBES: usize = 64;
 
-/// What became of a probe.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ProbeOutcome {
-    /// The endpoint sent a response.
-    Answered,
-    /// The connection was refused.
-    Refused,
-    /// No connection was established in time.
-    Silent,
-    /// The connection broke.
-    Broken,
-    /// A connection was established, but no response arrived on it in time.
-    Mute,
-}
-
-impl ProbeOutcome {
-    pub(super) fn is_answered(self) -> bool {
-        self == ProbeOutcome::Answered
-    }
-
-    /// Returns the label used in metrics.
-    fn as_str(self) -> &'static str {
-        match self {
-            ProbeOutcome::Answered => "answered",
-            ProbeOutcome::Refused => "refused",
-            ProbeOutcome::Silent => "silent",
-            ProbeOutcome::Broken => "broken",
-            ProbeOutcome::Mute => "mute",
-        }
-    }
-}
-
-impl From<DisconnectCause> for ProbeOutcome {
-    fn from(cause: DisconnectCause) -> ProbeOutcome {
-        match cause {
-            DisconnectCause::Refused => ProbeOutcome::Refused,
-            DisconnectCause::TimedOut => ProbeOutcome::Silent,
-            _ => ProbeOutcome::Broken,
-        }
-    }
-}
-
 /// Bounds on the probes under way.
 #[derive(Debug)]
 pub(super) struct ProbeSlots {
--- a/crates/tidetrack-plane/src/paths/rounds.rs
+++ b/crates/tidetrack-plane/src/paths/rounds.rs
@@ -1,23 +1,25 @@
 //! Rounds of probes that decide about the paths to a service, and which of its endpoints are reached.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::task::JoinSet;
 use tokio::time::{timeout_at, Instant};
 
-use tidetrack_core::ids::{EndpointId, EndpointKey, FailureDomain, ServiceId};
+use tidetrack_core::ids::{EndpointId, EndpointKey, ServiceId};
 use tidetrack_core::placement::PoolEndpoint;
-use tidetrack_core::traffic::endpoint_paths::{restoring_probes, wave_sizes, PathState, ProbeRank};
-use tidetrack_core::traffic::reachability::MAX_PROMPT_LATENCY;
+use tidetrack_core::traffic::endpoint_paths::{PathState, ProbeRank};
+use tidetrack_core::traffic::probe_rounds::{
+    probe_order, recheck_lead_time, restoring_probes, wave_sizes, ProbeOutcome, RoundProgress,
+};
 use tidetrack_core::units::Millis;
 
 use crate::job::Traffic;
 
 use super::endpoints_of;
-use super::probe::{probe, ProbeOutcome, ProbePurpose};
+use super::probe::{probe, ProbePurpose};
 
 /// Shortest pause between two probes of lost paths. The pause is random, up to twice as long, so that
 /// the hosts of a partition do not all return at the same instant.
@@ -29,13 +31,6 @@
 /// Interval at which it is checked which endpoints that were not reached have to be probed again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time before the end of an endpoint's ejection at which it is probed again: an interval and the longest
-/// time that a probe takes.
-const MIN_RECHECK_LEAD_TIME: Millis = Millis(550);
-
-/// Bound on the time that is added to it at random.
-const MAX_RECHECK_JITTER: Millis = Millis(400);
-
 /// Probes the endpoints of a service until one responds: all in one round while the paths are suspected,
 /// then some at a time with pauses.
 pub(super) async fn probe_until_decided(traffic: Rc<Traffic>, service: ServiceId) {
@@ -115,29 +110,18 @@
 struct Round {
     probes: JoinSet<EndedProbe>,
     failed: Vec<FailedProbe>,
-    has_answer: bool,
-    /// Whether an answer was so fast that silent endpoints are not waiting for a saturated link.
-    has_prompt_answer: bool,
-    /// Number of probes of endpoints of which nothing was known.
-    unknown_started: usize,
-    /// Addresses at which such probes were answered. One endpoint may answer for several entries.
-    unknown_answered: HashSet<String>,
+    progress: RoundProgress,
 }
 
 /// Probes the endpoints of a service, in waves. If one responds, the round ends with those that are not
 /// known and those that are ejected: the paths work, so that each one's probe decides about it alone. If
 /// none responds, the paths are lost.
 pub(super) async fn probe_round(traffic: &Rc<Traffic>, service: &ServiceId) {
-    let mut waiting = probe_order(traffic, service);
+    let mut waiting = shuffled_probe_order(traffic, service);
     let mut round = Round::default();
     for size in wave_sizes() {
-        if round.has_answer {
-            let now = traffic.shared.now();
-            let asks_unknown = !round.are_most_unknown_reached();
-            waiting.retain(|(e, rank)| {
-                e.state.is_ejected(now) || asks_unknown && *rank == ProbeRank::Unknown
-            });
-        }
+        let now = traffic.shared.now();
+        waiting.retain(|(e, rank)| round.progress.needs_probe(*rank, e.state.is_ejected(now)));
         if waiting.is_empty() {
             break;
         }
@@ -151,7 +135,7 @@
     while let Some(Ok(ended)) = round.probes.join_next().await {
         round.record(traffic, service, ended);
     }
-    if !round.has_answer {
+    if !round.progress.has_answer() {
         let keys = round.failed.iter().map(|failed| EndpointKey::from(&failed.endpoint.id));
         record_unanswered(traffic, service, keys);
     }
@@ -165,7 +149,7 @@
         endpoint: PoolEndpoint,
         rank: ProbeRank,
     ) {
-        self.unknown_started += usize::from(rank == ProbeRank::Unknown);
+        self.progress.record_start(rank);
         let (traffic, service) = (traffic.clone(), service.clone());
         self.probes.spawn_local(async move {
             let (outcome, took) =
@@ -176,33 +160,25 @@
 
     fn record(&mut self, traffic: &Traffic, service: &ServiceId, ended: EndedProbe) {
         let EndedProbe { endpoint, rank, outcome, took } = ended;
-        match outcome {
-            ProbeOutcome::Answered => {
-                self.has_answer = true;
-                if rank == ProbeRank::Unknown {
-                    self.unknown_answered.insert(endpoint.address);
-                }
-                self.has_prompt_answer |= took.as_millis() <= u128::from(MAX_PROMPT_LATENCY.0);
+        match outcome.is_answered() {
+            true => {
+                let took = Millis(took.as_millis() as u64);
+                self.progress.record_answer(rank, &endpoint.address, took);
             }
-            _ => self.failed.push(FailedProbe { endpoint, outcome }),
+            false => self.failed.push(FailedProbe { endpoint, outcome }),
         }
-        if self.has_prompt_answer {
-            self.failed.drain(..).for_each(|failed| failed.count(traffic, service));
+        if self.progress.blames_endpoints() {
+            self.failed.drain(..).for_each(|failed| failed.record_unreached(traffic, service));
         }
     }
-
-    fn are_most_unknown_reached(&self) -> bool {
-        self.unknown_started > 0 && self.unknown_answered.len() * 2 >= self.unknown_started
-    }
 }
 
 impl FailedProbe {
-    /// Counts the probe against its endpoint, as others of the service are reached. One that was mute may be
-    /// busy, so the next probe decides about it.
-    fn count(&self, traffic: &Traffic, service: &ServiceId) {
+    /// Records that the endpoint is not reached, while others of the service are.
+    fn record_unreached(&self, traffic: &Traffic, service: &ServiceId) {
         let now = traffic.shared.now();
         let state = &self.endpoint.state;
-        if self.outcome != ProbeOutcome::Mute && !state.is_ejected(now) {
+        if self.outcome.is_conclusive() && !state.is_ejected(now) {
             state.record_withheld_failure(now, true);
         }
         traffic.paths.paths.borrow_mut().record_unreached(service, (&self.endpoint.id).into());
@@ -242,7 +218,7 @@
         let pools = [&service.stable_pool, &service.canary_pool];
         let is_due = |e: &&PoolEndpoint| {
             paths.is_unreached(id, (&e.id).into())
-                && e.state.ejected_until() <= now + recheck_lead_time()
+                && e.state.ejected_until() <= now + recheck_lead_time(rand::random())
                 && e.state.is_open()
         };
         let endpoints = pools.into_iter().flat_map(|pool| pool.endpoints()).filter(is_due);
@@ -251,12 +227,6 @@
     due
 }
 
-/// Returns the time before the end of an ejection at which the endpoint is probed. It is random, since the
-/// ejections of all hosts may have one cause and end at the same time.
-fn recheck_lead_time() -> Millis {
-    MIN_RECHECK_LEAD_TIME + Millis(rand::random_range(0..MAX_RECHECK_JITTER.0))
-}
-
 async fn recheck(traffic: &Traffic, service: &ServiceId, endpoint: &PoolEndpoint) {
     let (outcome, _) = probe(traffic, service, endpoint, ProbePurpose::Recheck).await;
     if !outcome.is_answered() && traffic.paths.state(service) == PathState::Up {
@@ -282,27 +252,16 @@
     }
 }
 
-/// Returns the endpoints of a service in the order in which they are probed: those that were reached
-/// first and those that failed last, and each next one in another failure domain where possible.
-fn probe_order(traffic: &Traffic, service: &ServiceId) -> Vec<(PoolEndpoint, ProbeRank)> {
+/// Returns the endpoints of a service in the order in which they are probed.
+fn shuffled_probe_order(traffic: &Traffic, service: &ServiceId) -> Vec<(PoolEndpoint, ProbeRank)> {
     let mut endpoints = endpoints_of(traffic, service);
     endpoints.sort_by_cached_key(|_| rand::random::<u32>());
-    let paths = traffic.paths.paths.borrow();
-    let mut seen: HashMap<(ProbeRank, FailureDomain), usize> = HashMap::new();
-    let mut ranked: Vec<(usize, PoolEndpoint, ProbeRank)> = Vec::with_capacity(endpoints.len());
-    for endpoint in endpoints {
-        let rank = paths.probe_rank(service, (&endpoint.id).into());
-        let domain_rank = seen.entry((rank, endpoint.failure_domain.clone())).or_default();
-        ranked.push((*domain_rank, endpoint, rank));
-        *domain_rank += 1;
-    }
-    ranked.sort_by_key(|(domain_rank, _, rank)| (*rank, *domain_rank));
-    ranked.into_iter().map(|(_, endpoint, rank)| (endpoint, rank)).collect()
+    probe_order(&traffic.paths.paths.borrow(), service, endpoints)
 }
 
 /// Returns the endpoints in the same order that are probed with a request.
 pub(super) fn responding_probe_order(traffic: &Traffic, service: &ServiceId) -> Vec<PoolEndpoint> {
-    let ordered = probe_order(traffic, service).into_iter().map(|(endpoint, _)| endpoint);
+    let ordered = shuffled_probe_order(traffic, service).into_iter().map(|(endpoint, _)| endpoint);
     ordered.filter(responds_to_probes).collect()
 }
 
