Which entries share the address of a running endpoint is judged in core

The plane decided beside its reports which entries at an address are of ended endpoints. Behaviour is unchanged.

--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -26,6 +26,7 @@
 
 mod ejection;
 mod endpoint_state;
+mod moved;
 pub mod probing;
 mod refusal_guard;
 mod refusal_window;
@@ -35,6 +36,7 @@
 mod timing;
 
 pub use endpoint_state::{EndpointState, Outcomes, SendAllowance};
+pub use moved::SharedAddress;
 pub use refusal_guard::{EndpointAccess, RefusalGuard};
 pub use refusal_window::{RefusalWindow, WindowTicket};
 pub use separation::{AttemptLength, LengthMix, SentWork, Separation};
--- a/crates/tidetrack-plane/src/report.rs
+++ b/crates/tidetrack-plane/src/report.rs
@@ -7,7 +7,7 @@
 use tidetrack_core::errors::Error;
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::ModelId;
-use tidetrack_core::placement::PoolEndpoint;
+use tidetrack_core::placement::SharedAddress;
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::judge::{AttemptOutcome, ObservedResponse};
 use tidetrack_core::traffic::reachability::{FailedConnect, FailureCause};
@@ -102,19 +102,14 @@
     let view = traffic.shared.view.load();
     let pools = view.services.get(&job.service).map(|s| [&s.stable_pool, &s.canary_pool]);
     let endpoints = pools.iter().flatten().flat_map(|pool| pool.endpoints());
-    let at_address: Vec<&PoolEndpoint> =
-        endpoints.filter(|e| e.address == chosen.address && e.id != chosen.id).collect();
-    let is_replaced = at_address.iter().any(|e| e.state.has_served());
+    let shared_address = SharedAddress::judge(now, endpoints, &chosen.id, &chosen.address);
     // An endpoint without the model refuses in the same way.
-    if model.is_some() && !is_replaced {
+    if model.is_some() && !shared_address.is_replaced {
         return chosen.state.record_unreachable(now);
     }
     chosen.state.record_moved(now);
     chosen.state.report_failure();
-    let is_former = |e: &&&PoolEndpoint| !e.state.has_served() && !e.state.is_ejected(now);
-    for former in at_address.iter().filter(is_former).filter(|_| is_replaced) {
-        former.state.record_moved(now);
-    }
+    shared_address.former.iter().for_each(|former| former.state.record_moved(now));
 }
 
 /// Records a connect that timed out without any response, either against its endpoint or against
