Names and comments that a newcomer misread

Comments that contradicted the code are corrected (what a pick costs, which bodies are evicted first, what a probe is for, what a suspicion rests on), names that misled are replaced (probes for recoveries, batches of probes, endpoints that are only connected to, failures of a connection), and errors of public functions are named. No behaviour is changed.

--- a/crates/tidetrack-core/src/placement/ejection.rs
+++ b/crates/tidetrack-core/src/placement/ejection.rs
@@ -21,24 +21,25 @@
 /// its entry is about to be removed unless the store is away.
 const MOVED_DOUBLINGS: u32 = 3;
 
-/// The largest number for an endpoint that falls over from refusing requests, which returns after some seconds.
+/// Largest number of doublings for an endpoint that falls over from refusing requests and to which no connection was
+/// established; it returns after some seconds.
 const MAX_GUARDED_DOUBLINGS: u32 = 1;
 
 /// Consecutive failures of an endpoint, and the end of the ejection that follows from them.
 #[derive(Debug, Default)]
 pub(super) struct Ejection {
     consecutive_failures: AtomicU32,
-    /// In milliseconds.
+    /// End of the ejection, in milliseconds; 0 if there was none.
     until: AtomicU64,
     /// Whether the last failure was one of a connection, and not a response.
-    is_disconnect: AtomicBool,
+    is_connection_failure: AtomicBool,
 }
 
 impl Ejection {
     /// Records a failure. One host alone tries a guarded endpoint again, so that its return is seen early.
     pub(super) fn record_failure(&self, now: Millis, is_guarded: bool) {
         self.count_failure(now, if is_guarded { 0 } else { MAX_DOUBLINGS });
-        self.is_disconnect.store(false, Ordering::Relaxed);
+        self.is_connection_failure.store(false, Ordering::Relaxed);
     }
 
     /// Records that another endpoint has the address.
@@ -51,16 +52,16 @@
     /// Records that a connection to the endpoint broke.
     pub(super) fn record_disconnect(&self, now: Millis, is_guarded: bool) {
         self.record_failure(now, is_guarded);
-        self.is_disconnect.store(true, Ordering::Relaxed);
+        self.is_connection_failure.store(true, Ordering::Relaxed);
     }
 
     /// Records that no connection to the endpoint was established, which ejects it.
     pub(super) fn record_unreachable(&self, now: Millis, is_guarded: bool) {
-        self.expect_last_failure();
+        self.eject_on_next_failure();
         let max_doublings =
             if is_guarded { MAX_GUARDED_DOUBLINGS } else { MAX_UNREACHABLE_DOUBLINGS };
         self.count_failure(now, max_doublings);
-        self.is_disconnect.store(true, Ordering::Relaxed);
+        self.is_connection_failure.store(true, Ordering::Relaxed);
     }
 
     fn count_failure(&self, now: Millis, max_doublings: u32) {
@@ -73,23 +74,23 @@
     }
 
     /// Makes the next failure eject the endpoint.
-    pub(super) fn expect_last_failure(&self) {
+    pub(super) fn eject_on_next_failure(&self) {
         self.consecutive_failures.fetch_max(FAILURES_TO_EJECT - 1, Ordering::Relaxed);
     }
 
     /// Records that a probe was answered, which ends an ejection because of failed connections.
     pub(super) fn record_reached(&self) {
-        if self.is_disconnect.load(Ordering::Relaxed) {
+        if self.is_connection_failure.load(Ordering::Relaxed) {
             self.clear();
         }
     }
 
-    /// Makes an ejection because no connection was established one ordinary failure. `failures_before` is
-    /// the number of consecutive failures before it.
+    /// Turns the ejection after a failed connect back into one ordinary failure. `failures_before` is the number of
+    /// consecutive failures before it.
     pub(super) fn undo_unreachable(&self, failures_before: u32) {
         let consecutive_failures = failures_before + 1;
         self.consecutive_failures.store(consecutive_failures, Ordering::Relaxed);
-        self.is_disconnect.store(false, Ordering::Relaxed);
+        self.is_connection_failure.store(false, Ordering::Relaxed);
         if consecutive_failures < FAILURES_TO_EJECT {
             self.until.store(0, Ordering::Relaxed);
         }
@@ -97,14 +98,14 @@
 
     /// Ends the ejection and forgets the failures.
     pub(super) fn clear(&self) {
-        self.is_disconnect.store(false, Ordering::Relaxed);
+        self.is_connection_failure.store(false, Ordering::Relaxed);
         self.consecutive_failures.store(0, Ordering::Relaxed);
         self.until.store(0, Ordering::Relaxed);
     }
 
     /// Reports whether the last failure was one of a connection.
-    pub(super) fn is_disconnect(&self) -> bool {
-        self.is_disconnect.load(Ordering::Relaxed)
+    pub(super) fn is_connection_failure(&self) -> bool {
+        self.is_connection_failure.load(Ordering::Relaxed)
     }
 
     /// Returns the number of consecutive failures.
--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -278,7 +278,7 @@
     /// Records that the endpoint could not be used at all. Unlike with failed responses, one such
     /// failure ejects the endpoint.
     pub fn record_unreachable(&self, now: Millis) {
-        self.ejection.expect_last_failure();
+        self.ejection.eject_on_next_failure();
         self.record_outcome(now, false);
     }
 
@@ -321,8 +321,8 @@
     }
 
     /// Reports whether the endpoint's last failure was one of a connection, and not a response.
-    pub fn is_disconnected(&self) -> bool {
-        self.ejection.is_disconnect()
+    pub fn has_failed_connection(&self) -> bool {
+        self.ejection.is_connection_failure()
     }
 
     /// Reports a withheld failure to other hosts.
@@ -350,7 +350,7 @@
         self.avoided_until.fetch_max(until.0, Ordering::Relaxed);
     }
 
-    /// Returns the end of the endpoint's ejection; in the past if it is not ejected.
+    /// Returns the end of the ejection after failures, without avoidance as an outlier; in the past if there is none.
     pub fn ejected_until(&self) -> Millis {
         self.ejection.until()
     }
--- a/crates/tidetrack-core/src/placement/mod.rs
+++ b/crates/tidetrack-core/src/placement/mod.rs
@@ -12,7 +12,7 @@
 //! and a surcharge if it is in another failure domain. Of the endpoints that are not known to hold
 //! the prefix, the home endpoints on the ring in the host's own domain are preferred.
 //!
-//! The cost of a pick grows only logarithmically with the size of the pool.
+//! A pick examines a bounded number of endpoints, unless these offer no choice; then it scans the whole pool.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -491,7 +491,7 @@
         let can_accept = |e: &&PoolEndpoint| {
             can_serve_now(e)
                 && !e.state.guard().is_active()
-                && !(has_healthy && e.state.is_disconnected())
+                && !(has_healthy && e.state.has_failed_connection())
         };
         self.walk_ring(request).find(|e| can_accept(e) && e.state.can_send(now))
     }
--- a/crates/tidetrack-core/src/traffic/body_budget.rs
+++ b/crates/tidetrack-core/src/traffic/body_budget.rs
@@ -173,8 +173,8 @@
         Some(evicted)
     }
 
-    /// Removes and returns the arriving body with the most bytes times the time without progress, if it is
-    /// stalled.
+    /// Removes the stalled body with the most bytes times the time without progress, and returns its number;
+    /// `None` if no body is stalled.
     pub fn evict_stalled(&mut self, now: Millis) -> Option<BodyNumber> {
         let stalled = self.bodies.iter().filter(|(_, body)| body.is_stalled(now));
         let number = stalled.max_by_key(|(n, body)| (body.cost(now), **n)).map(|(n, _)| *n)?;
@@ -236,8 +236,8 @@
         (missing == 0 && missing_large == 0).then_some(chosen)
     }
 
-    /// Returns the bodies that may give way for another one, first those of the workspace with the most
-    /// arriving bytes, and of these the ones with the most bytes times the time without progress.
+    /// Returns the bodies that may be evicted for another one: stalled ones first, then those of the workspace with
+    /// the most arriving bytes, and of these the ones with the most bytes times the time without progress.
     fn candidates(&self, now: Millis, number: BodyNumber) -> Vec<(BodyNumber, &Body)> {
         let Some(asking) = self.bodies.get(&number) else { return Vec::new() };
         let mut arriving: HashMap<Option<&WorkspaceId>, u64> = HashMap::new();
--- a/crates/tidetrack-core/src/traffic/catalog.rs
+++ b/crates/tidetrack-core/src/traffic/catalog.rs
@@ -154,7 +154,7 @@
     /// Largest size that is calculated with, in bytes.
     const MAX_BYTES: usize = 1 << 40;
 
-    /// Reduces values that stand for no limit to ones that can be added to.
+    /// Caps values that stand for no limit, so that sums do not overflow.
     pub fn bounded(self) -> CallerLimits {
         CallerLimits {
             max_head_bytes: self.max_head_bytes.min(CallerLimits::MAX_BYTES),
--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -119,7 +119,7 @@
         paths.failures.len() >= MIN_FAILED_ENDPOINTS && paths.suspect(now)
     }
 
-    /// Raises a suspicion without failures, because the paths to another service are lost. Returns
+    /// Raises a suspicion without failures, as another service or another host has lost its paths. Returns
     /// whether probes have to start.
     pub fn suspect(&mut self, now: Millis, service: &ServiceId) -> bool {
         self.services.entry(service.clone()).or_default().suspect(now)
@@ -137,7 +137,7 @@
         Some(since + MAX_INTERRUPTION)
     }
 
-    /// Records a response of an endpoint on a connection that was opened for it. Returns what it ends.
+    /// Records that a new connection to an endpoint works. Returns what this ends.
     pub fn record_contact(&mut self, service: &ServiceId, endpoint: EndpointKey) -> EndedState {
         let paths = self.services.entry(service.clone()).or_default();
         let ended = EndedState { state: paths.state, failed: std::mem::take(&mut paths.failed) };
--- a/crates/tidetrack-core/src/traffic/list_progress.rs
+++ b/crates/tidetrack-core/src/traffic/list_progress.rs
@@ -43,7 +43,8 @@
     }
 
     /// Records a page and returns the name after which the next page starts, or `None` after the last
-    /// page. Fails if the list does not advance or is too large.
+    /// page. Fails with `PlatformDown` if the list does not advance, and with `ReplyTooLarge` if
+    /// it is too large.
     pub fn record_page(&mut self, bytes: usize, next: NextPage) -> Result<Option<String>> {
         self.bytes = self.bytes.saturating_add(bytes.max(MIN_PAGE_BYTES));
         if self.bytes > self.max_bytes {
--- a/crates/tidetrack-core/src/traffic/outliers.rs
+++ b/crates/tidetrack-core/src/traffic/outliers.rs
@@ -18,9 +18,7 @@
 use crate::placement::{EndpointState, Outcomes};
 use crate::units::Millis;
 
-/// Half-life of the counts in milliseconds. It is long enough for all hosts of a fleet of 83 to
-/// hear from each other, which takes 2.6 s, and short enough to react to an endpoint that was
-/// healthy until now.
+/// Half-life of the counts in milliseconds. Hosts hear from each other in less time.
 const HALF_LIFE_MS: f32 = 3_000.0;
 
 /// Smallest decayed number of failed requests, over all hosts, for an outlier.
@@ -179,7 +177,7 @@
     ) {
         self.disconnected.clear();
         for (id, state) in endpoint_states {
-            if state.is_disconnected() && state.ejected_until() > now {
+            if state.has_failed_connection() && state.ejected_until() > now {
                 self.disconnected.insert(id.clone());
             }
             let outcomes = state.take_outcomes();
--- a/crates/tidetrack-core/src/traffic/probe_rounds.rs
+++ b/crates/tidetrack-core/src/traffic/probe_rounds.rs
@@ -15,8 +15,8 @@
 /// did not cause.
 const FIRST_WAVE: usize = 6;
 
-/// Number of probes, one after the other, in which lost paths are looked for at all listed endpoints.
-const PROBES_PER_CYCLE: usize = 8;
+/// Number of batches in which all listed endpoints are probed once while the paths to them are lost.
+const BATCHES_PER_CYCLE: usize = 8;
 
 /// Time before the end of an endpoint's ejection at which it is probed again: the longest time that a probe
 /// and the wait for it take.
@@ -33,8 +33,8 @@
 
 /// Returns how many endpoints of a list are probed at the same time while the paths to all of them are
 /// lost, so that one that is back is found soon in a list of any length.
-pub fn restoring_probes(listed: usize) -> usize {
-    listed.div_ceil(PROBES_PER_CYCLE).max(1)
+pub fn restoring_batch_size(listed: usize) -> usize {
+    listed.div_ceil(BATCHES_PER_CYCLE).max(1)
 }
 
 /// Returns the endpoints of a service with their ranks, in the order in which they are probed: those that were
@@ -66,7 +66,7 @@
 /// What became of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeOutcome {
-    /// The endpoint sent a response.
+    /// The endpoint responded, or accepted the connection if it is only connected to.
     Answered,
     /// The connection was refused.
     Refused,
@@ -149,8 +149,8 @@
         self.has_prompt_answer
     }
 
-    /// Reports whether an endpoint that is not probed yet has to be. Once one has answered, those that are ejected
-    /// are, and those that are not known while most of them do not answer.
+    /// Reports whether an endpoint that is not probed yet has to be. After an answer, only ejected endpoints have to
+    /// be, and unknown ones while most of those that were probed have not answered.
     pub fn needs_probe(&self, rank: ProbeRank, is_ejected: bool) -> bool {
         !self.has_answer
             || is_ejected
--- a/crates/tidetrack-core/src/traffic/stop.rs
+++ b/crates/tidetrack-core/src/traffic/stop.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Fails if a request that is about to be sent will be interrupted. `usual_time` is how long
+    /// Fails with `Draining` if a request that is about to be sent will be interrupted. `usual_time` is how long
     /// such requests usually take, if it is known, and `time_left` the time until the deadline.
     pub fn check_time(
         &self,
--- a/crates/tidetrack-core/tests/endpoint_paths.rs
+++ b/crates/tidetrack-core/tests/endpoint_paths.rs
@@ -7,7 +7,7 @@
 use tidetrack_core::ids::{EndpointId, EndpointKey, HostId, ServiceId};
 use tidetrack_core::traffic::endpoint_paths::{EndpointPaths, PathState, ProbeRank};
 use tidetrack_core::traffic::forwarding::{may_forward_elsewhere, pick_host, ForwardTarget};
-use tidetrack_core::traffic::probe_rounds::{restoring_probes, wave_sizes};
+use tidetrack_core::traffic::probe_rounds::{restoring_batch_size, wave_sizes};
 use tidetrack_core::units::Millis;
 
 const NOW: Millis = Millis(10_000);
@@ -210,9 +210,9 @@
 #[test]
 fn lost_paths_are_looked_for_at_all_endpoints_in_the_same_time_whatever_their_number() {
     for pool in [1, 4, 8, 9, 60, 540] {
-        assert!(restoring_probes(pool) >= 1, "pool of {pool}");
-        assert!(restoring_probes(pool) * 8 >= pool, "pool of {pool}");
-        assert!(pool > 8 || restoring_probes(pool) == 1, "pool of {pool}");
+        assert!(restoring_batch_size(pool) >= 1, "pool of {pool}");
+        assert!(restoring_batch_size(pool) * 8 >= pool, "pool of {pool}");
+        assert!(pool > 8 || restoring_batch_size(pool) == 1, "pool of {pool}");
     }
 }
 
--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -20,7 +20,7 @@
 use crate::pool::{disconnect_cause, Lease, Pool};
 use crate::request_body::OutgoingBody;
 
-/// Final statuses of HTTP. A response with another one, such as 101, is not a sound endpoint's.
+/// Final statuses of HTTP. A response with another one, such as 101, is a failure of the endpoint.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// Maximum size in bytes of a discarded response body after which its connection is used again.
--- a/crates/tidetrack-plane/src/feed.rs
+++ b/crates/tidetrack-plane/src/feed.rs
@@ -208,8 +208,8 @@
     *req.uri_mut() =
         path.parse().map_err(|e| unavailable_error(format!("invalid path {path}: {e}")))?;
     let address = address.to_string();
-    let patience = CallTimeouts { head: REPLY_STALL_TIMEOUT, part: REPLY_STALL_TIMEOUT };
-    let response = call(pool, &address, &address, req, patience, Some(gate), hold).await?;
+    let timeouts = CallTimeouts { head: REPLY_STALL_TIMEOUT, part: REPLY_STALL_TIMEOUT };
+    let response = call(pool, &address, &address, req, timeouts, Some(gate), hold).await?;
     if response.status != StatusCode::OK {
         return Err(unavailable_error(format!("the host returned status {}", response.status)));
     }
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -147,7 +147,7 @@
         }
     }
 
-    /// Fails if a request that is about to be sent usually takes longer than a planned stop leaves it.
+    /// Fails with `Draining` if a request that is about to be sent usually takes longer than a planned stop leaves it.
     pub fn check_stop_time(&self, job: &Job) -> Result<()> {
         let Some((schedule, started_at)) = self.stop.get() else { return Ok(()) };
         let elapsed = Millis(started_at.elapsed().as_millis() as u64);
--- a/crates/tidetrack-plane/src/paths/mod.rs
+++ b/crates/tidetrack-plane/src/paths/mod.rs
@@ -24,7 +24,7 @@
 use crate::stall_aware_sleep::stall_aware_sleep;
 
 use probe::{probe, ProbePurpose, ProbeSlots};
-use rounds::{probe_round, probe_until_decided, recheck_unreached, responding_probe_order};
+use rounds::{probe_round, probe_until_decided, recheck_unreached, request_probe_order};
 
 /// How long a failure is withheld if no response on another connection decides earlier.
 const WITHHOLD_TIME: Duration = Duration::from_millis(700);
@@ -32,15 +32,14 @@
 /// Maximum time for which a crash report waits for the decision about the paths.
 const MAX_DECISION_TIME: Duration = Duration::from_millis(1_500);
 
-/// Maximum time for which an attempt waits for the decision about the paths, which is a little more
-/// than a round of probes takes.
+/// Maximum time for which an attempt waits for the decision about the paths. A round of probes
+/// takes less.
 const MAX_ATTEMPT_DELAY: Duration = Duration::from_millis(600);
 
-/// Time after which an attempt at an endpoint that this host has not reached yet starts probes, if there is no
-/// response.
-const MAX_FIRST_RESPONSE_TIME: Duration = Duration::from_millis(200);
+/// Time without a response after which an attempt at an endpoint that this host has not reached yet starts probes.
+const FIRST_RESPONSE_PROBE_DELAY: Duration = Duration::from_millis(200);
 
-/// Interval at which it is checked whether an endpoint that is not probed has responded to a request.
+/// Interval at which it is checked whether an endpoint that is only connected to has responded to a request.
 const CONTACT_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
 /// A failure that is not yet held against its endpoint.
@@ -85,7 +84,8 @@
         self.paths.borrow().state(service)
     }
 
-    /// Returns the time since the first of the failures that showed the loss of the paths to a service.
+    /// Returns the time since the first of the failures that raised the present suspicion or showed the present loss
+    /// of the paths to a service; zero if they work.
     pub fn lost_for(&self, traffic: &Traffic, service: &ServiceId) -> Duration {
         let since = self.suspicious_since(service);
         since
@@ -95,7 +95,12 @@
     /// Starts probes unless an endpoint of the service has responded on a new connection for `time`.
     /// A host that forwards requests has lost its paths since then, and this host may have lost its own
     /// with them.
-    pub fn confirm_contact_within(&self, traffic: &Traffic, service: &ServiceId, time: Duration) {
+    pub fn probe_unless_contacted_within(
+        &self,
+        traffic: &Traffic,
+        service: &ServiceId,
+        time: Duration,
+    ) {
         let contact = self.last_contacts.borrow().get(service).map(|(_, at)| at.elapsed());
         let is_confirmed = contact.is_some_and(|age| age <= time);
         if !is_confirmed && self.paths.borrow_mut().suspect(traffic.shared.now(), service) {
@@ -152,7 +157,7 @@
     ) -> Infallible {
         let is_reached = || self.paths.borrow().is_reached(service, endpoint.into());
         if !is_reached() {
-            stall_aware_sleep(MAX_FIRST_RESPONSE_TIME).await;
+            stall_aware_sleep(FIRST_RESPONSE_PROBE_DELAY).await;
             if !is_reached() && self.state(service) == PathState::Up {
                 self.schedule_round(traffic, service);
             }
@@ -279,7 +284,7 @@
             let withheld = self.withheld.borrow();
             withheld.get(service).is_some_and(|all| all.iter().any(|f| f.endpoint == *endpoint))
         };
-        let endpoints = responding_probe_order(traffic, service);
+        let endpoints = request_probe_order(traffic, service);
         match endpoints.iter().find(|e| !is_withheld(&e.id)) {
             Some(other) => {
                 let (outcome, _) = probe(traffic, service, other, ProbePurpose::Decision).await;
@@ -403,9 +408,9 @@
                 }
                 PathState::Suspected => return false,
                 PathState::Up => {
-                    let others = responding_probe_order(traffic, service);
+                    let others = request_probe_order(traffic, service);
                     let Some(other) = others.into_iter().find(|e| e.id != *ended) else {
-                        if !has_unprobed(traffic, service) {
+                        if !has_guarded(traffic, service) {
                             return true;
                         }
                         if Instant::now() >= deadline {
@@ -464,8 +469,8 @@
     }
 }
 
-/// Reports whether a service has endpoints that are not probed.
-fn has_unprobed(traffic: &Traffic, service: &ServiceId) -> bool {
+/// Reports whether a service has endpoints that are only connected to.
+fn has_guarded(traffic: &Traffic, service: &ServiceId) -> bool {
     endpoints_of(traffic, service).iter().any(|e| e.state.guard().is_active())
 }
 
--- a/crates/tidetrack-plane/src/paths/probe.rs
+++ b/crates/tidetrack-plane/src/paths/probe.rs
@@ -1,4 +1,4 @@
-//! A request to an endpoint that runs nothing and shows whether the endpoint is reached.
+//! Probes of single endpoints, which cause no work there.
 
 use std::time::{Duration, Instant};
 
@@ -20,21 +20,21 @@
 /// Maximum number of probes under way that decide about paths, each of which needs a file descriptor.
 const MAX_DECIDING_PROBES: usize = 128;
 
-/// Maximum number of other probes under way, which must not delay those.
-const MAX_OTHER_PROBES: usize = 64;
+/// Maximum number of probes under way that detect recoveries, which must not delay those that decide.
+const MAX_RECOVERY_PROBES: usize = 64;
 
 /// Bounds on the probes under way.
 #[derive(Debug)]
 pub(super) struct ProbeSlots {
     deciding: Semaphore,
-    other: Semaphore,
+    recovery: Semaphore,
 }
 
 impl Default for ProbeSlots {
     fn default() -> ProbeSlots {
         ProbeSlots {
             deciding: Semaphore::new(MAX_DECIDING_PROBES),
-            other: Semaphore::new(MAX_OTHER_PROBES),
+            recovery: Semaphore::new(MAX_RECOVERY_PROBES),
         }
     }
 }
@@ -42,10 +42,10 @@
 /// What a probe is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ProbePurpose {
-    /// Requests wait for the decision about the paths.
+    /// The probe decides about the paths, or whether a failure is its endpoint's.
     Decision,
-    /// Nothing waits for the outcome.
-    Recheck,
+    /// The probe finds out whether an endpoint, or the paths to it, are back.
+    Recovery,
 }
 
 /// Probes an endpoint on a new connection, and returns the outcome with the time that the probe took. A response
@@ -61,7 +61,7 @@
     let monitor = &traffic.paths;
     let slots = match purpose {
         ProbePurpose::Decision => &monitor.probe_slots.deciding,
-        ProbePurpose::Recheck => &monitor.probe_slots.other,
+        ProbePurpose::Recovery => &monitor.probe_slots.recovery,
     };
     // Fails only if the semaphore is closed, which it never is.
     let _slot = slots.acquire().await.ok();
--- a/crates/tidetrack-plane/src/paths/rounds.rs
+++ b/crates/tidetrack-plane/src/paths/rounds.rs
@@ -12,7 +12,7 @@
 use tidetrack_core::placement::PoolEndpoint;
 use tidetrack_core::traffic::endpoint_paths::{PathState, ProbeRank};
 use tidetrack_core::traffic::probe_rounds::{
-    probe_order, recheck_lead_time, restoring_probes, wave_sizes, ProbeOutcome, RoundProgress,
+    probe_order, recheck_lead_time, restoring_batch_size, wave_sizes, ProbeOutcome, RoundProgress,
 };
 use tidetrack_core::units::Millis;
 
@@ -43,7 +43,7 @@
     let mut restoring = RestoringProbes::default();
     // A later suspicion has probes of its own.
     while suspicious_since.is_some() && monitor.suspicious_since(&service) == suspicious_since {
-        if !endpoints_of(&traffic, &service).iter().any(responds_to_probes) {
+        if !endpoints_of(&traffic, &service).iter().any(is_probed_by_request) {
             return monitor.forget_service(&traffic, &service);
         }
         match monitor.state(&service) {
@@ -55,7 +55,7 @@
     }
 }
 
-/// Probes of endpoints to which all paths are lost.
+/// Probes that are sent while the paths to a service are lost.
 #[derive(Default)]
 struct RestoringProbes {
     probes: JoinSet<EndpointKey>,
@@ -71,7 +71,7 @@
             }
         }
         let mut endpoints = endpoints_of(traffic, service);
-        let count = restoring_probes(endpoints.len());
+        let count = restoring_batch_size(endpoints.len());
         {
             let paths = traffic.paths.paths.borrow();
             endpoints.sort_by_cached_key(|e| {
@@ -84,7 +84,7 @@
             self.under_way.insert(key);
             let (traffic, service) = (traffic.clone(), service.clone());
             self.probes.spawn_local(async move {
-                probe(&traffic, &service, &endpoint, ProbePurpose::Recheck).await;
+                probe(&traffic, &service, &endpoint, ProbePurpose::Recovery).await;
                 key
             });
         }
@@ -228,7 +228,7 @@
 }
 
 async fn recheck(traffic: &Traffic, service: &ServiceId, endpoint: &PoolEndpoint) {
-    let (outcome, _) = probe(traffic, service, endpoint, ProbePurpose::Recheck).await;
+    let (outcome, _) = probe(traffic, service, endpoint, ProbePurpose::Recovery).await;
     if !outcome.is_answered() && traffic.paths.state(service) == PathState::Up {
         endpoint.state.record_withheld_failure(traffic.shared.now(), true);
     }
@@ -259,14 +259,14 @@
     probe_order(&traffic.paths.paths.borrow(), service, endpoints)
 }
 
-/// Returns the endpoints in the same order that are probed with a request.
-pub(super) fn responding_probe_order(traffic: &Traffic, service: &ServiceId) -> Vec<PoolEndpoint> {
+/// Returns, in the same order, the endpoints that are probed with a request.
+pub(super) fn request_probe_order(traffic: &Traffic, service: &ServiceId) -> Vec<PoolEndpoint> {
     let ordered = shuffled_probe_order(traffic, service).into_iter().map(|(endpoint, _)| endpoint);
-    ordered.filter(responds_to_probes).collect()
+    ordered.filter(is_probed_by_request).collect()
 }
 
 /// Reports whether a probe of an endpoint is a request. Those that fall over from refusing requests are only
 /// connected to.
-fn responds_to_probes(endpoint: &PoolEndpoint) -> bool {
+fn is_probed_by_request(endpoint: &PoolEndpoint) -> bool {
     !endpoint.state.guard().is_active()
 }
--- a/crates/tidetrack-plane/src/prepare.rs
+++ b/crates/tidetrack-plane/src/prepare.rs
@@ -115,7 +115,7 @@
     let service =
         target.ok_or_else(|| Error::new(Code::UnknownRoute, "the route has no target service"))?;
     if let Some(lost_for) = lost_for {
-        traffic.paths.confirm_contact_within(traffic, &service, lost_for);
+        traffic.paths.probe_unless_contacted_within(traffic, &service, lost_for);
     }
     let config_age_ms = shared.freshness.age(shared.now()).map_or(-1, |a| a.0 as i64);
     shared.journal.log_routine(
--- a/crates/tidetrack-plane/src/request_body.rs
+++ b/crates/tidetrack-plane/src/request_body.rs
@@ -117,7 +117,7 @@
     budget: RefCell<BodyBudget>,
     /// Signals that tell arriving bodies that they have to give way.
     evictions: RefCell<HashMap<BodyNumber, Rc<Notify>>>,
-    /// Largest body that callers may send, as far as the bounds allow for it.
+    /// Largest body that callers may send, for which the bounds were last set.
     max_body_bytes: Cell<usize>,
 }
 
--- a/crates/tidetrack-plane/src/server.rs
+++ b/crates/tidetrack-plane/src/server.rs
@@ -35,8 +35,7 @@
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Time added to the idle timeout of a connection. The timeout is meant to start when the caller has received
-/// the response, but the host only sees when the kernel accepted the last bytes. A collected response has at
-/// most 1 MB, and a link of 10 Mbit/s delivers the buffered bytes at 1.2 MB per second.
+/// the response, but the host only sees when the kernel accepted the last bytes.
 const IDLE_DELIVERY_ALLOWANCE: Duration = Duration::from_millis(1_000);
 
 /// Bytes of one request above which the receive buffer is enlarged.
@@ -348,7 +347,7 @@
         self.open.borrow().len()
     }
 
-    /// Closes the connection that has been idle for longest, or else the one that has been sending a
+    /// Asks the connection that has been idle for longest to close, or else the one that has been sending a
     /// request head for longest.
     fn make_room(&self) {
         let open = self.open.borrow();
--- a/crates/tidetrack-plane/src/store.rs
+++ b/crates/tidetrack-plane/src/store.rs
@@ -163,7 +163,7 @@
         gate: Option<&LargeReplyControl<'_>>,
         hold: &mut ReplyHold<'_>,
     ) -> Result<Reply> {
-        let patience = CallTimeouts { head: wait + CALL_TIMEOUT, part: CALL_TIMEOUT };
+        let timeouts = CallTimeouts { head: wait + CALL_TIMEOUT, part: CALL_TIMEOUT };
         let mut req = Request::new(Full::new(call.body.clone()));
         *req.method_mut() = call.method.clone();
         *req.uri_mut() = call
@@ -175,7 +175,7 @@
             req.headers_mut().insert(http::header::CONTENT_TYPE, json_type);
         }
         let reply =
-            call::call(&self.pool, POOL_KEY, &self.address, req, patience, gate, hold).await?;
+            call::call(&self.pool, POOL_KEY, &self.address, req, timeouts, gate, hold).await?;
         self.record_era((self.shared.dialect.store.read_era)(&reply.headers));
         match reply.status {
             StatusCode::OK | StatusCode::CREATED => Ok(reply),
