Rounds of probes tell of all unknown endpoints, also beside distant and slow ones

Change: an answer is prompt within half of the time that a probe is given. A round asks unknown endpoints until all that it asked have answered. An endpoint that accepts a probe's connection and has responded to a request in the last 1.5 s is slow, not unreached; so is one that was reached before, unless the paths are suspected. A recheck counts only if the endpoint is still unreached. A round that nothing waits for says nothing about the paths.

--- a/crates/tidetrack-core/src/traffic/endpoint_paths.rs
+++ b/crates/tidetrack-core/src/traffic/endpoint_paths.rs
@@ -159,6 +159,13 @@
         paths.unreached.insert(endpoint);
     }
 
+    /// Records that an endpoint responds to requests although it left a probe unanswered, so that it is only slow.
+    pub fn record_slow(&mut self, service: &ServiceId, endpoint: EndpointKey) {
+        let paths = self.services.entry(service.clone()).or_default();
+        paths.unreached.remove(&endpoint);
+        paths.reached.insert(endpoint);
+    }
+
     /// Reports whether an endpoint was not reached while others were, and has not been since.
     pub fn is_unreached(&self, service: &ServiceId, endpoint: EndpointKey) -> bool {
         self.services.get(service).is_some_and(|paths| paths.unreached.contains(&endpoint))
--- a/crates/tidetrack-core/src/traffic/probe_rounds.rs
+++ b/crates/tidetrack-core/src/traffic/probe_rounds.rs
@@ -5,11 +5,10 @@
 
 use crate::disconnect::DisconnectCause;
 use crate::ids::{EndpointKey, FailureDomain, ServiceId};
-use crate::placement::PoolEndpoint;
+use crate::placement::{EndpointState, PoolEndpoint};
 use crate::units::Millis;
 
 use super::endpoint_paths::{EndpointPaths, ProbeRank};
-use super::reachability::MAX_PROMPT_LATENCY;
 
 /// Number of endpoints that are probed first in a round, which usually end a suspicion that the paths
 /// did not cause.
@@ -18,10 +17,17 @@
 /// Number of batches in which all listed endpoints are probed once while the paths to them are lost.
 const BATCHES_PER_CYCLE: usize = 8;
 
+/// Time within which an answer shows that silent endpoints were given enough time: half of the longest time that
+/// a probe takes.
+const MAX_PROMPT_ANSWER: Millis = Millis(200);
+
 /// Time before the end of an endpoint's ejection at which it is probed again: the longest time that a probe
 /// and the wait for it take.
 const MIN_RECHECK_LEAD_TIME: Millis = Millis(550);
 
+/// Age up to which a response shows that an endpoint still runs.
+const MAX_ACTIVITY_AGE: Millis = Millis(1_500);
+
 /// Bound on the time that is added to it at random.
 const MAX_RECHECK_JITTER: Millis = Millis(400);
 
@@ -57,6 +63,12 @@
     ranked.into_iter().map(|(_, endpoint, rank)| (endpoint, rank)).collect()
 }
 
+/// Reports whether an endpoint that left a probe unanswered is only slow: it accepted the connection and has responded
+/// to a request lately.
+pub fn is_slow(now: Millis, outcome: ProbeOutcome, state: &EndpointState) -> bool {
+    outcome == ProbeOutcome::Mute && state.was_active_since(now - MAX_ACTIVITY_AGE)
+}
+
 /// Returns the time before the end of an ejection at which an endpoint that was not reached is probed again.
 /// `random` is between 0 and 1: the ejections of all hosts may have one cause and end at the same time.
 pub fn recheck_lead_time(random: f64) -> Millis {
@@ -112,6 +124,24 @@
     }
 }
 
+/// Why a round of probes was started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoundCause {
+    /// The paths to the service are suspected to be lost.
+    Suspicion,
+    /// Single endpoints may have ended.
+    Endpoints,
+}
+
+impl RoundCause {
+    /// Reports whether a probe that failed says anything about its endpoint, beside others that are reached. One that
+    /// was reached before and is mute is slow, unless requests fail too.
+    pub fn counts_failure(self, rank: ProbeRank, outcome: ProbeOutcome) -> bool {
+        let is_slow = rank == ProbeRank::Reached && outcome == ProbeOutcome::Mute;
+        self == RoundCause::Suspicion || !is_slow
+    }
+}
+
 /// What the probes of a round have shown so far.
 #[derive(Clone, Debug, Default)]
 pub struct RoundProgress {
@@ -132,7 +162,7 @@
     /// Records an answer from an address, `took` after the probe was started.
     pub fn record_answer(&mut self, rank: ProbeRank, address: &str, took: Millis) {
         self.has_answer = true;
-        self.has_prompt_answer |= took <= MAX_PROMPT_LATENCY;
+        self.has_prompt_answer |= took <= MAX_PROMPT_ANSWER;
         if rank == ProbeRank::Unknown {
             self.unknown_answered.insert(address.to_string());
         }
@@ -150,14 +180,12 @@
     }
 
     /// Reports whether an endpoint that is not probed yet has to be. After an answer, only ejected endpoints have to
-    /// be, and unknown ones while most of those that were probed have not answered.
+    /// be, and unknown ones while some of those that were probed have not answered.
     pub fn needs_probe(&self, rank: ProbeRank, is_ejected: bool) -> bool {
-        !self.has_answer
-            || is_ejected
-            || rank == ProbeRank::Unknown && !self.are_most_unknown_reached()
+        !self.has_answer || is_ejected || rank == ProbeRank::Unknown && !self.are_unknown_reached()
     }
 
-    fn are_most_unknown_reached(&self) -> bool {
-        self.unknown_started > 0 && self.unknown_answered.len() * 2 >= self.unknown_started
+    fn are_unknown_reached(&self) -> bool {
+        self.unknown_started > 0 && self.unknown_answered.len() >= self.unknown_started
     }
 }
--- a/crates/tidetrack-core/tests/probe_rounds.rs
+++ b/crates/tidetrack-core/tests/probe_rounds.rs
@@ -6,7 +6,7 @@
 use tidetrack_core::placement::{EndpointState, PoolEndpoint};
 use tidetrack_core::traffic::endpoint_paths::{EndpointPaths, ProbeRank};
 use tidetrack_core::traffic::probe_rounds::{
-    probe_order, recheck_lead_time, ProbeOutcome, RoundProgress,
+    is_slow, probe_order, recheck_lead_time, ProbeOutcome, RoundCause, RoundProgress,
 };
 use tidetrack_core::units::Millis;
 
@@ -75,19 +75,19 @@
     }
 }
 
-/// Guards against rounds that end while most endpoints of which nothing is known do not answer.
+/// Guards against rounds that end while endpoints of which nothing is known do not answer.
 #[test]
-fn unknown_endpoints_are_probed_until_half_of_them_have_answered() {
+fn unknown_endpoints_are_probed_until_all_that_were_asked_have_answered() {
     let mut round = RoundProgress::default();
     round.record_answer(ProbeRank::Reached, "a:1", PROMPT);
     (0..6).for_each(|_| round.record_start(ProbeRank::Unknown));
-    (0..2).for_each(|n| round.record_answer(ProbeRank::Unknown, &format!("b:{n}"), PROMPT));
+    (0..5).for_each(|n| round.record_answer(ProbeRank::Unknown, &format!("b:{n}"), PROMPT));
     // One endpoint answers for several entries.
     (0..4).for_each(|_| round.record_answer(ProbeRank::Unknown, "b:0", PROMPT));
     assert!(round.needs_probe(ProbeRank::Unknown, false));
     assert!(!round.needs_probe(ProbeRank::Reached, false));
 
-    round.record_answer(ProbeRank::Unknown, "b:2", PROMPT);
+    round.record_answer(ProbeRank::Unknown, "b:5", PROMPT);
 
     assert!(!round.needs_probe(ProbeRank::Unknown, false));
     assert!(round.needs_probe(ProbeRank::Failed, true), "ejected endpoints are always probed");
@@ -104,6 +104,29 @@
     assert!(round.blames_endpoints());
 }
 
+/// Guards against endpoints that serve requests but are slow, and would be probed and ejected again and again.
+#[test]
+fn a_reached_endpoint_that_is_mute_is_slow_unless_requests_fail() {
+    let counts = |cause: RoundCause, rank| cause.counts_failure(rank, ProbeOutcome::Mute);
+
+    assert!(!counts(RoundCause::Endpoints, ProbeRank::Reached));
+    assert!(counts(RoundCause::Endpoints, ProbeRank::Unknown));
+    assert!(counts(RoundCause::Suspicion, ProbeRank::Reached));
+    assert!(RoundCause::Endpoints.counts_failure(ProbeRank::Reached, ProbeOutcome::Silent));
+}
+
+#[test]
+fn an_endpoint_that_responds_to_requests_but_not_to_a_probe_is_slow() {
+    let state = EndpointState::default();
+    assert!(!is_slow(NOW, ProbeOutcome::Mute, &state));
+
+    state.record_activity(NOW - Millis(1_000));
+
+    assert!(is_slow(NOW, ProbeOutcome::Mute, &state));
+    assert!(!is_slow(NOW, ProbeOutcome::Silent, &state));
+    assert!(!is_slow(NOW + Millis(1_000), ProbeOutcome::Mute, &state));
+}
+
 #[test]
 fn a_single_probe_without_a_response_does_not_count_against_an_endpoint() {
     let conclusive = [ProbeOutcome::Refused, ProbeOutcome::Silent, ProbeOutcome::Broken];
--- a/crates/tidetrack-plane/src/paths/mod.rs
+++ b/crates/tidetrack-plane/src/paths/mod.rs
@@ -18,6 +18,7 @@
 use tidetrack_core::placement::{EndpointState, PoolEndpoint};
 use tidetrack_core::traffic::control::Input;
 use tidetrack_core::traffic::endpoint_paths::{EndpointPaths, PathState};
+use tidetrack_core::traffic::probe_rounds::RoundCause;
 use tidetrack_core::units::Millis;
 
 use crate::job::{ChosenEndpoint, Traffic};
@@ -463,7 +464,7 @@
             tokio::task::spawn_local(async move {
                 let pause = start_at - traffic.shared.now();
                 tokio::time::sleep(Duration::from_millis(pause.0)).await;
-                probe_round(&traffic, &service).await;
+                probe_round(&traffic, &service, RoundCause::Endpoints).await;
             });
         }
     }
--- a/crates/tidetrack-plane/src/paths/rounds.rs
+++ b/crates/tidetrack-plane/src/paths/rounds.rs
@@ -12,7 +12,8 @@
 use tidetrack_core::placement::PoolEndpoint;
 use tidetrack_core::traffic::endpoint_paths::{PathState, ProbeRank};
 use tidetrack_core::traffic::probe_rounds::{
-    probe_order, recheck_lead_time, restoring_batch_size, wave_sizes, ProbeOutcome, RoundProgress,
+    is_slow, probe_order, recheck_lead_time, restoring_batch_size, wave_sizes, ProbeOutcome,
+    RoundCause, RoundProgress,
 };
 use tidetrack_core::units::Millis;
 
@@ -48,7 +49,7 @@
         }
         match monitor.state(&service) {
             PathState::Lost => restoring.start_next(&traffic, &service),
-            _ => probe_round(&traffic, &service).await,
+            _ => probe_round(&traffic, &service, RoundCause::Suspicion).await,
         }
         let pause = MIN_PROBE_INTERVAL.mul_f64(1.0 + rand::random::<f64>());
         tokio::time::sleep(pause).await;
@@ -106,8 +107,8 @@
 }
 
 /// A round of probes. Once one is answered, the others tell which endpoints are not reached.
-#[derive(Default)]
 struct Round {
+    cause: RoundCause,
     probes: JoinSet<EndedProbe>,
     failed: Vec<FailedProbe>,
     progress: RoundProgress,
@@ -116,9 +117,9 @@
 /// Probes the endpoints of a service, in waves. If one responds, the round ends with those that are not
 /// known and those that are ejected: the paths work, so that each one's probe decides about it alone. If
 /// none responds, the paths are lost.
-pub(super) async fn probe_round(traffic: &Rc<Traffic>, service: &ServiceId) {
+pub(super) async fn probe_round(traffic: &Rc<Traffic>, service: &ServiceId, cause: RoundCause) {
     let mut waiting = shuffled_probe_order(traffic, service);
-    let mut round = Round::default();
+    let mut round = Round::new(cause);
     for size in wave_sizes() {
         let now = traffic.shared.now();
         waiting.retain(|(e, rank)| round.progress.needs_probe(*rank, e.state.is_ejected(now)));
@@ -135,13 +136,18 @@
     while let Some(Ok(ended)) = round.probes.join_next().await {
         round.record(traffic, service, ended);
     }
-    if !round.progress.has_answer() {
+    if cause == RoundCause::Suspicion && !round.progress.has_answer() {
         let keys = round.failed.iter().map(|failed| EndpointKey::from(&failed.endpoint.id));
         record_unanswered(traffic, service, keys);
     }
 }
 
 impl Round {
+    fn new(cause: RoundCause) -> Round {
+        let (probes, failed) = (JoinSet::new(), Vec::new());
+        Round { cause, probes, failed, progress: RoundProgress::default() }
+    }
+
     fn start(
         &mut self,
         traffic: &Rc<Traffic>,
@@ -165,7 +171,16 @@
                 let took = Millis(took.as_millis() as u64);
                 self.progress.record_answer(rank, &endpoint.address, took);
             }
-            false => self.failed.push(FailedProbe { endpoint, outcome }),
+            false
+                if self.cause == RoundCause::Endpoints
+                    && is_slow(traffic.shared.now(), outcome, &endpoint.state) =>
+            {
+                traffic.paths.paths.borrow_mut().record_slow(service, (&endpoint.id).into());
+            }
+            false if self.cause.counts_failure(rank, outcome) => {
+                self.failed.push(FailedProbe { endpoint, outcome });
+            }
+            false => {}
         }
         if self.progress.blames_endpoints() {
             self.failed.drain(..).for_each(|failed| failed.record_unreached(traffic, service));
@@ -229,8 +244,15 @@
 
 async fn recheck(traffic: &Traffic, service: &ServiceId, endpoint: &PoolEndpoint) {
     let (outcome, _) = probe(traffic, service, endpoint, ProbePurpose::Recovery).await;
-    if !outcome.is_answered() && traffic.paths.state(service) == PathState::Up {
-        endpoint.state.record_withheld_failure(traffic.shared.now(), true);
+    let (now, key) = (traffic.shared.now(), EndpointKey::from(&endpoint.id));
+    let mut paths = traffic.paths.paths.borrow_mut();
+    if is_slow(now, outcome, &endpoint.state) {
+        return paths.record_slow(service, key);
+    }
+    // A request may have been answered meanwhile.
+    let is_unreached = paths.is_unreached(service, key);
+    if !outcome.is_answered() && is_unreached && paths.state(service) == PathState::Up {
+        endpoint.state.record_withheld_failure(now, true);
     }
 }
 
