Endpoints that are ejected, for whatever reason, are no measure of outliers

The review showed that 3 or 4 of 4 endpoints in use are still avoided beside entries whose address another endpoint has, beside silent ones, and beside those that failed late: each is tested now, and all that are ejected are left out. Two kinds remain, as a test of their own that is listed: endpoints that were not tried yet, and those whose ejection has just ended.

--- a/crates/tidetrack-core/src/traffic/outliers.rs
+++ b/crates/tidetrack-core/src/traffic/outliers.rs
@@ -4,8 +4,7 @@
 //! that loses every third response. Each host therefore counts the outcomes of its requests,
 //! reports its counts for endpoints with recent failures to the other hosts, and judges by the sum.
 //! An endpoint is compared with the other endpoints of its pool, because failures that all of them
-//! share are caused by the requests or by the version. Those that are ejected because of failed connections get no
-//! requests and are left out. An outlier is avoided for a few seconds and
+//! share are caused by the requests or by the version. Those that are ejected get no requests and are left out. An outlier is avoided for a few seconds and
 //! then judged by what happens afterwards. The report of one host alone never makes other hosts
 //! avoid an endpoint, and part of each pool always stays in use.
 
@@ -162,8 +161,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct OutlierDetector {
     histories: HashMap<EndpointId, EndpointHistory>,
-    /// Endpoints that are ejected because of failed connections.
-    disconnected: HashSet<EndpointId>,
+    /// Endpoints that are ejected after failures.
+    ejected: HashSet<EndpointId>,
 }
 
 impl OutlierDetector {
@@ -175,10 +174,10 @@
         endpoint_states: impl Iterator<Item = (&'a EndpointId, &'a EndpointState)>,
         peer_counts: &HashMap<EndpointKey, RequestCounts>,
     ) {
-        self.disconnected.clear();
+        self.ejected.clear();
         for (id, state) in endpoint_states {
-            if state.has_failed_connection() && state.ejected_until() > now {
-                self.disconnected.insert(id.clone());
+            if state.ejected_until() > now {
+                self.ejected.insert(id.clone());
             }
             let outcomes = state.take_outcomes();
             let others = peer_counts.get(&EndpointKey::from(id)).copied();
@@ -214,8 +213,7 @@
     /// Returns the endpoints of a pool that have to be avoided from now on, and starts to avoid
     /// them.
     pub fn find_outliers(&mut self, now: Millis, pool: &[EndpointId]) -> Vec<Outlier> {
-        let pool: Vec<&EndpointId> =
-            pool.iter().filter(|id| !self.disconnected.contains(*id)).collect();
+        let pool: Vec<&EndpointId> = pool.iter().filter(|id| !self.ejected.contains(*id)).collect();
         if pool.len() < MIN_POOL_SIZE {
             return Vec::new();
         }
--- a/crates/tidetrack-core/tests/mostly_ended.rs
+++ b/crates/tidetrack-core/tests/mostly_ended.rs
@@ -49,6 +49,27 @@
 /// no requests, are taken for typical.
 #[test]
 fn endpoints_that_all_fail_as_often_are_no_outliers_beside_ended_ones() {
+    let unreachable = |state: &EndpointState| state.record_withheld_failure(NOW, true);
+    check_outliers_beside("unreachable", unreachable);
+    check_outliers_beside("moved", |state| state.record_moved(NOW));
+    check_outliers_beside("silent", |state| (0..3).for_each(|_| state.record_silence(NOW)));
+    check_outliers_beside("late failure", |state| {
+        state.record_withheld_failure(NOW, true);
+        state.record_silence(NOW);
+    });
+}
+
+/// Guards against the same fault through ended endpoints that were not tried yet or whose ejection has just ended.
+#[test]
+fn endpoints_that_all_fail_as_often_are_no_outliers_beside_untried_ones() {
+    check_outliers_beside("untried", |_| {});
+    check_outliers_beside("ejected before", |state| {
+        state.record_withheld_failure(Millis(8_999), true);
+    });
+}
+
+/// Checks that none of the endpoints in use is avoided beside ended ones in a state that `end` brings about.
+fn check_outliers_beside(kind: &str, end: impl Fn(&EndpointState)) {
     for listed in [SOUND, 8, 12, 24, 64] {
         let states: HashMap<EndpointId, EndpointState> =
             (0..listed).map(|n| (id(n), EndpointState::default())).collect();
@@ -56,7 +77,7 @@
             let state = &states[&id(n)];
             match n < SOUND {
                 true => (0..30).for_each(|n| state.record_outcome(NOW, n % 4 != 0)),
-                false => state.record_withheld_failure(NOW, true),
+                false => end(state),
             }
         }
         let mut detector = OutlierDetector::default();
@@ -65,7 +86,8 @@
 
         let outliers = detector.find_outliers(NOW, &pool);
 
-        assert!(outliers.is_empty(), "{} of {SOUND} in use, {listed} listed", outliers.len());
+        let count = outliers.len();
+        assert!(outliers.is_empty(), "{kind}: {count} of {SOUND} in use, {listed} listed");
     }
 }
 
