Probes start only when the first attempt takes twice as long as usual

Any attempt of more than 0.2 s at an endpoint that the host had not reached yet started a round of probes, and calls of models always take longer; 91 hosts probed 143 endpoints without a reason.

Change: the round starts after twice the usual time of the route's responses (95th percentile of the latest 32), 0.2 s at least; before the first response after 1.6 times the route's objective, when a silent attempt is abandoned.

--- a/crates/tidetrack-plane/src/paths/mod.rs
+++ b/crates/tidetrack-plane/src/paths/mod.rs
@@ -37,9 +37,6 @@
 /// takes less.
 const MAX_ATTEMPT_DELAY: Duration = Duration::from_millis(600);
 
-/// Time without a response after which an attempt at an endpoint that this host has not reached yet starts probes.
-const FIRST_RESPONSE_PROBE_DELAY: Duration = Duration::from_millis(200);
-
 /// Interval at which it is checked whether an endpoint that is only connected to has responded to a request.
 const CONTACT_POLL_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -148,17 +145,18 @@
         self.record_unresponsive(traffic, service, &chosen.id, &chosen.state);
     }
 
-    /// Starts probes if an attempt at an endpoint that this host has not reached yet gets no response for a time,
+    /// Starts probes if an attempt at an endpoint that this host has not reached yet gets no response within `delay`,
     /// since the endpoint may have ended, and others with it. Never returns.
     pub async fn watch_first_response(
         &self,
         traffic: &Traffic,
         service: &ServiceId,
         endpoint: &EndpointId,
+        delay: Duration,
     ) -> Infallible {
         let is_reached = || self.paths.borrow().is_reached(service, endpoint.into());
         if !is_reached() {
-            stall_aware_sleep(FIRST_RESPONSE_PROBE_DELAY).await;
+            stall_aware_sleep(delay).await;
             if !is_reached() && self.state(service) == PathState::Up {
                 self.schedule_round(traffic, service);
             }
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to a chosen endpoint and limits the time that the attempt may take.
 
+use std::convert::Infallible;
 use std::time::{Duration, Instant};
 
 use http::Request;
@@ -46,6 +47,13 @@
 /// response time.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Multiple of the usual time of a route's responses after which probes ask whether an endpoint that has not been
+/// reached yet has ended.
+const UNUSUAL_TIME_RATIO: u32 = 2;
+
+/// Smallest such time.
+const MIN_FIRST_RESPONSE_DELAY: Duration = Duration::from_millis(200);
+
 /// Longest time for which an endpoint is left alone at its own request. A wrong value must not take it
 /// out of use for good.
 const MAX_REST: Duration = Duration::from_secs(60);
@@ -163,7 +171,7 @@
             Err(Error::new(Code::Deadline, "the endpoint did not respond in time")
                 .with_executed(Executed::Unknown))
         }
-        never = traffic.paths.watch_first_response(traffic, &job.service, &chosen.id) => match never {},
+        never = watch_first_response(traffic, job, chosen) => match never {},
     };
     match &response {
         Ok(_) => {
@@ -275,6 +283,18 @@
     }
 }
 
+/// Starts probes if an attempt at an endpoint that this host has not reached yet takes much longer than requests
+/// of the route usually do. Never returns.
+async fn watch_first_response(traffic: &Traffic, job: &Job, chosen: &ChosenEndpoint) -> Infallible {
+    let usual_time = traffic.response_times.borrow().usual(&job.admitted.route.name);
+    let delay = match usual_time {
+        Some(usual) => Duration::from_millis(usual.0) * UNUSUAL_TIME_RATIO,
+        None => job.objective().mul_f64(SILENT_TIMEOUT_RATIO),
+    };
+    let delay = delay.max(MIN_FIRST_RESPONSE_DELAY);
+    traffic.paths.watch_first_response(traffic, &job.service, &chosen.id, delay).await
+}
+
 /// Records what an endpoint says about itself in the head of a response: that it is leaving, or that it wants no
 /// requests for a time.
 pub fn record_announcements(traffic: &Traffic, chosen: &ChosenEndpoint, facts: &ResponseFacts) {
