--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -80,6 +80,21 @@
     assert_eq!(ids(&table), expected[..1]);
 }
 
+/// Guards against avoiding an endpoint for good whose return a host learns from a list.
+#[test]
+fn an_endpoint_that_a_list_shows_to_have_returned_is_open() {
+    let freshness = freshness_confirmed_at(0);
+    let mut state = state_with_orders(&freshness);
+    let leaving = EndpointRecord { is_leaving: true, ..endpoint_record("e1", "v1") };
+    let listed = vec![endpoint_record("e1", "v1"), endpoint_record("e2", "v2")];
+
+    view_after(&mut state, vec![Input::Endpoint(leaving)], &freshness);
+    let view = view_after(&mut state, vec![Input::EndpointList(listed)], &freshness);
+
+    let endpoint = &view.services[&id("llm")].stable_pool.endpoints()[0];
+    assert!(endpoint.state.is_open());
+}
+
 #[test]
 fn an_endpoint_that_started_anew_is_used_although_its_last_run_had_left() {
     let mut table = EndpointTable::default();
