Endpoints that returned before a restored store was read are used again

Cause: the list of a restored store is older than what hosts know, so an endpoint known to leave, or to have ended, stayed so although it was listed as ready, until it writes its entry again. A host that reads its first list after it has written finds the new word in the list and takes it for the old one; no change follows, so nothing ends it. A verdict that outlives its evidence.

Evidence: the host's log. Known as leaving at 7.3 and 8.8 s, store back at 10.0 s, entries written again at 10.5 s, first list of the new era at 11.56 s, no change after it. Hosts 1 and 3 listed before those writes were delivered and took them as changes.

Entries that a restored store lists against what is known take effect 6 s after the first list of its era, unless a change or a removal comes first: endpoints that leave write that again within 2 s, and entries of ended ones go after three missed renewals. E202 tells how many entries leave and how many are held back.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -330,26 +330,15 @@
                 self.release_versions(now);
                 self.update_endpoint_access(now, actions);
                 let n = self.table.records().count();
-                actions.push(Action::Log(Event::EndpointsListed, format!("endpoints={n}")));
+                let leaving = self.table.records().filter(|r| r.is_leaving).count();
+                let unconfirmed = self.table.unconfirmed_len();
+                let text = format!("endpoints={n} leaving={leaving} unconfirmed={unconfirmed}");
+                actions.push(Action::Log(Event::EndpointsListed, text));
                 ViewUpdate::Immediate
             }
             Input::Endpoint(record) if self.table.is_outdated(&record) => ViewUpdate::None,
             Input::Endpoint(record) => {
-                self.reset_if_restarted(&record);
-                let text = format!(
-                    "endpoint={} service={} version={} leaving={}",
-                    record.id, record.service, record.version, record.is_leaving
-                );
-                actions.push(Action::Log(Event::EndpointChanged, text));
-                // Takes effect at once for requests that use the current view.
-                if let Some(state) = self.endpoint_states.get(&record.id) {
-                    state.set_leaving(record.is_leaving);
-                }
-                self.versions.add_endpoint(now, &record);
-                let (id, cold_for) = (record.id.clone(), record.cold_for);
-                self.table.upsert(record);
-                self.record_cold_entry(now, &id, cold_for, actions);
-                self.update_endpoint_access(now, actions);
+                self.apply_endpoint(now, record, actions);
                 ViewUpdate::Deferred
             }
             Input::EndpointRemoved(id) => {
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -75,7 +75,11 @@
         }
         // Lapsed entries are removed here and not on a tick: ticks only occur when there is no
         // other input, so a busy host would keep them.
-        let has_view_changed = self.table.sweep(now);
+        let confirmed = self.table.take_confirmed(now);
+        let has_view_changed = self.table.sweep(now) || !confirmed.is_empty();
+        for record in confirmed {
+            self.apply_endpoint(now, record, actions);
+        }
         self.detect_outliers(now, actions);
         self.log_suspect_changes(now, actions);
         self.update_endpoint_access(now, actions);
--- a/crates/tidetrack-core/src/traffic/control/updates.rs
+++ b/crates/tidetrack-core/src/traffic/control/updates.rs
@@ -157,6 +157,30 @@
         !change.is_empty()
     }
 
+    /// Applies a new or changed entry of an endpoint.
+    pub(super) fn apply_endpoint(
+        &mut self,
+        now: Millis,
+        record: EndpointRecord,
+        actions: &mut Vec<Action>,
+    ) {
+        self.reset_if_restarted(&record);
+        let text = format!(
+            "endpoint={} service={} version={} leaving={}",
+            record.id, record.service, record.version, record.is_leaving
+        );
+        actions.push(Action::Log(Event::EndpointChanged, text));
+        // Takes effect at once for requests that use the current view.
+        if let Some(state) = self.endpoint_states.get(&record.id) {
+            state.set_leaving(record.is_leaving);
+        }
+        self.versions.add_endpoint(now, &record);
+        let (id, cold_for) = (record.id.clone(), record.cold_for);
+        self.table.upsert(record);
+        self.record_cold_entry(now, &id, cold_for, actions);
+        self.update_endpoint_access(now, actions);
+    }
+
     /// Drops the load and health of an endpoint's previous incarnation, since they describe another
     /// process. Requests that use the current view avoid the endpoint until the next view.
     pub(super) fn reset_if_restarted(&mut self, record: &EndpointRecord) {
--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -11,7 +11,9 @@
 //!
 //! A store that was restored from an older copy lists endpoints that have ended since, and lacks what
 //! endpoints wrote since: that they started, or that they leave. Running endpoints write it again
-//! within a short time. Until then what was known stays in force.
+//! within a short time, and the store removes the entries of the others. Until then what was known
+//! stays in force; after that what the store lists does, as an endpoint may have written its entry
+//! before the list was read.
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -29,6 +31,11 @@
 /// which an entry lapses is 2.4 s.
 const MAX_READ_INTERVAL: Millis = Millis(2_300);
 
+/// How long the state known before a restoration stays in force against the list of the restored store.
+/// The store removes the entry of an endpoint that has ended after three missed renewals; the rest
+/// covers a renewal just before the copy was made, and the delivery through the watch.
+const RESTORED_RETENTION: Millis = Millis(6_000);
+
 /// How long an ended endpoint is remembered, in case that a restored store lists it again.
 const ENDED_RETENTION: Millis = Millis(60_000);
 
@@ -101,6 +108,9 @@
     store_reachable_since: Option<Millis>,
     /// When the store was last found to be restored from a copy.
     restored_at: Option<Millis>,
+    /// Entries that a restored store lists as ready although the endpoint was known to leave or to
+    /// have ended.
+    unconfirmed: BTreeMap<EndpointId, EndpointRecord>,
     /// Endpoints whose entries were removed: when, and the start of their last incarnation.
     ended: BTreeMap<EndpointId, (Millis, Option<Millis>)>,
     recent_reads: Option<RecentReads>,
@@ -137,19 +147,20 @@
 
     /// Replaces all entries by a complete list.
     pub fn replace(&mut self, now: Millis, records: Vec<EndpointRecord>) {
-        let is_restored = self.is_restored(now);
-        let retains_missing = is_restored || self.retains_lapsed(now);
+        let retains_missing = self.is_restored(now) || self.retains_lapsed(now);
+        let retains_known = self.retains_known(now);
         let mut previous = std::mem::take(&mut self.entries);
-        for mut record in records {
-            match previous.remove(&record.id) {
-                Some(Entry { record: known, .. }) if is_restored => {
-                    let is_same = !record.is_later_incarnation_than(&known);
-                    record.is_leaving |= known.is_leaving && is_same;
-                }
-                None if is_restored && self.has_ended(&record) => continue,
-                _ => {}
+        self.unconfirmed.clear();
+        for record in records {
+            let known = previous.remove(&record.id).map(|entry| entry.record);
+            if !retains_known || self.agrees_with_known(&record, known.as_ref()) {
+                self.upsert(record);
+                continue;
+            }
+            if known.is_some() {
+                self.upsert(EndpointRecord { is_leaving: true, ..record.clone() });
             }
-            self.upsert(record);
+            self.unconfirmed.insert(record.id.clone(), record);
         }
         for (id, entry) in previous {
             if retains_missing && !entry.record.is_leaving {
@@ -160,6 +171,32 @@
         }
     }
 
+    /// Reports whether a listed record says nothing else than what is known of its incarnation: that it
+    /// leaves, or that it has ended.
+    fn agrees_with_known(&self, record: &EndpointRecord, known: Option<&EndpointRecord>) -> bool {
+        match known {
+            Some(known) => {
+                !known.is_leaving || record.is_leaving || record.is_later_incarnation_than(known)
+            }
+            None => !self.has_ended(record),
+        }
+    }
+
+    /// Returns the entries that a restored store lists against what was known, once endpoints that
+    /// leave have had the time to write theirs again, and the store to remove those of ended ones.
+    /// The caller applies them like changes.
+    pub fn take_confirmed(&mut self, now: Millis) -> Vec<EndpointRecord> {
+        if self.retains_known(now) || self.retains_lapsed(now) {
+            return Vec::new();
+        }
+        std::mem::take(&mut self.unconfirmed).into_values().collect()
+    }
+
+    /// Returns the number of entries that a restored store lists against what is known.
+    pub fn unconfirmed_len(&self) -> usize {
+        self.unconfirmed.len()
+    }
+
     /// Remembers that the entry of an endpoint was removed.
     fn record_end(&mut self, now: Millis, record: &EndpointRecord) {
         self.ended.retain(|_, (at, _)| now < *at + ENDED_RETENTION);
@@ -189,6 +226,7 @@
     /// Inserts or replaces an entry.
     pub fn upsert(&mut self, record: EndpointRecord) {
         self.ended.remove(&record.id);
+        self.unconfirmed.remove(&record.id);
         self.entries.insert(record.id.clone(), Entry { record, is_lapsed: false });
     }
 
@@ -196,6 +234,7 @@
     /// may have caused the removal.
     pub fn remove(&mut self, now: Millis, id: &EndpointId) {
         let retains = self.retains_lapsed(now);
+        self.unconfirmed.remove(id);
         match self.entries.get_mut(id) {
             Some(entry) if retains && !entry.record.is_leaving => entry.is_lapsed = true,
             _ => {
@@ -207,6 +246,7 @@
 
     /// Drops an entry at once, without retaining it.
     pub fn remove_now(&mut self, id: &EndpointId) {
+        self.unconfirmed.remove(id);
         self.entries.remove(id);
     }
 
@@ -246,6 +286,11 @@
         self.restored_at.is_some_and(|at| now < at + LAPSED_RETENTION)
     }
 
+    /// Reports whether what was known before the store was restored stays in force.
+    fn retains_known(&self, now: Millis) -> bool {
+        self.restored_at.is_some_and(|at| now < at + RESTORED_RETENTION)
+    }
+
     /// Reports whether an entry that disappears now may have lapsed. If only this host cannot reach
     /// the store, an entry that disappears belongs to an endpoint that ended.
     fn retains_lapsed(&self, now: Millis) -> bool {
--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use tidetrack_core::ids::EndpointId;
@@ -28,6 +29,9 @@
 /// Time after which running endpoints have written their entries again.
 const REWRITE_TIME: Millis = Millis(2_300);
 
+/// Time after which the store has removed the entries of endpoints that have ended.
+const REMOVAL_TIME: Millis = Millis(6_000);
+
 fn position(era: u64, revision: u64) -> u64 {
     StorePosition { era, revision }.packed()
 }
@@ -80,6 +84,29 @@
     assert_eq!(ids(&table), expected[..1]);
 }
 
+/// Guards against keeping endpoints out of use for good that wrote their entries again before the list was read.
+#[test]
+fn endpoints_that_a_restored_store_still_lists_as_ready_are_used_after_a_while() {
+    let mut table = EndpointTable::default();
+    let [returned, ended, leaving] = ["returned", "ended", "leaving"];
+    table.replace(Millis(1_000), [returned, ended, leaving].map(|id| record(id, true, 1)).into());
+    table.remove(Millis(50_000), &id(ended));
+    let listed = || vec![record(returned, false, 1), record(ended, false, 1)];
+
+    table.mark_restored(NOW);
+    table.replace(NOW, [listed(), vec![record(leaving, false, 1)]].concat());
+    table.upsert(record(leaving, true, 1));
+    let early = table.take_confirmed(NOW + REWRITE_TIME);
+    let late = table.take_confirmed(NOW + REMOVAL_TIME);
+
+    assert_eq!(early, []);
+    let by_id = |records: Vec<EndpointRecord>| records.into_iter().map(|r| (r.id.clone(), r));
+    assert_eq!(
+        by_id(late).collect::<BTreeMap<_, _>>(),
+        by_id(listed()).collect::<BTreeMap<_, _>>()
+    );
+}
+
 /// Guards against avoiding an endpoint for good whose return a host learns from a list.
 #[test]
 fn an_endpoint_that_a_list_shows_to_have_returned_is_open() {
