An outage after a restoration gives endpoints the whole time to write their entries again

Cause: entries that a restored store lists against what is known took effect 6 s after the restoration, or 2.3 s after the return of the store if it was away again meanwhile. Neither an endpoint that leaves can write that while the store is away, nor does the store remove the entries of ended ones (three missed renewals, 3.6 s or more), so hosts sent to endpoints that they knew to have left.

Evidence: an_outage_after_the_restoration_gives_endpoints_the_whole_time_again failed before (1 entry in use 5 s after the return, 0 expected), passes now. Reads by other hosts that went on meanwhile show that the store was up, so a host that alone lost it does not wait again.

--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -127,6 +127,11 @@
         if self.is_store_unreachable {
             self.is_store_unreachable = false;
             self.store_reachable_since = Some(now);
+            // While the store was away, endpoints could not write that they leave, and entries of ended
+            // ones were not removed.
+            if !self.unconfirmed.is_empty() && !self.has_steady_reads(now) {
+                self.restored_at = Some(now);
+            }
         }
     }
 
--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -107,6 +107,26 @@
     );
 }
 
+/// Guards against using endpoints that leave or have ended, since an outage kept them from saying so in time.
+#[test]
+fn an_outage_after_the_restoration_gives_endpoints_the_whole_time_again() {
+    let returned_at = NOW + Millis(10_000);
+    let mut table = EndpointTable::default();
+    table.replace(Millis(1_000), vec![record("leaving", true, 1)]);
+    table.mark_restored(NOW);
+    table.replace(NOW, vec![record("leaving", false, 1)]);
+
+    table.mark_store_unreachable();
+    table.mark_store_reachable(returned_at);
+    for ms in (0..=5_000).step_by(1_000) {
+        table.record_store_read(returned_at + Millis(ms));
+    }
+    let early = table.take_confirmed(returned_at + Millis(5_000));
+    let late = table.take_confirmed(returned_at + REMOVAL_TIME);
+
+    assert_eq!((early.len(), late.len()), (0, 1));
+}
+
 /// Guards against avoiding an endpoint for good whose return a host learns from a list.
 #[test]
 fn an_endpoint_that_a_list_shows_to_have_returned_is_open() {
