The copy of a restored store does not replace later incarnations of endpoints

Cause: the list of a restored store replaced the entry of a known endpoint by that of an earlier incarnation, which may have another address and version, until the endpoint had written its entry again and that was delivered. Single changes of an earlier incarnation are dropped as outdated; the list was not looked at so.

Such entries are now held back like those of endpoints known to leave.

Evidence: the_copy_does_not_replace_an_incarnation_that_started_later failed before (the address of the earlier incarnation in the table), passes now.

--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -109,7 +109,7 @@
     /// When the store was last found to be restored from a copy.
     restored_at: Option<Millis>,
     /// Entries that a restored store lists as ready although the endpoint was known to leave or to
-    /// have ended.
+    /// have ended, and entries of an earlier incarnation than the known one.
     unconfirmed: BTreeMap<EndpointId, EndpointRecord>,
     /// Endpoints whose entries were removed: when, and the start of their last incarnation.
     ended: BTreeMap<EndpointId, (Millis, Option<Millis>)>,
@@ -162,8 +162,10 @@
                 self.upsert(record);
                 continue;
             }
-            if known.is_some() {
-                self.upsert(EndpointRecord { is_leaving: true, ..record.clone() });
+            match known {
+                Some(known) if known.is_later_incarnation_than(&record) => self.upsert(known),
+                Some(_) => self.upsert(EndpointRecord { is_leaving: true, ..record.clone() }),
+                None => {}
             }
             self.unconfirmed.insert(record.id.clone(), record);
         }
@@ -176,10 +178,11 @@
         }
     }
 
-    /// Reports whether a listed record says nothing else than what is known of its incarnation: that it
-    /// leaves, or that it has ended.
+    /// Reports whether a listed record contradicts nothing that is known of the endpoint: that its
+    /// incarnation leaves or has ended, or that a later one has started.
     fn agrees_with_known(&self, record: &EndpointRecord, known: Option<&EndpointRecord>) -> bool {
         match known {
+            Some(known) if known.is_later_incarnation_than(record) => false,
             Some(known) => {
                 !known.is_leaving || record.is_leaving || record.is_later_incarnation_than(known)
             }
--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -154,6 +154,21 @@
     assert_eq!(ids(&table), [("a".to_string(), false), ("b".to_string(), false)]);
 }
 
+/// Guards against sending to the address of an earlier incarnation, which the copy lists.
+#[test]
+fn the_copy_does_not_replace_an_incarnation_that_started_later() {
+    let address = "127.0.0.1:8001".parse().expect("the address parses");
+    let known = EndpointRecord { address, ..record("a", false, 2) };
+    let mut table = EndpointTable::default();
+    table.replace(Millis(1_000), vec![known.clone()]);
+
+    table.mark_restored(NOW);
+    table.replace(NOW, vec![record("a", false, 1)]);
+
+    assert_eq!(table.get(&known.id), Some(&known));
+    assert_eq!(table.take_confirmed(NOW + REMOVAL_TIME), [record("a", false, 1)]);
+}
+
 fn order(revision: u64, state: Option<RolloutState>) -> RolloutOrder {
     let version = || "v2".parse().expect("the version parses");
     RolloutOrder {
