Versions of endpoints that a restored store lists against what is known stay known

Cause: when all endpoints of a version were known to have ended, its entry among the listed versions, made with the list, was removed by the next round, as no endpoint in use runs it. When the endpoints were used after 6 s, the version was new again and waited for roll-outs for up to 5 s more, unless another change of an endpoint came: a service of several versions was refused for 11 s after the list.

Evidence: versions_of_endpoints_that_are_used_after_a_while_serve_at_once failed before (service not in the view at 6 s), passes now (4 endpoints of 2 versions).

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -331,7 +331,7 @@
                 self.update_endpoint_access(now, actions);
                 let n = self.table.records().count();
                 let leaving = self.table.records().filter(|r| r.is_leaving).count();
-                let unconfirmed = self.table.unconfirmed_len();
+                let unconfirmed = self.table.unconfirmed().count();
                 let text = format!("endpoints={n} leaving={leaving} unconfirmed={unconfirmed}");
                 actions.push(Action::Log(Event::EndpointsListed, text));
                 ViewUpdate::Immediate
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -164,7 +164,8 @@
     /// Removes versions that no endpoint runs any more and releases versions that may serve now.
     /// Returns whether the view changed.
     fn update_versions(&mut self, now: Millis, actions: &mut Vec<Action>) -> bool {
-        let has_view_changed = self.versions.sweep(now, self.table.records());
+        let listed = self.table.records().chain(self.table.unconfirmed());
+        let has_view_changed = self.versions.sweep(now, listed);
         let has_released = self.release_versions(now);
         let awaiting = self.versions.awaiting_rollouts();
         for service in awaiting.difference(&self.services_awaiting_rollouts) {
--- a/crates/tidetrack-core/src/traffic/endpoints.rs
+++ b/crates/tidetrack-core/src/traffic/endpoints.rs
@@ -200,9 +200,9 @@
         std::mem::take(&mut self.unconfirmed).into_values().collect()
     }
 
-    /// Returns the number of entries that a restored store lists against what is known.
-    pub fn unconfirmed_len(&self) -> usize {
-        self.unconfirmed.len()
+    /// Returns the entries that a restored store lists against what is known.
+    pub fn unconfirmed(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.unconfirmed.values()
     }
 
     /// Remembers that the entry of an endpoint was removed.
--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -21,7 +21,7 @@
 
 use support::{
     catalog, caught_up_input, endpoint_record, fleet_state, freshness_confirmed_at, id,
-    last_published_view, message_from, rollout_list, rollout_order,
+    last_published_view, message_from, rollout_list, rollout_order, state_without_rollout,
 };
 
 const NOW: Millis = Millis(100_000);
@@ -231,6 +231,32 @@
     last_published_view(&actions).expect("a view is published")
 }
 
+/// Guards against versions that wait for roll-outs once more when endpoints known to have ended are used again.
+#[test]
+fn versions_of_endpoints_that_are_used_after_a_while_serve_at_once() {
+    let freshness = freshness_confirmed_at(0);
+    let mut state = state_without_rollout(2, &freshness);
+    let endpoints = [("o1", "v1"), ("o2", "v1"), ("n1", "v2"), ("n2", "v2")];
+    let removed = endpoints.map(|(name, _)| (1_000, Input::EndpointRemoved(id(name))));
+    let listed = endpoints.map(|(name, version)| endpoint_record(name, version));
+    let restored = [
+        (2_000, Input::Tick),
+        (3_000, Input::StoreRestored(FeedKind::Endpoints)),
+        (3_000, Input::EndpointList(listed.into())),
+        (3_000, caught_up_input(FeedKind::Endpoints, 20)),
+        (3_000, caught_up_input(FeedKind::Rollouts, 20)),
+        (4_000, Input::Tick),
+        (3_000 + REMOVAL_TIME.0, Input::Tick),
+    ];
+
+    let inputs = removed.into_iter().chain(restored);
+    let actions = inputs.map(|(at, input)| state.handle_input(Millis(at), input, &freshness));
+    let view = last_published_view(&actions.last().expect("inputs were handled"));
+
+    let view = view.expect("a view is published");
+    assert_eq!(view.services[&id("llm")].stable_pool.endpoints().len(), endpoints.len());
+}
+
 /// Guards against taking back orders because the copy was made before they were given.
 #[test]
 fn orders_that_the_copy_lacks_stay_in_force_and_later_lists_count() {
