Evacuations that a restored store lists take effect after a while

Cause: the first list of evacuations of a restored store was ignored as a whole, since operators write again what it lacks. What an operator had written, or taken back, between the return of the store and that list is in the list and in no later change, so a domain stayed out of use for good, or was sent to for good although its evacuation had been ordered.

The list now takes effect 6 s later, with the changes that came since, as that of the endpoints does. An order that the copy lacks and that is not written again within that time ends.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -390,11 +390,11 @@
             Input::RolloutRemoved(service) => {
                 ViewUpdate::immediate_if(self.remove_order(now, &service))
             }
-            Input::EvacuationList(_)
+            Input::EvacuationList(domains)
                 if self.evacuations.is_known()
                     && self.takes_list_of_copy(FeedKind::Evacuations) =>
             {
-                // What operators ordered since the copy was made is written again.
+                self.evacuations.replace_later(now, domains);
                 ViewUpdate::None
             }
             Input::EvacuationList(domains) => {
--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -80,6 +80,8 @@
         for record in confirmed {
             self.apply_endpoint(now, record, actions);
         }
+        let change = self.evacuations.apply_confirmed(now);
+        let has_view_changed = self.apply_evacuations(now, change, actions) || has_view_changed;
         self.detect_outliers(now, actions);
         self.log_suspect_changes(now, actions);
         self.update_endpoint_access(now, actions);
--- a/crates/tidetrack-core/src/traffic/evacuations.rs
+++ b/crates/tidetrack-core/src/traffic/evacuations.rs
@@ -4,18 +4,28 @@
 //! endpoints. Requests that run there end normally. A host that does not know the orders yet must
 //! assume that any domain may be evacuated, so it sends nothing.
 //!
+//! The list of a store that was restored from a copy may lack orders, and ends of orders, that are
+//! written again soon. What was known stays in force until then; after that what was listed does, as
+//! operators may have written it before the list was read.
+//!
 //! When an order ends, the endpoints of the domain may have been restarted meanwhile, so traffic
 //! returns to them as slowly as to endpoints that have just started.
 
 use std::collections::BTreeSet;
 
 use crate::ids::FailureDomain;
+use crate::units::Millis;
+
+/// How long the orders known before a restoration stay in force against the list of the restored store.
+const RESTORED_RETENTION: Millis = Millis(6_000);
 
 /// The evacuated failure domains, as known to one host.
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     /// `None` until the orders have been listed.
     domains: Option<BTreeSet<FailureDomain>>,
+    /// The list of a restored store with the changes since, and when it takes effect.
+    unconfirmed: Option<(Millis, BTreeSet<FailureDomain>)>,
 }
 
 /// A change of the evacuated failure domains.
@@ -37,6 +47,7 @@
 impl Evacuations {
     /// Replaces the orders by a complete list.
     pub fn replace(&mut self, domains: BTreeSet<FailureDomain>) -> EvacuationChange {
+        self.unconfirmed = None;
         let previous = self.domains.replace(domains.clone()).unwrap_or_default();
         EvacuationChange {
             started: domains.difference(&previous).cloned().collect(),
@@ -44,14 +55,34 @@
         }
     }
 
+    /// Records the list of a restored store, which takes effect later.
+    pub fn replace_later(&mut self, now: Millis, domains: BTreeSet<FailureDomain>) {
+        self.unconfirmed = Some((now + RESTORED_RETENTION, domains));
+    }
+
+    /// Applies the list of a restored store once operators have had the time to write their orders
+    /// again.
+    pub fn apply_confirmed(&mut self, now: Millis) -> EvacuationChange {
+        match self.unconfirmed.take_if(|(at, _)| now >= *at) {
+            Some((_, domains)) => self.replace(domains),
+            None => EvacuationChange::default(),
+        }
+    }
+
     /// Records that a domain is evacuated.
     pub fn start(&mut self, domain: FailureDomain) -> EvacuationChange {
+        if let Some((_, listed)) = &mut self.unconfirmed {
+            listed.insert(domain.clone());
+        }
         let is_new = self.domains.get_or_insert_default().insert(domain.clone());
         EvacuationChange { started: is_new.then_some(domain).into_iter().collect(), ended: vec![] }
     }
 
     /// Records that the evacuation of a domain has ended.
     pub fn end(&mut self, domain: FailureDomain) -> EvacuationChange {
+        if let Some((_, listed)) = &mut self.unconfirmed {
+            listed.remove(&domain);
+        }
         let was_evacuated = self.domains.get_or_insert_default().remove(&domain);
         let ended = was_evacuated.then_some(domain).into_iter().collect();
         EvacuationChange { started: vec![], ended }
--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -274,6 +274,32 @@
     assert_eq!((after_copy, after_list), ((true, true), (false, false)));
 }
 
+/// Guards against missing evacuations for good that started or ended before the restored store was read.
+#[test]
+fn evacuations_that_a_restored_store_lists_are_in_force_after_a_while() {
+    let freshness = freshness_confirmed_at(0);
+    let mut state = state_with_orders(&freshness);
+    let mut evacuated_after = |inputs: Vec<(u64, Input)>| {
+        let inputs = inputs.into_iter();
+        let actions = inputs
+            .flat_map(|(at, input)| state.handle_input(NOW + Millis(at), input, &freshness))
+            .collect::<Vec<_>>();
+        let view = last_published_view(&actions).expect("a view is published");
+        view.evacuated_endpoints.keys().map(|domain| domain.to_string()).collect::<Vec<_>>()
+    };
+
+    let early = evacuated_after(vec![
+        (0, Input::StoreRestored(FeedKind::Evacuations)),
+        (0, Input::EvacuationList([id("a"), id("c")].into())),
+        (1_000, Input::EvacuationStarted(id("d"))),
+        (2_000, Input::EvacuationEnded(id("c"))),
+        (REWRITE_TIME.0, Input::Tick),
+    ]);
+    let late = evacuated_after(vec![(REMOVAL_TIME.0, Input::Tick)]);
+
+    assert_eq!((early, late), (vec!["b".into(), "d".into()], vec!["a".into(), "d".into()]));
+}
+
 /// Guards against keeping a revoked key in force because the copy, which lacks its removal, confirms the older
 /// configuration.
 #[test]
