A list of roll-outs ends what unreadable orders withheld that it lacks

Cause: an unreadable order was forgotten with the order's removal, or when it could be read again, but not with a list that lacks it (after the store's history was gone). The versions of the service that were listed meanwhile stayed withheld for as long as a released one was listed. Lists of a restored store change nothing, as orders that the copy lacks are written again.

--- a/crates/tidetrack-core/src/traffic/control/mod.rs
+++ b/crates/tidetrack-core/src/traffic/control/mod.rs
@@ -376,6 +376,9 @@
                 for service in &gone {
                     self.remove_order(now, service);
                 }
+                if !keeps_missing {
+                    self.versions.retain_unreadable(is_in_list);
+                }
                 orders.into_iter().for_each(|o| self.apply_order(now, o, actions));
                 ViewUpdate::Immediate
             }
--- a/crates/tidetrack-core/src/traffic/control/versions.rs
+++ b/crates/tidetrack-core/src/traffic/control/versions.rs
@@ -143,6 +143,11 @@
         self.unreadable.remove(service);
     }
 
+    /// Forgets the unreadable orders of services that a complete list of orders lacks.
+    pub fn retain_unreadable(&mut self, is_in_list: impl FnMut(&ServiceId) -> bool) {
+        self.unreadable.retain(is_in_list);
+    }
+
     /// Withholds a version from serving.
     pub fn withhold(&mut self, now: Millis, version: BarredVersion, reason: WithholdReason) {
         self.withheld.insert(version, (reason, now));
--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -257,6 +257,26 @@
     assert_eq!(view.services[&id("llm")].stable_pool.endpoints().len(), endpoints.len());
 }
 
+/// Guards against withholding a version for good by an unreadable order that a list shows to be gone.
+#[test]
+fn a_version_serves_once_a_list_lacks_the_unreadable_order() {
+    let freshness = freshness_confirmed_at(0);
+    let mut state = state_with_orders(&freshness);
+    let inputs = vec![
+        Input::RolloutRemoved(id("llm")),
+        Input::RolloutUnreadable(id("llm")),
+        Input::Endpoint(endpoint_record("e3", "v3")),
+        caught_up_input(FeedKind::Endpoints, 12),
+        rollout_list(Vec::new()),
+        caught_up_input(FeedKind::Rollouts, 20),
+    ];
+
+    let view = view_after(&mut state, inputs, &freshness);
+
+    let endpoints = view.services[&id("llm")].stable_pool.endpoints();
+    assert!(endpoints.iter().any(|e| e.id == id("e3")));
+}
+
 /// Guards against taking back orders because the copy was made before they were given.
 #[test]
 fn orders_that_the_copy_lacks_stay_in_force_and_later_lists_count() {
