Outliers are found by comparison with endpoints that are used

What callers saw: of 8 listed endpoints 4 are in use and fail equally often, and 3 of the 4 are avoided, so that the remaining ones carry the load of all.

Cause: every listed endpoint that is not ejected counted in the median; those not tried yet, or whose ejection has just ended, counted with a failure share of 0.

Change: the median is that of the endpoints that this host has used in the last 30 s (any counted outcome since their last avoidance), without those whose last request failed in a way that is not counted. With fewer than three of these, those at which other hosts report work now or failed requests are added; with fewer than three in all there is no verdict. Messages are unchanged: the work by endpoint is in them already.

Why it works: which endpoints a host uses does not depend on how many listed ones have ended, nor on whether they fail elsewhere, as the set of reported ones does.

Limits: a host that has used fewer than three endpoints takes ended ones on which other hosts' requests wait for typical.

--- a/crates/tidetrack-core/src/placement/endpoint_state.rs
+++ b/crates/tidetrack-core/src/placement/endpoint_state.rs
@@ -184,6 +184,13 @@
         self.peer_work_at.store(now.0.max(1), Ordering::Relaxed);
     }
 
+    /// Reports whether other hosts have recently reported to have work at the endpoint.
+    pub fn has_peer_work(&self, now: Millis) -> bool {
+        let received_at = self.peer_work_at.load(Ordering::Relaxed);
+        let is_recent = received_at > 0 && now < Millis(received_at) + PEER_WORK_RETENTION;
+        is_recent && self.peer_work.load(Ordering::Relaxed) > 0
+    }
+
     /// Sets the share of the other hosts that were heard lately. The work at the endpoint of those that
     /// were not is estimated where load control applies.
     pub fn set_heard_share(&self, share: f64) {
--- a/crates/tidetrack-core/src/traffic/outliers.rs
+++ b/crates/tidetrack-core/src/traffic/outliers.rs
@@ -4,9 +4,15 @@
 //! that loses every third response. Each host therefore counts the outcomes of its requests,
 //! reports its counts for endpoints with recent failures to the other hosts, and judges by the sum.
 //! An endpoint is compared with the other endpoints of its pool, because failures that all of them
-//! share are caused by the requests or by the version. Those that are ejected get no requests and are left out. An outlier is avoided for a few seconds and
+//! share are caused by the requests or by the version. An outlier is avoided for a few seconds and
 //! then judged by what happens afterwards. The report of one host alone never makes other hosts
 //! avoid an endpoint, and part of each pool always stays in use.
+//!
+//! Most endpoints of a list may have ended, so a listed endpoint without known failures is not
+//! typical for that reason. The comparison is with a sample of the pool: the endpoints that this host
+//! has used lately, whatever the outcome. Endpoints that are known only because they failed elsewhere
+//! would make failures look typical in a large fleet. A host that has used too few endpoints adds those
+//! that other hosts use.
 
 use std::collections::{HashMap, HashSet};
 use std::fmt;
@@ -52,9 +58,13 @@
 /// Longest avoidance of an endpoint that fails repeatedly.
 const MAX_AVOIDANCE: Millis = Millis(12_000);
 
-/// Smallest pool in which outliers are detected: of two endpoints, neither can be called typical.
+/// Smallest pool, and smallest sample of it, in which outliers are detected: of two endpoints, neither
+/// can be called typical.
 const MIN_POOL_SIZE: usize = 3;
 
+/// Time for which an endpoint that this host has used counts towards the sample of its pool.
+const MAX_USE_AGE: Millis = Millis(30_000);
+
 /// One endpoint in this number, rounded up, may be avoided in a pool; the remaining ones have to
 /// carry the load of all.
 const AVOIDED_DIVISOR: usize = 3;
@@ -133,6 +143,8 @@
     avoidance: Option<(Millis, Millis)>,
     /// Whether the endpoint has been in use again since the last avoidance.
     is_readmitted: bool,
+    /// When this host last saw the outcome of a request since the last avoidance.
+    used_at: Option<Millis>,
 }
 
 /// An endpoint that has to be avoided.
@@ -163,6 +175,10 @@
     histories: HashMap<EndpointId, EndpointHistory>,
     /// Endpoints that are ejected after failures.
     ejected: HashSet<EndpointId>,
+    /// Endpoints that are not ejected and whose last request from this host failed.
+    failing: HashSet<EndpointId>,
+    /// Endpoints at which other hosts have requests and whose last request from this host did not fail.
+    used_by_peers: HashSet<EndpointId>,
 }
 
 impl OutlierDetector {
@@ -175,9 +191,15 @@
         peer_counts: &HashMap<EndpointKey, RequestCounts>,
     ) {
         self.ejected.clear();
+        self.failing.clear();
+        self.used_by_peers.clear();
         for (id, state) in endpoint_states {
             if state.ejected_until() > now {
                 self.ejected.insert(id.clone());
+            } else if state.consecutive_failures() > 0 {
+                self.failing.insert(id.clone());
+            } else if state.has_peer_work(now) {
+                self.used_by_peers.insert(id.clone());
             }
             let outcomes = state.take_outcomes();
             let others = peer_counts.get(&EndpointKey::from(id)).copied();
@@ -214,10 +236,11 @@
     /// them.
     pub fn find_outliers(&mut self, now: Millis, pool: &[EndpointId]) -> Vec<Outlier> {
         let pool: Vec<&EndpointId> = pool.iter().filter(|id| !self.ejected.contains(*id)).collect();
-        if pool.len() < MIN_POOL_SIZE {
+        let sample = self.sample(now, &pool);
+        if sample.len() < MIN_POOL_SIZE {
             return Vec::new();
         }
-        let median = self.median(now, &pool);
+        let median = self.median(now, &sample);
         let mut outliers: Vec<Outlier> = Vec::new();
         let mut avoided_count = 0;
         for id in &pool {
@@ -244,14 +267,33 @@
         outliers
     }
 
-    /// Returns the median share of failed requests in a pool.
-    fn median(&self, now: Millis, pool: &[&EndpointId]) -> f32 {
+    /// Returns the endpoints of a pool with which the others are compared.
+    fn sample<'a>(&self, now: Millis, pool: &[&'a EndpointId]) -> Vec<&'a EndpointId> {
+        let is_used = |id: &EndpointId| {
+            let history = self.histories.get(id).filter(|history| history.was_used(now));
+            // Failures that may have been caused by the network path are not among the counts.
+            history.is_some_and(|h| h.has_own_failures(now) || !self.failing.contains(id))
+        };
+        let used: Vec<&EndpointId> = pool.iter().copied().filter(|id| is_used(id)).collect();
+        if used.len() >= MIN_POOL_SIZE {
+            return used;
+        }
+        let is_used_by_peers = |id: &EndpointId| {
+            let history = self.histories.get(id);
+            self.used_by_peers.contains(id)
+                || history.is_some_and(|h| h.current_counts(now).failed >= MIN_REPORTED)
+        };
+        pool.iter().copied().filter(|id| is_used(id) || is_used_by_peers(id)).collect()
+    }
+
+    /// Returns the median share of failed requests in a sample.
+    fn median(&self, now: Millis, sample: &[&EndpointId]) -> f32 {
         let share = |id: &&EndpointId| {
             self.histories
                 .get(*id)
                 .map_or(0.0, |history| history.current_counts(now).failed_share())
         };
-        let mut shares: Vec<f32> = pool.iter().map(share).collect();
+        let mut shares: Vec<f32> = sample.iter().map(share).collect();
         shares.sort_by(f32::total_cmp);
         shares[(shares.len() - 1) / 2]
     }
@@ -260,6 +302,9 @@
 impl EndpointHistory {
     fn record(&mut self, now: Millis, outcomes: Outcomes, others: RequestCounts) {
         let (succeeded, failed) = (outcomes.succeeded as f32, outcomes.failed as f32);
+        if outcomes != Outcomes::default() {
+            self.used_at = Some(now);
+        }
         let own = self.own.value_at(now).plus(RequestCounts { all: succeeded + failed, failed });
         self.own = DecayingCounts { counts: own, updated_at: now };
         self.all = DecayingCounts { counts: own.plus(others), updated_at: now };
@@ -270,6 +315,16 @@
         self.all.value_at(now).minus(self.discounted.value_at(now))
     }
 
+    /// Reports whether this host has used the endpoint lately.
+    fn was_used(&self, now: Millis) -> bool {
+        self.used_at.is_some_and(|used_at| now < used_at + MAX_USE_AGE)
+    }
+
+    /// Reports whether requests of this host have failed lately.
+    fn has_own_failures(&self, now: Millis) -> bool {
+        self.own.value_at(now).failed >= MIN_REPORTED
+    }
+
     fn is_candidate(&self, now: Millis) -> bool {
         !self.is_avoided(now) && self.current_counts(now).exceeds(0.0)
     }
@@ -297,6 +352,7 @@
     fn readmit_if_due(&mut self, now: Millis) {
         if self.avoidance.is_some() && !self.is_avoided(now) && !self.is_readmitted {
             self.is_readmitted = true;
+            self.used_at = None;
             self.discounted = DecayingCounts { counts: self.all.value_at(now), updated_at: now };
         }
     }
@@ -305,6 +361,6 @@
     fn is_retained(&self, now: Millis) -> bool {
         let was_recently_avoided =
             self.avoidance.is_some_and(|(avoided_until, duration)| now < avoided_until + duration);
-        was_recently_avoided || self.all.value_at(now).all >= MIN_RETAINED
+        was_recently_avoided || self.was_used(now) || self.all.value_at(now).all >= MIN_RETAINED
     }
 }
--- a/crates/tidetrack-core/tests/mostly_ended.rs
+++ b/crates/tidetrack-core/tests/mostly_ended.rs
@@ -8,7 +8,7 @@
     EndpointState, Locality, PlacementRequest, PoolEndpoint, PoolView,
 };
 use tidetrack_core::traffic::endpoint_paths::{EndpointPaths, PathState};
-use tidetrack_core::traffic::outliers::OutlierDetector;
+use tidetrack_core::traffic::outliers::{OutlierDetector, RequestCounts};
 use tidetrack_core::units::Millis;
 
 const NOW: Millis = Millis(10_000);
@@ -68,6 +68,60 @@
     });
 }
 
+/// Guards against ended endpoints that count as typical because this host used them before they ended.
+#[test]
+fn endpoints_that_all_fail_as_often_are_no_outliers_beside_ones_used_before() {
+    check_outliers_beside_used(|_| {}, Millis(40_000));
+    check_outliers_beside_used(|state| state.record_withheld_failure(Millis(10_500), true), NOW);
+}
+
+/// Checks that none of the endpoints in use is avoided beside ones that served at `NOW`, ended as `end` brings about,
+/// and are not ejected `later`.
+fn check_outliers_beside_used(end: impl Fn(&EndpointState), later: Millis) {
+    let now = later + Millis(3_000);
+    for listed in [8, 12, 24, 64] {
+        let states: HashMap<EndpointId, EndpointState> =
+            (0..listed).map(|n| (id(n), EndpointState::default())).collect();
+        (SOUND..listed).for_each(|n| states[&id(n)].record_outcome(NOW, true));
+        let mut detector = OutlierDetector::default();
+        detector.record(NOW, states.iter(), &HashMap::new());
+        (SOUND..listed).for_each(|n| end(&states[&id(n)]));
+        for n in 0..SOUND {
+            (0..30).for_each(|i| states[&id(n)].record_outcome(now, i % 4 != 0));
+        }
+        detector.record(now, states.iter(), &HashMap::new());
+        let pool: Vec<EndpointId> = (0..listed).map(id).collect();
+
+        let outliers = detector.find_outliers(now, &pool);
+
+        assert!(outliers.is_empty(), "{} of {SOUND} in use, {listed} listed", outliers.len());
+    }
+}
+
+/// Guards against an outlier that a host does not find because its own requests go to one endpoint only.
+#[test]
+fn a_host_that_uses_one_endpoint_compares_it_with_those_that_others_use() {
+    let reported = RequestCounts { all: 60.0, failed: 20.0 };
+    for (failing, expected) in [(1, 1), (SOUND, 0)] {
+        for listed in [SOUND, 24, 64] {
+            let states: HashMap<EndpointId, EndpointState> =
+                (0..listed).map(|n| (id(n), EndpointState::default())).collect();
+            (0..SOUND).for_each(|n| states[&id(n)].set_peer_work(NOW, 400));
+            (0..9).for_each(|n| states[&id(0)].record_outcome(NOW, n % 3 != 0));
+            let peer_counts = (0..failing).map(|n| (key(n), reported)).collect();
+            let mut detector = OutlierDetector::default();
+            detector.record(NOW, states.iter(), &peer_counts);
+            let pool: Vec<EndpointId> = (0..listed).map(id).collect();
+
+            let outliers = detector.find_outliers(NOW, &pool);
+
+            let found: Vec<&EndpointId> = outliers.iter().map(|o| &o.endpoint).collect();
+            let expected: Vec<EndpointId> = (0..expected).map(id).collect();
+            assert_eq!(found, expected.iter().collect::<Vec<_>>(), "{failing} of {listed} fail");
+        }
+    }
+}
+
 /// Checks that none of the endpoints in use is avoided beside ended ones in a state that `end` brings about.
 fn check_outliers_beside(kind: &str, end: impl Fn(&EndpointState)) {
     for listed in [SOUND, 8, 12, 24, 64] {
--- a/crates/tidetrack-core/tests/outliers.rs
+++ b/crates/tidetrack-core/tests/outliers.rs
@@ -132,6 +132,23 @@
     assert!(faulty_share < 0.2, "{later:?}, share {faulty_share:.2} sent to faulty endpoints");
 }
 
+/// Guards against comparisons in which only endpoints with known failures take part.
+#[test]
+fn a_large_fleet_whose_hosts_try_few_endpoints_each_ejects_a_faulty_one() {
+    for base_failure_rate in [0.0, 0.05] {
+        let mut traffic = FleetTraffic::start(160, 100).with_faulty_endpoints(&["e2"]);
+        traffic.base_failure_rate = base_failure_rate;
+
+        let initial = traffic.run(3_000, 5.0);
+        let later = traffic.run(4_000, 5.0);
+
+        let share = |c: RequestCounts| f64::from(c.sent_to_faulty) / f64::from(c.sent);
+        let (before, after) = (share(initial), share(later));
+        println!("{base_failure_rate}: {before:.4} at first, {after:.4} later");
+        assert!(after < before / 2.0, "{base_failure_rate}: {before:.4}, later {after:.4}");
+    }
+}
+
 #[test]
 fn a_small_fleet_ejects_a_faulty_endpoint() {
     let mut traffic = FleetTraffic::start(9, 8).with_faulty_endpoints(&["e2"]);
