--- a/crates/tidetrack-core/tests/restored_store.rs
+++ b/crates/tidetrack-core/tests/restored_store.rs
@@ -294,6 +294,21 @@
     assert_eq!((after_copy, after_list), ((true, true), (false, false)));
 }
 
+/// Guards against roll-outs that go on for good since their order was removed before the restored store was read.
+#[test]
+fn an_order_removed_before_the_restored_store_was_read_ends() {
+    let freshness = freshness_confirmed_at(0);
+    let mut state = state_with_orders(&freshness);
+    let restored = [Input::StoreRestored(FeedKind::Rollouts), rollout_list(Vec::new())];
+    let endpoints = vec![endpoint_record("e1", "v1"), endpoint_record("e2", "v2")];
+
+    let minute = (0..30).map(|_| Input::Tick);
+    let inputs = restored.into_iter().chain(minute).chain([Input::EndpointList(endpoints)]);
+    let view = view_after(&mut state, inputs.collect(), &freshness);
+
+    assert!(view.services[&id("llm")].canary.is_none());
+}
+
 /// Guards against missing evacuations for good that started or ended before the restored store was read.
 #[test]
 fn evacuations_that_a_restored_store_lists_are_in_force_after_a_while() {
