--- a/crates/tidetrack-core/src/traffic/control/rounds.rs
+++ b/crates/tidetrack-core/src/traffic/control/rounds.rs
@@ -73,9 +73,9 @@
         for host in self.peers.remove_silent_peers(now) {
             actions.push(Action::Log(Event::PeerDead, format!("peer={host}")));
         }
+        let confirmed = self.table.take_confirmed(now);
         // Lapsed entries are removed here and not on a tick: ticks only occur when there is no
         // other input, so a busy host would keep them.
-        let confirmed = self.table.take_confirmed(now);
         let has_view_changed = self.table.sweep(now) || !confirmed.is_empty();
         for record in confirmed {
             self.apply_endpoint(now, record, actions);
--- a/crates/tidetrack-core/src/traffic/control/views.rs
+++ b/crates/tidetrack-core/src/traffic/control/views.rs
@@ -75,6 +75,7 @@
             let known =
                 known.or_else(|| self.lapsed_states.get(&record.id).map(|(state, _)| state));
             let endpoint_state = known.cloned().unwrap_or_default();
+            // A list replaces entries without updating the states of their endpoints.
             endpoint_state.set_leaving(record.is_leaving);
             endpoint_states.insert(record.id.clone(), endpoint_state.clone());
             let may_serve = match (is_canary, phase) {
--- a/crates/tidetrack-core/src/traffic/evacuations.rs
+++ b/crates/tidetrack-core/src/traffic/evacuations.rs
@@ -16,7 +16,8 @@
 use crate::ids::FailureDomain;
 use crate::units::Millis;
 
-/// How long the orders known before a restoration stay in force against the list of the restored store.
+/// How long the orders known before a restoration stay in force against the list of the restored store:
+/// the time in which operators write again what the copy lacks.
 const RESTORED_RETENTION: Millis = Millis(6_000);
 
 /// The evacuated failure domains, as known to one host.
--- a/crates/tidetrack-plane/src/paths/mod.rs
+++ b/crates/tidetrack-plane/src/paths/mod.rs
@@ -64,9 +64,9 @@
     suspected: RefCell<Vec<ServiceId>>,
     /// Services whose endpoints have to be probed, each for its own sake, and when.
     scheduled: RefCell<Vec<(ServiceId, Millis)>>,
-    /// Endpoints that have to be probed, since a request to them takes long.
+    /// Endpoints that have to be probed because a request to them takes long, with their services.
     doubted: RefCell<Vec<(ServiceId, PoolEndpoint)>>,
-    /// Endpoints of these whose probes are under way or have to start.
+    /// Endpoints for which such a probe is pending or under way, so that each has one at a time.
     under_check: RefCell<HashSet<EndpointId>>,
     /// Bounds the probes under way.
     probe_slots: ProbeSlots,
