A wrong event id does not become the point at which a stream is resumed

Cause: the last forwarded id was the point after which a stream was resumed, with nothing to confirm it. An endpoint that sent 15 in place of 10 was replaced at the next event, or when it closed or fell silent, and the other one was asked to go on after 15. An event whose id can't be read, before a break, was sent twice the same way: the stream was resumed before it.

Change: EventSequence (core, no I/O) decides which events the caller gets and where a stream may be resumed. An id counts if it is the expected one, or once the next event or the marked end confirms it. The expected one follows from the stream and from earlier streams of its service, so ids that rise by 10, start at 0 or 100 or jump are learned. On routes that may be resumed an event that doesn't fit is held back until it is confirmed. A service whose streams jump is not held to a numbering for its next 8 streams; there the position stays one event behind and the event that the caller has is left out of the resumed response, as are events whose ids can't be read. A resumed response has to begin with the next event, unless two endpoints name the same other one, and does not end the stream before events that an earlier endpoint sent. Of several id lines of an event the last counts, as in the standard. Comments are no events.

Why it works: a wrong id never reaches the caller nor the next endpoint, whether or not anything contradicts it. Not held back: streams that cannot be resumed, as no position is taken from them; they are still broken off at an id that doesn't rise.

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -47,10 +47,13 @@
     /// that ends when its connection closes looks complete even if the endpoint crashed, and an
     /// endpoint that reports a server error may have failed before it executed the request.
     pub fn proves_completion(&self) -> bool {
+        self.is_framed() && !self.head.status.is_server_error()
+    }
+
+    /// Reports whether the end of the body is marked. Otherwise the body ends when its connection closes.
+    pub fn is_framed(&self) -> bool {
         let headers = &self.head.headers;
-        let is_framed =
-            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        is_framed && !self.head.status.is_server_error()
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
 }
 
--- a/crates/tidetrack-plane/src/events.rs
+++ b/crates/tidetrack-plane/src/events.rs
@@ -8,11 +8,16 @@
 /// Prefix of the line that contains the id of an event.
 const ID_PREFIX: &[u8] = b"id:";
 
+/// Prefix of the lines that contain the data of an event.
+const DATA_PREFIX: &[u8] = b"data";
+
 /// One event, with its bytes as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
     /// Numeric id; `None` if the event has none.
     pub id: Option<u64>,
+    /// Whether this is an event. Comments and other fields alone are none, and have no place in the order of events.
+    pub is_event: bool,
     /// All bytes of the event, including the blank line that ends it.
     pub bytes: Bytes,
 }
@@ -35,7 +40,9 @@
         let end = self.find_end()?;
         self.searched_len = 0;
         let bytes = self.buf.split_to(end).freeze();
-        Some(StreamEvent { id: parse_event_id(&bytes), bytes })
+        let id_line = find_id_line(&bytes);
+        let is_event = id_line.is_some() || lines(&bytes).any(|line| line.starts_with(DATA_PREFIX));
+        Some(StreamEvent { id: id_line.and_then(parse_event_id), is_event, bytes })
     }
 
     /// Reports whether bytes of an incomplete event are buffered.
@@ -69,7 +76,15 @@
     }
 }
 
-fn parse_event_id(event: &[u8]) -> Option<u64> {
-    let line = event.split(|b| *b == b'\n').find_map(|line| line.strip_prefix(ID_PREFIX))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
+fn lines(event: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    event.split(|b| *b == b'\n')
+}
+
+/// Returns the value of the last id line, which is the one that counts.
+fn find_id_line(event: &[u8]) -> Option<&[u8]> {
+    lines(event).rev().find_map(|line| line.strip_prefix(ID_PREFIX))
+}
+
+fn parse_event_id(value: &[u8]) -> Option<u64> {
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -17,6 +17,7 @@
 use tidetrack_core::placement::{request_work, EndpointState, LengthMix};
 use tidetrack_core::traffic::admission::AdmittedRequest;
 use tidetrack_core::traffic::budget::AttemptBudget;
+use tidetrack_core::traffic::event_sequence::EventNumbering;
 use tidetrack_core::traffic::exposure::SessionHash;
 use tidetrack_core::traffic::fingerprint::RequestFingerprints;
 use tidetrack_core::traffic::forwarding::ForwardedRequest;
@@ -80,6 +81,8 @@
     lengths: RefCell<HashMap<ServiceId, LengthMix>>,
     /// Services whose endpoints report their present speed.
     services_with_reported_speed: RefCell<HashSet<ServiceId>>,
+    /// How services number the events of their streams.
+    pub event_numberings: RefCell<HashMap<ServiceId, EventNumbering>>,
     /// Recent connection attempts that got no reply, by endpoint and failure domain.
     pub reachability: RefCell<ReachabilityTracker>,
     /// Whether the network paths to the endpoints work.
@@ -129,6 +132,7 @@
             places: RefCell::default(),
             demands: RefCell::default(),
             lengths: RefCell::default(),
+            event_numberings: RefCell::default(),
             services_with_reported_speed: RefCell::default(),
             crash_checks: EndpointProbes::default(),
             in_flight: Cell::new(0),
--- a/crates/tidetrack-plane/src/relay/mod.rs
+++ b/crates/tidetrack-plane/src/relay/mod.rs
@@ -3,7 +3,8 @@
 //! Only complete events are forwarded. The head is sent to the caller together with the first
 //! event, so a stream that is interrupted before its first event is retried like any other attempt.
 //! From then on the head cannot change. After an interruption another attempt resumes the stream
-//! after the last forwarded event; if this is impossible, the caller's connection is aborted too.
+//! after its last trusted event, see [`EventSequence`]; if this is impossible, the caller's connection is
+//! aborted too.
 //!
 //! Silence is not treated as an interruption. A silent endpoint may still complete the response,
 //! and often only the network path to it is congested. The endpoint is listened to until another
@@ -20,6 +21,7 @@
 use tidetrack_core::events::Event;
 use tidetrack_core::ids::ModelId;
 use tidetrack_core::traffic::catalog::WorkKind;
+use tidetrack_core::traffic::event_sequence::{EventSequence, SequenceError};
 use tidetrack_core::traffic::judge::AttemptOutcome;
 use tidetrack_core::traffic::stop;
 
@@ -53,7 +55,9 @@
     model: Option<ModelId>,
     source: Source,
     head: Option<http::response::Parts>,
-    last_event_id: Option<u64>,
+    sequence: EventSequence<StreamEvent>,
+    /// Whether the response of the current endpoint has ended.
+    has_ended: bool,
     event_count: u32,
 }
 
@@ -74,6 +78,11 @@
         sent_at: Instant,
     ) -> StreamRelay {
         let last_event_id = job.facts.last_event;
+        let numbering =
+            traffic.event_numberings.borrow().get(&job.service).cloned().unwrap_or_default();
+        let is_resumable = job.admitted.route.work == WorkKind::Stream { resumable: true };
+        let sequence =
+            EventSequence::new(numbering, last_event_id, is_resumable, chosen.id.as_str());
         let (head, source) = Source::new(response, chosen, work_share, sent_at, last_event_id);
         StreamRelay {
             traffic: traffic.clone(),
@@ -81,7 +90,8 @@
             model,
             source,
             head: Some(head),
-            last_event_id,
+            sequence,
+            has_ended: false,
             event_count: 0,
         }
     }
@@ -126,12 +136,7 @@
         loop {
             match next {
                 Ok(StreamItem::Event(event)) => {
-                    // An event that is out of order is not forwarded; its endpoint is replaced as
-                    // if it had disconnected.
-                    if let Err(e) = self.record_event(&event) {
-                        next = Err(e);
-                        continue;
-                    }
+                    self.record_event();
                     if tx.send(event.bytes, self.job.deadline).await == Sent::NoReader {
                         return self.record_caller_left(&tx);
                     }
@@ -163,26 +168,65 @@
         }
     }
 
-    /// Records an event that is about to be forwarded. Returns `WrongAnswer` if its id does not
-    /// follow the id of the last forwarded event.
-    fn record_event(&mut self, event: &StreamEvent) -> Result<()> {
-        if let (Some(id), Some(last_id)) = (event.id, self.last_event_id) {
-            if id <= last_id {
-                let text = format!("event id {id} was received after id {last_id}");
-                return Err(Error::new(Code::WrongAnswer, text).with_executed(Executed::Yes));
-            }
-        }
-        self.last_event_id = event.id.or(self.last_event_id);
+    /// Records an event that is about to be forwarded.
+    fn record_event(&mut self) {
         self.event_count += 1;
-        if self.source.event_count == EVENTS_BEFORE_PACE_REPORT {
+        if self.source.event_count >= EVENTS_BEFORE_PACE_REPORT && !self.source.is_pace_reported {
             self.report_progress(AttemptOutcome::InProgress);
         }
-        Ok(())
     }
 
-    /// Returns the next event, or an error if the endpoint disconnects or the request's time is
-    /// over. A silent endpoint may be replaced meanwhile.
+    /// Adds what the endpoint sent to the sequence of events. Returns `WrongAnswer` if it cannot continue
+    /// the response; its endpoint is then replaced as if it had disconnected.
+    fn add_item(&mut self, item: StreamItem) -> Result<()> {
+        let added = match item {
+            StreamItem::Event(event) => self.sequence.push(event.id, event),
+            StreamItem::End => {
+                let ended = self.sequence.end(self.source.is_framed);
+                self.has_ended = ended.is_ok();
+                ended
+            }
+        };
+        let observations = self.sequence.take_observations();
+        if !observations.is_empty() {
+            let mut numberings = self.traffic.event_numberings.borrow_mut();
+            let numbering = numberings.entry(self.job.service.clone()).or_default();
+            observations.into_iter().for_each(|observation| numbering.record(observation));
+        }
+        added.map_err(|e| {
+            let make_error = |code| Error::new(code, e.to_string()).with_executed(Executed::Yes);
+            match e {
+                SequenceError::Unconfirmed => {
+                    make_error(Code::EndpointFailed).with_disconnect_cause(DisconnectCause::Closed)
+                }
+                _ => make_error(Code::WrongAnswer),
+            }
+        })
+    }
+
+    /// Removes and returns an item that the caller may receive.
+    fn take_item(&mut self) -> Option<StreamItem> {
+        let event = self.sequence.pop().map(StreamItem::Event);
+        event.or_else(|| self.has_ended.then_some(StreamItem::End))
+    }
+
+    /// Returns the next event that the caller may receive, or an error if the endpoint disconnects or the
+    /// request's time is over. A silent endpoint may be replaced meanwhile.
     async fn next(&mut self, tries: &mut AttemptHistory) -> Result<StreamItem> {
+        loop {
+            if let Some(item) = self.take_item() {
+                return Ok(item);
+            }
+            match self.next_of_source(tries).await? {
+                StreamItem::Event(event) if !event.is_event => return Ok(StreamItem::Event(event)),
+                item => self.add_item(item)?,
+            }
+        }
+    }
+
+    /// Returns what the endpoint sends next, or an error if it disconnects or the request's time is over. A
+    /// silent endpoint may be replaced meanwhile.
+    async fn next_of_source(&mut self, tries: &mut AttemptHistory) -> Result<StreamItem> {
         let deadline = tokio::time::Instant::from_std(self.job.deadline);
         loop {
             let can_resume_elsewhere = self.can_resume_elsewhere(tries);
@@ -223,8 +267,8 @@
         let mut source_error = None;
         // Result of the other attempt, or else the item that the silent endpoint sent first.
         let outcome = {
-            let attempt =
-                resume_elsewhere(&traffic, &job, model.as_ref(), self.last_event_id, tries);
+            let resume_point = self.sequence.resume_point();
+            let attempt = resume_elsewhere(&traffic, &job, model.as_ref(), resume_point, tries);
             let mut attempt = std::pin::pin!(attempt);
             let mut concurrent_limit =
                 std::pin::pin!(silent_endpoint.wait_until_shared_for(MAX_CONCURRENT_TIME));
@@ -284,7 +328,7 @@
     fn can_resume_elsewhere(&self, tries: &AttemptHistory) -> bool {
         let route = &self.job.admitted.route;
         let is_resumable = route.work == WorkKind::Stream { resumable: true };
-        let has_resume_point = self.head.is_some() || self.last_event_id.is_some();
+        let has_resume_point = self.head.is_some() || self.sequence.resume_point().is_some();
         is_resumable && has_resume_point && tries.sent_count < route.max_attempts
     }
 
@@ -295,7 +339,7 @@
             &[
                 ("request", &self.job.id),
                 ("endpoint", &self.source.chosen.id),
-                ("after_event", &self.last_event_id.unwrap_or(0)),
+                ("after_event", &self.sequence.resume_point().unwrap_or(0)),
                 ("why", &reason),
             ],
         );
@@ -318,17 +362,19 @@
             &[
                 ("request", &self.job.id),
                 ("endpoint", &source.chosen.id),
-                ("after_event", &self.last_event_id.unwrap_or(0)),
+                ("after_event", &self.sequence.resume_point().unwrap_or(0)),
                 ("why", &reason.message),
             ],
         );
         if let Some(pending_head) = &mut self.head {
             *pending_head = head;
         }
+        self.sequence.resume(source.chosen.id.as_str());
+        self.has_ended = false;
         self.source = source;
     }
 
-    /// Resumes the stream at another endpoint, after the last forwarded event, because the current
+    /// Resumes the stream at another endpoint, after the last trusted event, because the current
     /// endpoint failed.
     async fn resume(&mut self, tries: &mut AttemptHistory, reason: Error) -> Result<()> {
         self.record_source_failure(&reason).await;
@@ -336,10 +382,9 @@
             return Err(reason);
         }
         let model = self.model.clone();
-        let last_event_id = self.last_event_id;
+        let resume_point = self.sequence.resume_point();
         let replacement =
-            resume_elsewhere(&self.traffic, &self.job, model.as_ref(), last_event_id, tries)
-                .await?;
+            resume_elsewhere(&self.traffic, &self.job, model.as_ref(), resume_point, tries).await?;
         self.switch_source(replacement, &reason);
         Ok(())
     }
