A second copy of a refusal is not the response to the next attempt

Cause: all attempts of a request carry its id. After both endpoints had refused it, the third attempt went to the first one again, over the connection that had just carried the refusal, and the second copy of that refusal bore the right id.

Change: a request does not use a connection again that has carried its id; that holds for retries, resumed streams, second opinions and forwarded requests, which share the record of its attempts. Streams are resumed on new connections, and tidetrack-router has an id per attempt and closes its connections, so those paths did not have the fault.

The price for others: a surplus response takes the place of the next one, and a request that may not be repeated gets 502. A peer that was seen to send one, as a response with another id on a reused connection or as bytes on an idle one, has its connections used for one request each for 10 s. A load probe, which has no id, no longer takes a response with an id for its own.

Not done: reading on past the surplus response to the own one behind it, as the HTTP library ends a connection with bytes that it does not expect.

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -17,7 +17,7 @@
 use tidetrack_core::errors::{Error, Result};
 
 use crate::dialect::ResponseFacts;
-use crate::pool::{disconnect_cause, Lease, Pool};
+use crate::pool::{disconnect_cause, Lease, Pool, UsedConnections};
 use crate::request_body::OutgoingBody;
 
 /// Final statuses of HTTP. A response with another one, such as 101, is a failure of the endpoint.
@@ -90,6 +90,8 @@
     pub is_repeatable: bool,
     /// Maximum time for which a reused connection may have been idle.
     pub max_idle: Duration,
+    /// Connections that carried earlier attempts with the same id, and are not used again.
+    pub used_connections: &'a UsedConnections,
     /// Instant at which the attempt is abandoned.
     pub deadline: Instant,
 }
@@ -120,7 +122,9 @@
 ) -> Result<RawResponse> {
     let deadline = tokio::time::Instant::from_std(attempt.deadline);
     loop {
-        let acquired = attempt.pool.acquire(attempt.endpoint, attempt.address, attempt.max_idle);
+        let used = attempt.used_connections;
+        let acquired =
+            attempt.pool.acquire(attempt.endpoint, attempt.address, attempt.max_idle, used);
         let mut lease = tokio::time::timeout_at(deadline, acquired).await.map_err(|_| {
             let e = make_error(
                 Code::EndpointUnreachable,
@@ -129,6 +133,7 @@
             );
             e.with_disconnect_cause(DisconnectCause::TimedOut)
         })??;
+        used.record(&lease);
         lease.set_unrepeatable(!attempt.is_repeatable);
         let response = lease.sender.try_send_request(make_request().map(Into::into));
         match tokio::time::timeout_at(deadline, response).await {
@@ -177,6 +182,9 @@
     }
     let is_id_absent_and_optional = attempt.echo == IdEcho::Optional && facts.attempt_id.is_none();
     if !is_id_absent_and_optional && facts.attempt_id.as_deref() != attempt.attempt_id {
+        if lease.is_reused {
+            attempt.pool.record_surplus(attempt.endpoint);
+        }
         let text = format!("the response carries attempt id {:?}", facts.attempt_id);
         return Err(make_error(Code::WrongAnswer, text, Executed::Unknown));
     }
--- a/crates/tidetrack-plane/src/call.rs
+++ b/crates/tidetrack-plane/src/call.rs
@@ -15,7 +15,7 @@
 use tidetrack_core::errors::{Error, Result};
 use tidetrack_core::traffic::feeds::LARGE_REPLY_BYTES;
 
-use crate::pool::Pool;
+use crate::pool::{Pool, UsedConnections};
 use crate::reply_memory::{ReplyHold, Segments};
 
 /// Interval of reports that a reply is arriving: half of the time after which a request without any
@@ -205,7 +205,9 @@
 ) -> Result<Reply> {
     let deadline = Instant::now() + timeouts.head;
     let timeout_error = |_| unavailable_error("no reply within the time limit");
-    let acquired = tokio::time::timeout_at(deadline, pool.acquire(name, address, Duration::MAX));
+    let used = UsedConnections::default();
+    let acquired = pool.acquire(name, address, Duration::MAX, &used);
+    let acquired = tokio::time::timeout_at(deadline, acquired);
     let mut lease =
         acquired.await.map_err(timeout_error)?.map_err(|e| unavailable_error(e.message))?;
     let host_header =
--- a/crates/tidetrack-plane/src/forward.rs
+++ b/crates/tidetrack-plane/src/forward.rs
@@ -199,6 +199,7 @@
         traffic.shared.journal.log_routine(event, &fields);
     };
     log(Event::RequestForwarded, &"-", &"-");
+    let used_connections = attempts.used_connections.clone();
     let attempt = Attempt {
         pool: &traffic.host_pool,
         read_answer: traffic.shared.dialect.parse_response_head,
@@ -210,6 +211,7 @@
         echo: IdEcho::Required,
         is_repeatable: job.admitted.route.work.is_repeatable(),
         max_idle: Duration::MAX,
+        used_connections: &used_connections,
         deadline: job.deadline,
     };
     let is_open = attempts.is_open.clone();
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -40,7 +40,7 @@
 use crate::dialect::RequestFacts;
 use crate::forward::OutstandingForwards;
 use crate::paths::PathMonitor;
-use crate::pool::Pool;
+use crate::pool::{Pool, UsedConnections};
 use crate::request_body::{BodyHold, BodyMemory, RequestBody};
 use crate::response_memory::ResponseMemory;
 use crate::room::WaitingRequests;
@@ -544,6 +544,8 @@
     pub is_next_charged: bool,
     /// Silent endpoint whose stream another endpoint is asked to continue.
     pub silent_endpoint: Option<Rc<SilentEndpoint>>,
+    /// Connections that carried the attempts.
+    pub used_connections: UsedConnections,
 }
 
 impl AttemptHistory {
--- a/crates/tidetrack-plane/src/load_probe.rs
+++ b/crates/tidetrack-plane/src/load_probe.rs
@@ -17,7 +17,7 @@
 use crate::attempt_timing::attempt_length;
 use crate::choose::{model_weight, plan_alternative, recheck};
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, Traffic};
-use crate::pool::max_idle_time;
+use crate::pool::{max_idle_time, UsedConnections};
 use crate::send::{record_announcements, record_load};
 
 /// Returns the endpoint that an attempt is sent to: the chosen one, or an alternative if probes of
@@ -85,7 +85,8 @@
 /// nothing about how requests fare.
 async fn probe(traffic: &Traffic, job: &Job, endpoint: &ChosenEndpoint, path: &Uri) {
     let max_idle = max_idle_time(job.admitted.route.work.is_repeatable());
-    let acquired = traffic.pool.acquire(endpoint.id.as_str(), &endpoint.address, max_idle).await;
+    let (name, used) = (endpoint.id.as_str(), UsedConnections::default());
+    let acquired = traffic.pool.acquire(name, &endpoint.address, max_idle, &used).await;
     let Ok(mut lease) = acquired else { return };
     let mut req = Request::new(Full::new(Bytes::new()));
     *req.method_mut() = Method::GET;
@@ -96,9 +97,13 @@
     let Ok(resp) = lease.sender.try_send_request(req.map(Into::into)).await else { return };
     let (head, body) = resp.into_parts();
     let facts = (traffic.shared.dialect.parse_response_head)(&head.headers);
+    if facts.attempt_id.is_some() {
+        // A probe has no id, so this is a surplus response to an earlier request.
+        return traffic.pool.record_surplus(name);
+    }
     record_announcements(traffic, endpoint, &facts);
     if let Some(load) = facts.load.filter(|_| head.status.is_success()) {
         record_load(traffic, &job.service, endpoint, load);
     }
-    discard_body(&traffic.pool, endpoint.id.as_str(), body, lease, facts.idle_time);
+    discard_body(&traffic.pool, name, body, lease, facts.idle_time);
 }
--- a/crates/tidetrack-plane/src/pool.rs
+++ b/crates/tidetrack-plane/src/pool.rs
@@ -3,10 +3,17 @@
 //! A connection carries one request at a time. It returns to the pool only after a complete
 //! response that belongs to its request. In all other cases it is closed, which also makes the
 //! endpoint stop its work.
+//!
+//! A faulty peer may send a response twice, and the second copy arrives in the place of the response to
+//! a later request. Only the attempt id shows which one it is, so a request does not use a connection
+//! again that has carried its id, and connections to a peer that sent surplus bytes are not used again
+//! for a while.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -23,7 +30,7 @@
 use crate::clock::BootInstant;
 use crate::forward::CONNECTION_PREAMBLE;
 use crate::request_body::OutgoingBody;
-use crate::socket::{MonitoredSocket, PeerKind, PinnedRequestFlag};
+use crate::socket::{MonitoredSocket, PeerKind, PinnedRequestFlag, SurplusFlags};
 
 /// Maximum time for a connection to be established. Within a region this takes a few milliseconds;
 /// the rest allows for the loss of a packet.
@@ -62,13 +69,44 @@
 /// Maximum size in bytes of the head of a response.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// Time after surplus bytes of a peer in which its connections carry one request each.
+const SURPLUS_MEMORY: Duration = Duration::from_secs(10);
+
+/// Number of a connection, unique within the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ConnectionNumber(u64);
+
+impl ConnectionNumber {
+    fn next() -> ConnectionNumber {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        ConnectionNumber(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+}
+
+/// The connections that carried the attempts of one request, which share an id. Clones share the record.
+#[derive(Clone, Debug, Default)]
+pub struct UsedConnections(Rc<RefCell<Vec<ConnectionNumber>>>);
+
+impl UsedConnections {
+    fn contains(&self, lease: &Lease) -> bool {
+        self.0.borrow().contains(&lease.number)
+    }
+
+    /// Records that a connection is about to carry an attempt.
+    pub fn record(&self, lease: &Lease) {
+        self.0.borrow_mut().push(lease.number);
+    }
+}
+
 /// A connection in use by one request. It is closed when dropped, unless it is returned to the
 /// pool.
 pub struct Lease {
     /// Sends the request.
     pub sender: SendRequest<OutgoingBody>,
+    number: ConnectionNumber,
     task: JoinHandle<()>,
     is_unrepeatable: PinnedRequestFlag,
+    surplus: SurplusFlags,
     /// Whether the connection carried an earlier request.
     pub is_reused: bool,
 }
@@ -108,6 +146,8 @@
     preamble: &'static [u8],
     /// Start of the latest connect or request that succeeded within `MAX_PROMPT_LATENCY`.
     last_prompt_at: Cell<Option<Instant>>,
+    /// When surplus bytes of a peer were last seen, by the name of the peer.
+    surplus_seen_at: RefCell<HashMap<String, Instant>>,
 }
 
 impl Pool {
@@ -133,9 +173,20 @@
         idle.get(name).is_some_and(|connections| connections.iter().any(is_usable))
     }
 
-    /// Returns a pooled connection that was idle for at most `max_idle`, or opens one.
-    pub async fn acquire(&self, name: &str, address: &str, max_idle: Duration) -> Result<Lease> {
-        while let Some(mut idle) = self.pop_newest(name, max_idle) {
+    /// Returns a pooled connection that was idle for at most `max_idle` and is not one of `used`, or opens one.
+    pub async fn acquire(
+        &self,
+        name: &str,
+        address: &str,
+        max_idle: Duration,
+        used: &UsedConnections,
+    ) -> Result<Lease> {
+        while let Some(mut idle) = self.pop_newest(name, max_idle, used) {
+            if idle.lease.surplus.has_surplus() {
+                self.record_surplus(name);
+                break;
+            }
+            idle.lease.surplus.set_idle(false);
             let is_usable = BootInstant::now() < idle.expires_at && !idle.lease.sender.is_closed();
             let ready = tokio::time::timeout(MAX_READY_WAIT, idle.lease.sender.ready());
             if is_usable && matches!(ready.await, Ok(Ok(()))) {
@@ -193,7 +244,21 @@
     /// Returns a connection to the pool after a complete response. `idle_time` is the time after
     /// which the peer closes it, if announced.
     pub fn release(&self, name: &str, lease: Lease, idle_time: Option<Duration>) {
-        self.store(name, lease, idle_time, true);
+        if !self.has_sent_surplus(name) {
+            self.store(name, lease, idle_time, true);
+        }
+    }
+
+    /// Records that a peer sent a response that belongs to no request or to an earlier one, and closes its idle
+    /// connections.
+    pub fn record_surplus(&self, name: &str) {
+        self.close_idle(name);
+        self.surplus_seen_at.borrow_mut().insert(name.to_string(), Instant::now());
+    }
+
+    fn has_sent_surplus(&self, name: &str) -> bool {
+        let seen_at = self.surplus_seen_at.borrow();
+        seen_at.get(name).is_some_and(|at| at.elapsed() < SURPLUS_MEMORY)
     }
 
     fn store(&self, name: &str, lease: Lease, idle_time: Option<Duration>, has_responded: bool) {
@@ -204,6 +269,7 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(name.to_string()).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS {
+            lease.surplus.set_idle(true);
             let now = BootInstant::now();
             let expires_at = now.saturating_add(usable_time);
             let connection = IdleConnection { lease, has_responded, idle_since: now, expires_at };
@@ -223,7 +289,13 @@
     /// false.
     fn remove_expired(&self, is_wanted: impl Fn(&str) -> bool) {
         let now = BootInstant::now();
+        let mut surplus_seen_at = self.surplus_seen_at.borrow_mut();
+        surplus_seen_at.retain(|_, at| at.elapsed() < SURPLUS_MEMORY);
         self.idle.borrow_mut().retain(|name, connections| {
+            if connections.iter().any(|i| i.lease.surplus.has_surplus()) {
+                surplus_seen_at.insert(name.clone(), Instant::now());
+                return false;
+            }
             connections.retain(|i| now < i.expires_at && !i.lease.sender.is_closed());
             !connections.is_empty() && is_wanted(name)
         });
@@ -238,11 +310,18 @@
     }
 
     /// Removes and returns the most recently used connection, or one that was only accepted if there
-    /// is no other, if it was idle for at most `max_idle`.
-    fn pop_newest(&self, name: &str, max_idle: Duration) -> Option<IdleConnection> {
+    /// is no other, if it was idle for at most `max_idle` and is not one of `used`.
+    fn pop_newest(
+        &self,
+        name: &str,
+        max_idle: Duration,
+        used: &UsedConnections,
+    ) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(name)?;
-        let at = connections.iter().rposition(|i| i.idle_since.elapsed() <= max_idle)?;
+        let is_allowed =
+            |i: &IdleConnection| i.idle_since.elapsed() <= max_idle && !used.contains(&i.lease);
+        let at = connections.iter().rposition(is_allowed)?;
         Some(connections.remove(at))
     }
 }
@@ -280,7 +359,8 @@
     // The buffer of a new socket takes these bytes at once.
     stream.write_all(preamble).await.map_err(to_connect_error)?;
     let is_unrepeatable = PinnedRequestFlag::default();
-    let socket = MonitoredSocket::new(stream, peer_kind, is_unrepeatable.clone())
+    let surplus = SurplusFlags::default();
+    let socket = MonitoredSocket::new(stream, peer_kind, is_unrepeatable.clone(), surplus.clone())
         .map_err(to_connect_error)?;
     let (sender, conn) =
         Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(socket)).await.map_err(
@@ -290,5 +370,6 @@
         // The error is also returned to the request that waits for the response.
         drop(conn.await);
     });
-    Ok(Lease { sender, task, is_unrepeatable, is_reused: false })
+    let number = ConnectionNumber::next();
+    Ok(Lease { sender, number, task, is_unrepeatable, surplus, is_reused: false })
 }
--- a/crates/tidetrack-plane/src/send.rs
+++ b/crates/tidetrack-plane/src/send.rs
@@ -119,6 +119,8 @@
         true => Duration::ZERO,
         false => max_idle_time(job.admitted.route.work.is_repeatable()),
     };
+    let (silent_endpoint, used_connections) =
+        (tries.silent_endpoint.clone(), tries.used_connections.clone());
     let attempt = Attempt {
         pool: &traffic.pool,
         read_answer: shared.dialect.parse_response_head,
@@ -148,9 +150,9 @@
         echo: IdEcho::Required,
         is_repeatable: job.admitted.route.work.is_repeatable(),
         max_idle,
+        used_connections: &used_connections,
         deadline: job.deadline,
     };
-    let silent_endpoint = tries.silent_endpoint.clone();
     if let Some(silent_endpoint) = &silent_endpoint {
         silent_endpoint.record_connect_start();
     }
--- a/crates/tidetrack-plane/src/socket.rs
+++ b/crates/tidetrack-plane/src/socket.rs
@@ -60,11 +60,40 @@
 /// Whether a request that cannot be retried elsewhere is waiting on the connection.
 pub type PinnedRequestFlag = Rc<Cell<bool>>;
 
+/// Whether a connection carries a request, and whether the other end has sent bytes while it carried none.
+#[derive(Clone, Debug, Default)]
+pub struct SurplusFlags(Rc<SurplusState>);
+
+#[derive(Debug, Default)]
+struct SurplusState {
+    is_idle: Cell<bool>,
+    has_surplus: Cell<bool>,
+}
+
+impl SurplusFlags {
+    /// Records whether the connection carries no request.
+    pub fn set_idle(&self, is_idle: bool) {
+        self.0.is_idle.set(is_idle);
+    }
+
+    /// Reports whether bytes were received that belong to no request.
+    pub fn has_surplus(&self) -> bool {
+        self.0.has_surplus.get()
+    }
+
+    fn record_read(&self) {
+        if self.0.is_idle.get() {
+            self.0.has_surplus.set(true);
+        }
+    }
+}
+
 /// A connected socket with silence limits.
 pub struct MonitoredSocket {
     stream: TcpStream,
     peer_kind: PeerKind,
     has_pinned_request: PinnedRequestFlag,
+    surplus: SurplusFlags,
     timeout: Duration,
     /// Bytes written since the other end last sent any.
     unanswered_bytes: usize,
@@ -78,6 +107,7 @@
         stream: TcpStream,
         peer_kind: PeerKind,
         has_pinned_request: PinnedRequestFlag,
+        surplus: SurplusFlags,
     ) -> io::Result<MonitoredSocket> {
         stream.set_nodelay(true)?;
         let probes = TcpKeepalive::new()
@@ -90,6 +120,7 @@
             stream,
             peer_kind,
             has_pinned_request,
+            surplus,
             timeout,
             unanswered_bytes,
             quiet_timer,
@@ -137,6 +168,7 @@
 
     /// Records that the other end sent bytes, and has thus received what was written.
     fn record_read(&mut self) -> io::Result<()> {
+        self.surplus.record_read();
         self.unanswered_bytes = 0;
         match (self.peer_kind, &self.quiet_timer) {
             (PeerKind::Endpoint, None) => self.set_timeout(QUIET_TIMEOUT),
--- a/crates/tidetrack-plane/tests/attempt.rs
+++ b/crates/tidetrack-plane/tests/attempt.rs
@@ -13,7 +13,7 @@
 use tidetrack_core::errors::Error;
 use tidetrack_plane::attempt::{self, Attempt, EndpointResponse, IdEcho};
 use tidetrack_plane::dialect::ResponseFacts;
-use tidetrack_plane::pool::Pool;
+use tidetrack_plane::pool::{Pool, UsedConnections};
 use tokio::task::LocalSet;
 
 /// Time until the deadline of an attempt.
@@ -80,6 +80,7 @@
         echo: IdEcho::Optional,
         is_repeatable: true,
         max_idle: Duration::MAX,
+        used_connections: &UsedConnections::default(),
         deadline: Instant::now() + TIME_LEFT,
     };
     let body = Bytes::from(vec![0; body_bytes]);
--- a/crates/tidetrack-router/src/endpoint_client.rs
+++ b/crates/tidetrack-router/src/endpoint_client.rs
@@ -20,7 +20,7 @@
 use tidetrack_plane::attempt::{self, Attempt, EndpointResponse, IdEcho};
 use tidetrack_plane::body::MAX_QUEUED_CHUNKS;
 use tidetrack_plane::dialect::ResponseFacts;
-use tidetrack_plane::pool::{disconnect_cause, max_idle_time, Pool};
+use tidetrack_plane::pool::{disconnect_cause, max_idle_time, Pool, UsedConnections};
 use tidetrack_wire::headers;
 
 /// A request to send to an endpoint.
@@ -71,6 +71,8 @@
     /// Sends the request and forwards the response to the waiting thread. The connection is
     /// returned to the pool only if the body was complete.
     async fn execute(mut self, pool: Rc<Pool>) {
+        // The id belongs to this attempt alone.
+        let used_connections = UsedConnections::default();
         let attempt = Attempt {
             pool: &pool,
             read_answer,
@@ -82,6 +84,7 @@
             echo: IdEcho::Optional,
             is_repeatable: self.is_repeatable,
             max_idle: max_idle_time(self.is_repeatable),
+            used_connections: &used_connections,
             deadline: self.deadline,
         };
         let result = tokio::select! {
