A response without a length is not complete if its endpoint has ended

Cause: such a response looks the same whether it is complete or cut off between two events or bytes. It was taken for complete and passed on with an end of its own.

Evidence: a_stream_without_a_marked_end_is_not_complete_if_its_endpoint_has_ended and a_body_without_a_length_is_not_complete_if_its_endpoint_has_ended failed before: 2 of 10 events, and "do" of "done" with content-length 2, both complete.

Change: after a response that ends with its connection the endpoint is asked for a connection, at once and again 30 ms later, as after any other lost one. If it refuses, the response counts as broken off: a stream is resumed after its last event, other requests are retried if they may be, and the crash is recorded, which such a response did not lead to before. The path of tidetrack-router does the same.

Why it works: a crashed process refuses connections, and one that ended its response itself goes on. An endpoint that ends right after a whole response costs a resumed request, or a 502 where the request may not be repeated. Responses without a length that are whole take 30 ms longer; a_response_that_its_endpoint_ends_with_the_connection_is_passed_on passes before and after. Bodies that are empty by their status ask nothing.

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -50,8 +50,12 @@
         self.is_framed() && !self.head.status.is_server_error()
     }
 
-    /// Reports whether the end of the body is marked. Otherwise the body ends when its connection closes.
-    pub fn is_framed(&self) -> bool {
+    /// Reports whether the body ends when its connection closes, and no end is marked in it.
+    pub fn ends_with_connection(&self) -> bool {
+        !self.is_framed() && !self.body.is_end_stream()
+    }
+
+    fn is_framed(&self) -> bool {
         let headers = &self.head.headers;
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
--- a/crates/tidetrack-plane/src/crash.rs
+++ b/crates/tidetrack-plane/src/crash.rs
@@ -16,7 +16,7 @@
 
 use tokio::sync::{oneshot, OnceCell};
 
-use tidetrack_core::codes::Executed;
+use tidetrack_core::codes::{Code, Executed};
 use tidetrack_core::disconnect::DisconnectCause;
 use tidetrack_core::errors::Error;
 use tidetrack_core::events::Event;
@@ -26,6 +26,7 @@
 use tidetrack_core::units::Millis;
 
 use crate::job::{ChosenEndpoint, Job, Traffic};
+use crate::pool::Pool;
 
 /// Maximum time to wait for the result of a new connection. A result takes at least one round trip;
 /// an endpoint that does not respond is not known to have ended.
@@ -125,6 +126,27 @@
     let _ = tokio::time::timeout_at(job.deadline.into(), rx).await;
 }
 
+/// Reports whether an endpoint has ended just now. Asked when a response ends with its connection, which
+/// looks the same whether the response is complete or its endpoint crashed. Leaves a connection in the pool
+/// otherwise.
+pub async fn has_endpoint_ended(pool: &Pool, endpoint: &str, address: &str) -> bool {
+    if refuses_connections(pool, endpoint, address, Duration::ZERO).await {
+        return true;
+    }
+    tokio::time::sleep(SECOND_PROBE_DELAY).await;
+    refuses_connections(pool, endpoint, address, Duration::MAX).await
+}
+
+/// Returns the error of a response that ended with its connection when its endpoint ended.
+pub fn ended_endpoint_error() -> Error {
+    Error::new(
+        Code::EndpointFailed,
+        "the endpoint ended before the end of its response was certain",
+    )
+    .with_executed(Executed::Unknown)
+    .with_disconnect_cause(DisconnectCause::Closed)
+}
+
 /// Waits before an attempt of a request that several endpoints crashed on, until other hosts know of
 /// the last crash or its parts are cleared. Returns at once for all other requests.
 pub async fn wait_for_crash_reports(traffic: &Traffic, job: &Job) {
@@ -149,7 +171,9 @@
         done: oneshot::Sender<()>,
     ) {
         let mut done = Some(done);
-        let has_ended = |max_idle| refuses_connections(&traffic, &self.chosen, max_idle);
+        let ChosenEndpoint { id, address, .. } = &self.chosen;
+        let has_ended =
+            |max_idle| refuses_connections(&traffic.pool, id.as_str(), address, max_idle);
         let mut is_ended = *probe.first_result.get_or_init(|| has_ended(Duration::ZERO)).await;
         if !is_ended {
             if !waits_for_both {
@@ -207,15 +231,15 @@
     }
 }
 
-/// Reports whether the endpoint's address refuses connections. A pooled connection that was idle
-/// for at most `max_idle` counts as accepted.
+/// Reports whether an endpoint's address refuses connections. A pooled connection that was idle for at most
+/// `max_idle` counts as accepted.
 async fn refuses_connections(
-    traffic: &Traffic,
-    chosen: &ChosenEndpoint,
+    pool: &Pool,
+    endpoint: &str,
+    address: &str,
     max_idle: Duration,
 ) -> bool {
-    let connect =
-        traffic.pool.ensure_idle_connection(chosen.id.as_str(), &chosen.address, max_idle);
+    let connect = pool.ensure_idle_connection(endpoint, address, max_idle);
     match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
         Ok(Err(e)) => e.disconnect_cause == Some(DisconnectCause::Refused),
         Ok(Ok(())) | Err(_) => false,
--- a/crates/tidetrack-plane/src/exchange.rs
+++ b/crates/tidetrack-plane/src/exchange.rs
@@ -29,7 +29,9 @@
 use crate::choose::{
     check_before_send, model_weight, overloaded_error, record_prefix_use, RETRY_OVERLOADED_MS,
 };
-use crate::crash::{detect_crash, wait_for_crash_reports};
+use crate::crash::{
+    detect_crash, ended_endpoint_error, has_endpoint_ended, wait_for_crash_reports,
+};
 use crate::forward::{set_result, take_envelope};
 use crate::job::{AttemptHistory, ChosenEndpoint, InFlight, Job, Traffic};
 use crate::load_control;
@@ -461,13 +463,18 @@
     model: Option<&ModelId>,
 ) -> Result<Response<ResponseBody>> {
     let proves_completion = response.proves_completion();
+    let ends_with_connection = response.ends_with_connection();
     let EndpointResponse { head, facts, body, lease } = response;
     let collected = traffic.response_memory.collect(body);
     let collected =
         tokio::time::timeout_at(job.deadline.into(), collected).await.map_err(|_| {
             Error::new(Code::Deadline, "the response was not complete before the deadline")
         })??;
-    traffic.pool_of(chosen).release(chosen.peer_name(), lease, facts.idle_time);
+    let (pool, name) = (traffic.pool_of(chosen), chosen.peer_name());
+    if ends_with_connection && has_endpoint_ended(pool, name, &chosen.address).await {
+        return Err(ended_endpoint_error());
+    }
+    pool.release(name, lease, facts.idle_time);
     if proves_completion {
         traffic.shared.suspects.record_completion(traffic.shared.now(), &job.fingerprints);
     }
--- a/crates/tidetrack-plane/src/relay/mod.rs
+++ b/crates/tidetrack-plane/src/relay/mod.rs
@@ -28,7 +28,7 @@
 use crate::attempt::EndpointResponse;
 use crate::backlog::Sent;
 use crate::body::ResponseBody;
-use crate::crash::detect_crash;
+use crate::crash::{detect_crash, ended_endpoint_error, has_endpoint_ended};
 use crate::events::StreamEvent;
 use crate::job::{AttemptHistory, ChosenEndpoint, Job, SilentEndpoint, Traffic};
 use crate::pending_work::PendingWork;
@@ -182,7 +182,7 @@
         let added = match item {
             StreamItem::Event(event) => self.sequence.push(event.id, event),
             StreamItem::End => {
-                let ended = self.sequence.end(self.source.is_framed);
+                let ended = self.sequence.end(!self.source.ends_with_connection);
                 self.has_ended = ended.is_ok();
                 ended
             }
@@ -219,11 +219,20 @@
             }
             match self.next_of_source(tries).await? {
                 StreamItem::Event(event) if !event.is_event => return Ok(StreamItem::Event(event)),
+                StreamItem::End if self.was_cut_off().await => return Err(ended_endpoint_error()),
                 item => self.add_item(item)?,
             }
         }
     }
 
+    /// Reports whether a response that ended with its connection may have been cut off by the end of its
+    /// endpoint.
+    async fn was_cut_off(&self) -> bool {
+        let Source { chosen, ends_with_connection, .. } = &self.source;
+        let pool = self.traffic.pool_of(chosen);
+        *ends_with_connection && has_endpoint_ended(pool, chosen.peer_name(), &chosen.address).await
+    }
+
     /// Returns what the endpoint sends next, or an error if it disconnects or the request's time is over. A
     /// silent endpoint may be replaced meanwhile.
     async fn next_of_source(&mut self, tries: &mut AttemptHistory) -> Result<StreamItem> {
--- a/crates/tidetrack-plane/src/relay/source.rs
+++ b/crates/tidetrack-plane/src/relay/source.rs
@@ -20,8 +20,8 @@
     pub(super) body: Incoming,
     /// Whether the complete response proves that the request was executed from beginning to end.
     pub(super) proves_completion: bool,
-    /// Whether the response marks its end, so that it does not just end with its connection.
-    pub(super) is_framed: bool,
+    /// Whether the response ends with its connection, and does not mark its end.
+    pub(super) ends_with_connection: bool,
     pub(super) lease: Lease,
     pub(super) idle_time: Option<Duration>,
     pub(super) chosen: ChosenEndpoint,
@@ -52,11 +52,11 @@
     ) -> (http::response::Parts, Source) {
         // The endpoint may not get as far as to crash if little is left of the response.
         let proves_completion = response.proves_completion() && resumed_after.is_none();
-        let is_framed = response.is_framed();
+        let ends_with_connection = response.ends_with_connection();
         let EndpointResponse { head, facts, body, lease } = response;
         let source = Source {
             proves_completion,
-            is_framed,
+            ends_with_connection,
             body,
             lease,
             idle_time: facts.idle_time,
--- a/crates/tidetrack-router/src/endpoint_client.rs
+++ b/crates/tidetrack-router/src/endpoint_client.rs
@@ -19,6 +19,7 @@
 use tidetrack_core::ids::EndpointId;
 use tidetrack_plane::attempt::{self, Attempt, EndpointResponse, IdEcho};
 use tidetrack_plane::body::MAX_QUEUED_CHUNKS;
+use tidetrack_plane::crash::{ended_endpoint_error, has_endpoint_ended};
 use tidetrack_plane::dialect::ResponseFacts;
 use tidetrack_plane::pool::{disconnect_cause, max_idle_time, Pool, UsedConnections};
 use tidetrack_wire::headers;
@@ -99,14 +100,19 @@
                 return;
             }
         };
+        let ends_with_connection = response.ends_with_connection();
         let EndpointResponse { head, body, lease, .. } = response;
         let (part_sender, part_receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
         if self.reply.send(Ok(Reply { head, body: part_receiver })).is_err() {
             return;
         }
         if forward_body(body, &part_sender, self.deadline).await {
-            pool.release(self.endpoint.as_str(), lease, None);
-            drop(part_sender.send(Ok(BodyPart::End)).await);
+            let name = self.endpoint.as_str();
+            let was_cut_off =
+                ends_with_connection && has_endpoint_ended(&pool, name, &self.address).await;
+            pool.release(name, lease, None);
+            let end = if was_cut_off { Err(ended_endpoint_error()) } else { Ok(BodyPart::End) };
+            drop(part_sender.send(end).await);
         }
     }
 }
