The numbering of events in a module of its own; a resumed response without ids

Found on reading the change as a newcomer. EventNumbering, what a service's streams show, moves out of event_sequence. Three faults of the sequence, found by reading:

- A resumed response whose events have no ids was passed on after three of them, also if the endpoint had begun again from the first event.
It counts as a wrong start now (a_resumed_response_without_ids_is_not_the_continuation).
- Two wrong ids in a row that rise by the same difference were taken for a new step in a stream whose step was known (two_wrong_ids_in_a_row_do_not_confirm_each_other has that case now).
A step is only learned in streams that have not shown one.
- The branch for such starts is a function of its own.

--- a/crates/tidetrack-core/src/traffic/event_sequence.rs
+++ b/crates/tidetrack-core/src/traffic/event_sequence.rs
@@ -14,74 +14,11 @@
 use std::collections::VecDeque;
 use std::fmt;
 
-/// Number of streams of a service in which no event is held back, after one that was not numbered as usual.
-const UNCHECKED_STREAMS: u32 = 8;
+use super::event_numbering::{EventNumbering, NumberingObservation};
 
 /// Maximum number of events that are held back.
 const MAX_HELD_EVENTS: usize = 3;
 
-/// Difference between the ids of consecutive events if nothing else is known.
-const DEFAULT_STEP: u64 = 1;
-
-/// Ids of the first event of a stream if nothing else is known.
-const DEFAULT_FIRST_IDS: [u64; 2] = [0, 1];
-
-/// How the streams of a service number their events.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct EventNumbering {
-    /// Id of the first event of a stream.
-    first: Option<u64>,
-    /// Difference between the ids of consecutive events.
-    step: Option<u64>,
-    /// Number of streams that are still not held to the numbering.
-    unchecked_streams: u32,
-}
-
-/// What a stream shows of the numbering of its service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NumberingObservation {
-    /// The ids of the first three events rise.
-    Start {
-        /// Id of the first event.
-        first: u64,
-        /// Difference between the ids of consecutive events, if it is the same for all three.
-        step: Option<u64>,
-    },
-    /// The ids continued after a jump, or rise without a regular step.
-    Jump,
-    /// The stream ended without a jump.
-    End,
-}
-
-impl EventNumbering {
-    /// Records what a stream showed.
-    pub fn record(&mut self, observation: NumberingObservation) {
-        match observation {
-            NumberingObservation::Start { first, step } => {
-                let is_unusual = self.first.is_some_and(|usual| usual != first)
-                    || step.is_some() && self.step.is_some_and(|usual| Some(usual) != step);
-                if is_unusual {
-                    self.unchecked_streams = UNCHECKED_STREAMS;
-                }
-                self.first = Some(first);
-                self.step = step.or(self.step);
-            }
-            NumberingObservation::Jump => self.unchecked_streams = UNCHECKED_STREAMS,
-            NumberingObservation::End => {
-                self.unchecked_streams = self.unchecked_streams.saturating_sub(1);
-            }
-        }
-    }
-
-    fn is_first(&self, id: u64) -> bool {
-        self.first.map_or(DEFAULT_FIRST_IDS.contains(&id), |first| id == first)
-    }
-
-    fn step(&self) -> u64 {
-        self.step.unwrap_or(DEFAULT_STEP)
-    }
-}
-
 /// Why the response of an endpoint cannot be continued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SequenceError {
@@ -159,8 +96,9 @@
     numbering: EventNumbering,
     /// Whether events that do not continue the numbering are held back.
     is_checked: bool,
+    /// Difference between the ids of consecutive events.
     step: u64,
-    /// Whether an event had the expected id.
+    /// Whether an event after the first had the expected id.
     has_regular_step: bool,
     /// Whether events without an id are sent between consecutive ids.
     has_unnumbered_events: bool,
@@ -171,11 +109,15 @@
     passed: usize,
     /// Number of events after the position that were released to the caller, from any endpoint.
     released: usize,
+    /// The last id, in a stream in which nothing is held back.
     unconfirmed: Option<UnconfirmedId>,
+    /// Events that wait for their confirmation.
     held: Vec<NumberedEvent<T>>,
+    /// Events that the caller may receive.
     ready: VecDeque<T>,
     /// Name of the present endpoint.
     source: String,
+    /// Whether the present endpoint resumed the stream.
     is_resumed: bool,
     /// Number of events received from the present endpoint.
     received: usize,
@@ -184,10 +126,13 @@
     /// Number of events after the point of the last resumption that an earlier endpoint sent.
     expected: usize,
     reported_jump: Option<ReportedJump>,
-    /// The first ids of the stream, up to three.
+    /// The ids of the first events, up to three.
     first_ids: Vec<u64>,
-    is_whole: bool,
-    jump_candidate: bool,
+    /// Whether the first events of the whole stream, with ids, were received.
+    has_stream_start: bool,
+    /// Whether the last id is not the expected one, in a stream in which nothing is held back.
+    may_have_jumped: bool,
+    /// Whether a jump was confirmed.
     has_jumped: bool,
     observations: Vec<NumberingObservation>,
 }
@@ -202,7 +147,7 @@
         source: impl Into<String>,
     ) -> EventSequence<T> {
         EventSequence {
-            is_checked: is_resumable && numbering.unchecked_streams == 0,
+            is_checked: is_resumable && numbering.is_reliable(),
             step: numbering.step(),
             has_regular_step: false,
             has_unnumbered_events: false,
@@ -220,8 +165,8 @@
             expected: 0,
             reported_jump: None,
             first_ids: Vec::new(),
-            is_whole: after.is_none(),
-            jump_candidate: false,
+            has_stream_start: after.is_none(),
+            may_have_jumped: false,
             has_jumped: false,
             observations: Vec::new(),
             numbering,
@@ -294,7 +239,7 @@
         self.source = source.into();
         self.is_resumed = true;
         (self.received, self.confirmed, self.passed) = (0, 0, 0);
-        (self.unconfirmed, self.jump_candidate) = (None, false);
+        (self.unconfirmed, self.may_have_jumped) = (None, false);
     }
 
     /// Adds an event to a stream in which nothing is held back.
@@ -308,7 +253,7 @@
                 self.released -= previous.passed;
                 self.confirmed = self.received - 1 - self.passed;
             }
-            if self.jump_candidate {
+            if self.may_have_jumped {
                 self.record_jump();
             }
             self.has_numbered_events = true;
@@ -317,7 +262,7 @@
                 self.trust(id);
                 return Ok(());
             }
-            self.jump_candidate = self.position.is_some();
+            self.may_have_jumped = self.position.is_some();
             self.unconfirmed = Some(UnconfirmedId { id, passed: self.passed + 1 });
         }
         self.release(event);
@@ -374,32 +319,23 @@
             Some((last, earlier)) => (last, earlier),
             None => return Ok(()),
         };
-        let Some(id) = last.id else { return self.limit_held() };
+        let Some(id) = last.id else {
+            let is_numbered = earlier.iter().any(|h| h.id.is_some());
+            return match is_numbered || self.has_unnumbered_events {
+                true => self.limit_held(),
+                false => Err(self.wrong_start(None)),
+            };
+        };
         self.has_numbered_events = true;
         let numbered: Vec<(usize, u64)> =
             earlier.iter().enumerate().filter_map(|(i, h)| Some((i, h.id?))).collect();
         let Some((at, previous)) = numbered.last().copied() else {
-            // Only the first event of a resumed response is held without an id.
-            if self.is_next(id, self.passed + earlier.len()) {
-                self.release_held();
-                self.trust(id);
-                return Ok(());
-            }
-            if self.is_next(id, 0) {
-                self.has_unnumbered_events = true;
-                let last = self.held.pop();
-                self.ready.extend(self.held.drain(..).map(|h| h.event));
-                if let Some(last) = last {
-                    self.release(last);
-                }
-                self.trust(id);
-                return Ok(());
-            }
-            return Err(self.wrong_start(Some(id)));
+            return self.confirm_unnumbered_start(id);
         };
         let count = (earlier.len() - at) as u64;
         let before = numbered.len().checked_sub(2).map(|i| numbered[i].1).or(self.position);
-        let is_new_step = before.is_some_and(|before| id - previous == previous - before);
+        let is_new_step = !self.has_regular_step
+            && before.is_some_and(|before| id - previous == previous - before);
         let continues = follows(previous, self.step, count, id);
         if !continues && !is_new_step {
             return self.limit_held();
@@ -408,7 +344,7 @@
             self.step = id - previous;
         }
         // A stream whose numbering was not known yet shows no jump.
-        if (continues && self.position.is_some()) || self.numbering.step.is_some() {
+        if (continues && self.position.is_some()) || self.numbering.has_known_step() {
             self.record_jump();
         }
         self.release_held();
@@ -416,6 +352,24 @@
         Ok(())
     }
 
+    /// Releases the held events, which have no ids and begin a resumed response, if the next id, of the last
+    /// one, confirms that the response begins at the right place.
+    fn confirm_unnumbered_start(&mut self, id: u64) -> Result<(), SequenceError> {
+        if self.is_next(id, self.held.len() - 1) {
+            self.release_held();
+        } else if self.is_next(id, 0) {
+            // Events without an id are not counted in the numbering.
+            self.has_unnumbered_events = true;
+            let last = self.held.pop();
+            self.ready.extend(self.held.drain(..).map(|h| h.event));
+            last.into_iter().for_each(|last| self.release(last));
+        } else {
+            return Err(self.wrong_start(Some(id)));
+        }
+        self.trust(id);
+        Ok(())
+    }
+
     /// Stops to hold events back if there are too many.
     fn limit_held(&mut self) -> Result<(), SequenceError> {
         if self.held.len() < MAX_HELD_EVENTS {
@@ -485,12 +439,12 @@
 
     /// Records the ids of the first events, as far as they are those of the whole stream.
     fn observe_start(&mut self, id: Option<u64>) {
-        if !self.is_whole || self.is_resumed || self.first_ids.len() >= 3 {
+        if !self.has_stream_start || self.is_resumed || self.first_ids.len() >= 3 {
             return;
         }
         match id {
             Some(id) => self.first_ids.push(id),
-            None => self.is_whole = false,
+            None => self.has_stream_start = false,
         }
         if let [first, second, third] = self.first_ids[..] {
             if first < second && second < third {
@@ -502,7 +456,7 @@
 
     fn record_jump(&mut self) {
         self.has_jumped = true;
-        self.jump_candidate = false;
+        self.may_have_jumped = false;
         self.observations.push(NumberingObservation::Jump);
     }
 }
--- a/crates/tidetrack-core/src/traffic/mod.rs
+++ b/crates/tidetrack-core/src/traffic/mod.rs
@@ -22,6 +22,7 @@
 pub mod endpoint_speeds;
 pub mod endpoints;
 pub mod evacuations;
+pub mod event_numbering;
 pub mod event_sequence;
 pub mod exposure;
 pub mod fair_share;
--- a/crates/tidetrack-core/tests/event_sequence.rs
+++ b/crates/tidetrack-core/tests/event_sequence.rs
@@ -1,6 +1,7 @@
 //! Which events of a stream are passed on, and after which one it may be resumed.
 
-use tidetrack_core::traffic::event_sequence::{EventNumbering, EventSequence, SequenceError};
+use tidetrack_core::traffic::event_numbering::EventNumbering;
+use tidetrack_core::traffic::event_sequence::{EventSequence, SequenceError};
 
 /// A service whose streams are played one after another.
 #[derive(Default)]
@@ -119,16 +120,18 @@
 
 #[test]
 fn two_wrong_ids_in_a_row_do_not_confirm_each_other() {
-    let mut service = Service::default();
-    let mut stream = service.stream(None);
+    for wrong in [[15, 40], [15, 21]] {
+        let mut service = Service::default();
+        let mut stream = service.stream(None);
 
-    stream.push_all(1, &ids(1, 9)).expect("the ids rise");
-    stream.push_all(10, &[Some(15), Some(40)]).expect("the ids rise");
-    let contradiction = stream.push(Some(12), 12);
+        stream.push_all(1, &ids(1, 9)).expect("the ids rise");
+        stream.push_all(10, &wrong.map(Some)).expect("the ids rise");
+        let contradiction = stream.push(Some(12), 12);
 
-    assert!(contradiction.is_err());
-    assert_eq!(stream.sequence.resume_point(), Some(9));
-    assert_eq!(stream.received.len(), 9);
+        assert!(contradiction.is_err(), "{wrong:?}");
+        assert_eq!(stream.sequence.resume_point(), Some(9), "{wrong:?}");
+        assert_eq!(stream.received.len(), 9, "{wrong:?}");
+    }
 }
 
 #[test]
@@ -203,6 +206,19 @@
     }
 }
 
+#[test]
+fn a_resumed_response_without_ids_is_not_the_continuation() {
+    let mut service = Service::default();
+    let mut stream = service.stream(None);
+    stream.push_all(1, &ids(1, 9)).expect("the ids rise");
+
+    stream.sequence.resume("b");
+    let restarted = stream.push_all(1, &[None, None]);
+
+    assert_eq!(restarted, Err(SequenceError::WrongStart { id: None, after: 9 }));
+    assert_eq!(stream.received.len(), 9);
+}
+
 #[test]
 fn a_resumed_response_that_ends_before_known_events_is_not_the_end() {
     let mut service = Service::default();
--- a/crates/tidetrack-plane/src/job.rs
+++ b/crates/tidetrack-plane/src/job.rs
@@ -17,7 +17,7 @@
 use tidetrack_core::placement::{request_work, EndpointState, LengthMix};
 use tidetrack_core::traffic::admission::AdmittedRequest;
 use tidetrack_core::traffic::budget::AttemptBudget;
-use tidetrack_core::traffic::event_sequence::EventNumbering;
+use tidetrack_core::traffic::event_numbering::EventNumbering;
 use tidetrack_core::traffic::exposure::SessionHash;
 use tidetrack_core::traffic::fingerprint::RequestFingerprints;
 use tidetrack_core::traffic::forwarding::ForwardedRequest;
