An endpoint that sent a wrong event id stops before another one resumes its stream

Cause: resume() kept the failed source, and with it the connection, until the other endpoint had answered. Only a silent source was closed, after 250 ms.

Evidence: an_endpoint_that_sent_a_wrong_event_id_stops_before_another_one_resumes_its_stream failed before: both worked for 1.22 s, 0.4 s are allowed; E302 (event id 2 was received after id 2) and the E308 of the next attempt show the course.

Change: the source is closed before the search for another endpoint, and at once if a silent one that is still listened to fails.

Why it works: an endpoint drops a request whose connection closes, and nothing more is read from a source that cannot continue.

--- a/crates/tidetrack-plane/src/relay/mod.rs
+++ b/crates/tidetrack-plane/src/relay/mod.rs
@@ -288,6 +288,7 @@
                         Ok(next) => break Err(next),
                         Err(e) => {
                             silent_endpoint.stop_listening();
+                            self.source.close();
                             source_error = Some(e);
                         }
                     },
@@ -384,8 +385,9 @@
     }
 
     /// Resumes the stream at another endpoint, after the last trusted event, because the current
-    /// endpoint failed.
+    /// endpoint failed. That one may still work on the response, and is stopped first.
     async fn resume(&mut self, tries: &mut AttemptHistory, reason: Error) -> Result<()> {
+        self.source.close();
         self.record_source_failure(&reason).await;
         if !self.can_resume_elsewhere(tries) || self.job.is_expired() {
             return Err(reason);
