A caller that leaves while its stream is resumed ends the work of the other endpoint

Cause: relay_items awaited resume() beside the host's stop, but not beside the end of the caller's connection, as it does for events.

Evidence: a_caller_that_leaves_while_its_stream_is_resumed_ends_the_work_of_the_other_endpoint failed before: the endpoint worked for 2.48 s after the caller had left; 0.5 s are allowed.

Change: the same wait for the caller's end as beside the next event. The attempt is dropped with the relay, which closes its connection. Other waits of the relay were read: the first event and the replacement of a silent endpoint are covered by the request's own task and by the wait for the next event.

--- a/crates/tidetrack-plane/src/relay/mod.rs
+++ b/crates/tidetrack-plane/src/relay/mod.rs
@@ -149,6 +149,7 @@
                     let resumed = tokio::select! {
                         biased;
                         resumed = self.resume(&mut tries, e) => resumed,
+                        () = tx.closed() => return self.record_caller_left(&tx),
                         () = traffic.wait_for_interruption() => Err(stop::interruption(Executed::Yes)),
                     };
                     if let Err(e) = resumed {
