A transfer coding other than chunked does not mark the end of a response

An endpoint that ends in the middle of a body with `Transfer-Encoding: identity`, with or without a `Content-Length`, which the coding overrides: a 200 with a short body and a length of the host's own, and streams that end as complete after 2 of 10 events.

Cause: a response counted as framed if it had either header at all. A transfer coding only marks the end of the body if `chunked` is the last one; the HTTP library reads up to the end of the connection otherwise, and asks only after unframed responses whether their endpoint has ended.

Why it works: framing is decided as the library decides it, so every body that ends with its connection is checked.

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -23,6 +23,9 @@
 /// Final statuses of HTTP. A response with another one, such as 101, is a failure of the endpoint.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
+/// The transfer coding that marks the end of a body.
+const CHUNKED: &str = "chunked";
+
 /// Maximum size in bytes of a discarded response body after which its connection is used again.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
@@ -55,12 +58,25 @@
         !self.is_framed() && !self.body.is_end_stream()
     }
 
+    /// Reports whether the end of the body is marked. A transfer coding takes precedence over a length, and
+    /// marks an end only if it is `chunked`.
     fn is_framed(&self) -> bool {
         let headers = &self.head.headers;
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+        let mut codings = transfer_codings(headers);
+        match codings.next_back() {
+            Some(last) => last == CHUNKED,
+            None => headers.contains_key(CONTENT_LENGTH),
+        }
     }
 }
 
+/// Returns the transfer codings of a message in the order in which they were applied, in lower case.
+fn transfer_codings(headers: &HeaderMap) -> impl DoubleEndedIterator<Item = String> + '_ {
+    let values = headers.get_all(TRANSFER_ENCODING).into_iter();
+    let codings = values.flat_map(|value| value.as_bytes().split(|b| *b == b','));
+    codings.map(|coding| String::from_utf8_lossy(coding.trim_ascii()).to_ascii_lowercase())
+}
+
 /// Whether an endpoint must return the id of the attempt with its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IdEcho {
