A body in a transfer coding that nobody asked for is not passed on

What callers would see: a 200 whose body an endpoint compressed (`Transfer-Encoding: gzip, chunked`), framed as whole and without the header that says so, as headers of one connection are not passed on.

Cause: only `Content-Encoding` was looked at. The HTTP library decodes `chunked` and leaves other transfer codings in the body.

Evidence: a_body_in_a_transfer_coding_that_nobody_asked_for_is_not_passed_on failed before with a 200 of the coded bytes on both routes.

Change: a success in another coding than `chunked` or `identity` is a failure of its endpoint, as one with a `Content-Encoding` is: it is retried where it may be, or gets 502. No request asks for a transfer coding, so an endpoint that follows HTTP sends none. 22 of 22 tests of responses and unframed_responses pass.

--- a/crates/tidetrack-plane/src/attempt.rs
+++ b/crates/tidetrack-plane/src/attempt.rs
@@ -26,6 +26,9 @@
 /// The transfer coding that marks the end of a body.
 const CHUNKED: &str = "chunked";
 
+/// The transfer coding that leaves a body as it is.
+const IDENTITY: &str = "identity";
+
 /// Maximum size in bytes of a discarded response body after which its connection is used again.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
@@ -77,6 +80,11 @@
     codings.map(|coding| String::from_utf8_lossy(coding.trim_ascii()).to_ascii_lowercase())
 }
 
+/// Reports whether the HTTP library leaves the body in a transfer coding that changes its bytes.
+fn has_undecoded_body(headers: &HeaderMap) -> bool {
+    transfer_codings(headers).any(|coding| !matches!(coding.as_str(), CHUNKED | IDENTITY))
+}
+
 /// Whether an endpoint must return the id of the attempt with its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IdEcho {
@@ -222,7 +230,8 @@
         return Err(refusal);
     }
     let is_success = head.status.is_success();
-    if !facts.has_response_seal || (is_success && facts.is_encoded) {
+    let is_encoded = facts.is_encoded || has_undecoded_body(&head.headers);
+    if !facts.has_response_seal || (is_success && is_encoded) {
         let text = format!(
             "the response with status {} has no seal of the endpoint or its body is encoded",
             head.status
